Lay out the workspace with design, kernel, peer protocol and documents

Cause: the project has no code yet. Change: four packages, the design page, the contracts of callers, upstreams and platform, message types with their Cap'n Proto schema, the peer network, settings and the document catalogue. Conclusion: the interfaces are fixed enough for parallel work.

--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The client of operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions of the query tier, without I/O."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/clock.py
@@ -0,0 +1,52 @@
+"""Clocks that are passed to decisions."""
+
+from __future__ import annotations
+
+import time
+from abc import ABC
+from abc import abstractmethod
+
+
+class Clock(ABC):
+    """Tell the time in seconds."""
+
+    @abstractmethod
+    def monotonic_s(self) -> float:
+        """Return a time that never goes back."""
+
+    @abstractmethod
+    def unix_s(self) -> float:
+        """Return the wall-clock time."""
+
+
+class SystemClock(Clock):
+    """Read the clocks of the operating system."""
+
+    def monotonic_s(self) -> float:
+        """Return a time that never goes back."""
+        return time.monotonic()
+
+    def unix_s(self) -> float:
+        """Return the wall-clock time."""
+        return time.time()
+
+
+class ManualClock(Clock):
+    """Stand still until it is advanced."""
+
+    def __init__(self, *, now_s: float = 1000.0, unix_s: float = 1.7e9) -> None:
+        self._now_s = now_s
+        self._unix_s = unix_s
+
+    def monotonic_s(self) -> float:
+        """Return a time that never goes back."""
+        return self._now_s
+
+    def unix_s(self) -> float:
+        """Return the wall-clock time."""
+        return self._unix_s
+
+    def advance(self, seconds: float) -> None:
+        """Move both clocks forward."""
+        self._now_s += seconds
+        self._unix_s += seconds
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon of the query tier."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/log_setup.py
@@ -0,0 +1,27 @@
+"""Structured logs: one JSON object a line on standard error."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from pythonjsonlogger.json import JsonFormatter
+
+if TYPE_CHECKING:
+    from gypsumvane_daemon.settings import Settings
+
+
+def configure_logging(settings: Settings) -> None:
+    """Send JSON lines with the VM's name to standard error."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            static_fields={"vm_id": settings.vm.vm_id},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(settings.logging.level)
+    logging.getLogger("transitions").setLevel(logging.WARNING)
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_codec.py
@@ -0,0 +1,144 @@
+"""Conversion between message dataclasses and Cap'n Proto frames."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import capnp
+from capnp.lib.capnp import KjException
+
+from gypsumvane_core import messages
+from gypsumvane_core.messages import Message
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+
+FRAME_BYTES_MAX = 1 << 20
+LENGTH_BYTES = 4
+
+
+class FrameError(Exception):
+    """Report a frame that cannot be decoded or is too large."""
+
+
+@dataclass(slots=True)
+class Frame:
+    """Carry one message and its place in a conversation."""
+
+    body: Message
+    request_id: int = 0
+    in_reply_to: int = 0
+    final: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class _FieldPlan:
+    name: str
+    wire_name: str
+    is_list: bool
+    # The dataclass of a nested message, None for scalars.
+    nested: type | None
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split("_")
+    return first + "".join(part.title() for part in rest)
+
+
+def _plan(cls: type) -> tuple[_FieldPlan, ...]:
+    hints = typing.get_type_hints(cls)
+    plans = []
+    for field in dataclasses.fields(cls):
+        hint = hints[field.name]
+        is_list = typing.get_origin(hint) is list
+        inner = typing.get_args(hint)[0] if is_list else hint
+        nested = inner if dataclasses.is_dataclass(inner) else None
+        plans.append(
+            _FieldPlan(
+                name=field.name,
+                wire_name=_camel(field.name),
+                is_list=is_list,
+                nested=typing.cast("type | None", nested),
+            )
+        )
+    return tuple(plans)
+
+
+_PLANS: dict[type, tuple[_FieldPlan, ...]] = {
+    cls: _plan(cls)
+    for cls in vars(messages).values()
+    if isinstance(cls, type) and dataclasses.is_dataclass(cls)
+}
+_BODY_CLASSES: dict[str, type] = {
+    cls.__name__[0].lower() + cls.__name__[1:]: cls for cls in typing.get_args(Message)
+}
+_BODY_NAMES = {cls: name for name, cls in _BODY_CLASSES.items()}
+
+
+def _fill(builder: Any, message: Any) -> None:
+    for plan in _PLANS[type(message)]:
+        value = getattr(message, plan.name)
+        if plan.is_list:
+            if not value:
+                continue
+            if plan.nested is None:
+                setattr(builder, plan.wire_name, value)
+                continue
+            items = builder.init(plan.wire_name, len(value))
+            for item_builder, item in zip(items, value, strict=True):
+                _fill(item_builder, item)
+        elif plan.nested is not None:
+            _fill(builder.init(plan.wire_name), value)
+        else:
+            setattr(builder, plan.wire_name, value)
+
+
+def _read(reader: Any, cls: type) -> Any:
+    values = {}
+    for plan in _PLANS[cls]:
+        value = getattr(reader, plan.wire_name)
+        if plan.is_list:
+            nested = plan.nested
+            value = list(value) if nested is None else [_read(v, nested) for v in value]
+        elif plan.nested is not None:
+            value = _read(value, plan.nested)
+        values[plan.name] = value
+    return cls(**values)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return the frame with its length prefix.
+
+    Raises FrameError when it is larger than FRAME_BYTES_MAX.
+    """
+    builder = _SCHEMA.Frame.new_message(
+        requestId=frame.request_id, inReplyTo=frame.in_reply_to, final=frame.final
+    )
+    _fill(builder.body.init(_BODY_NAMES[type(frame.body)]), frame.body)
+    data = builder.to_bytes()
+    if len(data) > FRAME_BYTES_MAX:
+        raise FrameError(f"frame of {len(data)} bytes exceeds {FRAME_BYTES_MAX}")
+    return len(data).to_bytes(LENGTH_BYTES, "little") + data
+
+
+def decode_frame(data: bytes) -> Frame:
+    """Return the frame of one Cap'n Proto message without its length prefix.
+
+    Raises FrameError for anything that is not a valid frame.
+    """
+    try:
+        with _SCHEMA.Frame.from_bytes(data) as reader:
+            name = reader.body.which()
+            cls = _BODY_CLASSES[str(name)]
+            return Frame(
+                body=_read(getattr(reader.body, str(name)), cls),
+                request_id=reader.requestId,
+                in_reply_to=reader.inReplyTo,
+                final=reader.final,
+            )
+    except (KjException, KeyError, ValueError, UnicodeDecodeError) as error:
+        raise FrameError(f"invalid frame: {type(error).__name__}") from error
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -0,0 +1,355 @@
+"""Connections between daemons: one connection and one task per peer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from gypsumvane_core.messages import Hello
+from gypsumvane_core.messages import Message
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_codec import FRAME_BYTES_MAX
+from gypsumvane_daemon.peer_codec import LENGTH_BYTES
+from gypsumvane_daemon.peer_codec import Frame
+from gypsumvane_daemon.peer_codec import FrameError
+from gypsumvane_daemon.peer_codec import decode_frame
+from gypsumvane_daemon.peer_codec import encode_frame
+from gypsumvane_daemon.settings import split_address
+from gypsumvane_daemon.tls import client_context
+from gypsumvane_daemon.tls import server_context
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.kernel import Kernel
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_DELAY_S = 0.2
+WRITE_BUFFER_BYTES_MAX = 4 << 20
+
+MessageType = TypeVar("MessageType")
+
+
+class PeerError(Exception):
+    """Report a request to a peer that got no reply.
+
+    ``sent`` is False only when no byte of the request left this process.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+@dataclass(slots=True)
+class PeerContext:
+    """Tell a handler who sent a request and let it reply."""
+
+    hello: Hello
+    _connection: _Connection
+    _request_id: int
+
+    def reply(self, message: Message, *, final: bool = True) -> None:
+        """Send one reply frame; a lost connection drops it."""
+        with contextlib.suppress(PeerError):
+            self._connection.write(
+                Frame(body=message, in_reply_to=self._request_id, final=final)
+            )
+
+
+@dataclass(slots=True)
+class _Connection:
+    """Write frames to one TCP connection."""
+
+    writer: asyncio.StreamWriter
+    hello: Hello = field(default_factory=Hello)
+
+    def write(self, frame: Frame) -> None:
+        data = encode_frame(frame)
+        transport = self.writer.transport
+        if transport.is_closing():
+            raise PeerError("connection is closed", sent=False)
+        if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES_MAX:
+            raise PeerError("peer does not read", sent=False)
+        self.writer.write(data)
+
+
+async def _read_frame(reader: asyncio.StreamReader) -> Frame:
+    length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "little")
+    if length > FRAME_BYTES_MAX:
+        raise FrameError(f"frame of {length} bytes exceeds {FRAME_BYTES_MAX}")
+    return decode_frame(await reader.readexactly(length))
+
+
+class _Peer:
+    """Keep one outgoing connection to a peer and match its replies."""
+
+    def __init__(self, network: PeerNetwork, vm_id: str, address: str) -> None:
+        self.vm_id = vm_id
+        self.address = address
+        self.connection: _Connection | None = None
+        self._network = network
+        self._next_id = 1
+        self._pending: dict[int, asyncio.Queue[Frame | None]] = {}
+        self.task = asyncio.create_task(self._run(), name=f"peer-{vm_id}")
+
+    async def _run(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, EOFError, FrameError, PeerError):
+                await self._converse()
+            await asyncio.sleep(RECONNECT_DELAY_S)
+
+    async def _converse(self) -> None:
+        host, port = split_address(self.address)
+        tls = self._network.identity.settings.peers.tls
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                host, port, ssl=client_context(tls)
+            )
+        connection = _Connection(writer=writer)
+        try:
+            connection.write(Frame(body=self._network.own_hello()))
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                first = await _read_frame(reader)
+            if not isinstance(first.body, Hello):
+                raise FrameError("the first frame is not a hello")
+            if self.vm_id and first.body.vm_id != self.vm_id:
+                raise FrameError(f"reached {first.body.vm_id} instead of {self.vm_id}")
+            connection.hello = first.body
+            self._network.note_hello(first.body)
+            self.connection = connection
+            while True:
+                frame = await _read_frame(reader)
+                queue = self._pending.get(frame.in_reply_to)
+                if queue is not None:
+                    queue.put_nowait(frame)
+        except FrameError as error:
+            self._network.metrics.count("peer_frame_errors", side="dialer")
+            logger.warning("peer connection ended", extra={"cause": str(error)})
+        finally:
+            self.connection = None
+            writer.close()
+            for queue in self._pending.values():
+                queue.put_nowait(None)
+
+    def send(self, message: Message) -> None:
+        """Send a message that gets no reply."""
+        self._require().write(Frame(body=message))
+
+    async def stream(self, message: Message) -> AsyncIterator[Any]:
+        """Send a request and yield its replies up to the final one."""
+        request_id = self._next_id
+        self._next_id += 1
+        queue: asyncio.Queue[Frame | None] = asyncio.Queue()
+        connection = self._require()
+        self._pending[request_id] = queue
+        try:
+            connection.write(Frame(body=message, request_id=request_id))
+            while True:
+                frame = await queue.get()
+                if frame is None:
+                    raise PeerError(f"connection to {self.vm_id} was lost", sent=True)
+                yield frame.body
+                if frame.final:
+                    return
+        finally:
+            del self._pending[request_id]
+
+    def _require(self) -> _Connection:
+        if self.connection is None:
+            raise PeerError(f"no connection to {self.vm_id}", sent=False)
+        return self.connection
+
+    async def close(self) -> None:
+        """End the connection."""
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+
+class PeerNetwork(Service):
+    """Serve and call the other daemons."""
+
+    name = "peers"
+
+    def __init__(self, identity: DaemonIdentity) -> None:
+        self.identity = identity
+        self.metrics: MetricsService
+        self._peers: dict[str, _Peer] = {}
+        self._handlers: dict[
+            type, Callable[[Any, PeerContext], Awaitable[Message | None]]
+        ] = {}
+        self._server: asyncio.Server | None = None
+        self._inbound: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._hello_listeners: list[Callable[[Hello], None]] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for peers."""
+        self.metrics = kernel.get(MetricsService)
+        settings = self.identity.settings.peers
+        host, port = split_address(settings.address)
+        self._server = await asyncio.start_server(
+            self._serve, host=host, port=port, ssl=server_context(settings.tls)
+        )
+        bound = self._server.sockets[0].getsockname()
+        self.identity.peer_address = settings.advertised_address or f"{host}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for peer in list(self._peers.values()):
+            await peer.close()
+        self._peers.clear()
+        for writer in list(self._inbound):
+            writer.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def register(
+        self,
+        message_type: type[MessageType],
+        handler: Callable[[MessageType, PeerContext], Awaitable[Message | None]],
+    ) -> None:
+        """Handle requests of a type; a returned message is the final reply."""
+        self._handlers[message_type] = handler
+
+    def on_hello(self, listener: Callable[[Hello], None]) -> None:
+        """Call the listener with each hello received."""
+        self._hello_listeners.append(listener)
+
+    def note_hello(self, hello: Hello) -> None:
+        """Tell the listeners about a hello."""
+        for listener in self._hello_listeners:
+            listener(hello)
+
+    def own_hello(self) -> Hello:
+        """Return the hello of this daemon."""
+        vm = self.identity.settings.vm
+        return Hello(
+            vm_id=vm.vm_id,
+            incarnation=self.identity.incarnation,
+            failure_domain=vm.failure_domain,
+            cluster=vm.cluster,
+        )
+
+    async def set_peers(self, addresses: dict[str, str]) -> None:
+        """Connect to exactly these peers, by VM identifier.
+
+        A seed whose VM is not known yet has a key that starts with ``seed:``.
+        """
+        for vm_id, peer in list(self._peers.items()):
+            if addresses.get(vm_id) != peer.address:
+                del self._peers[vm_id]
+                await peer.close()
+        for vm_id, address in addresses.items():
+            if vm_id not in self._peers and vm_id != self.identity.vm_id:
+                expected = "" if vm_id.startswith("seed:") else vm_id
+                self._peers[vm_id] = _Peer(self, expected, address)
+
+    def peer_ids(self) -> list[str]:
+        """Return the identifiers of all configured peers."""
+        return list(self._peers)
+
+    def hello_of(self, vm_id: str) -> Hello | None:
+        """Return the hello of a connected peer."""
+        peer = self._peers.get(vm_id)
+        if peer is None or peer.connection is None:
+            return None
+        return peer.connection.hello
+
+    def notify(self, vm_id: str, message: Message) -> None:
+        """Send a message without a reply.
+
+        Raises PeerError when there is no connection.
+        """
+        self._require(vm_id).send(message)
+
+    def stream(self, vm_id: str, message: Message) -> AsyncIterator[Any]:
+        """Send a request and iterate over its replies.
+
+        Raises PeerError when the connection is missing or lost.
+        """
+        return self._require(vm_id).stream(message)
+
+    async def request(self, vm_id: str, message: Message, *, timeout_s: float) -> Any:
+        """Send a request and return its one reply.
+
+        Raises PeerError, also on timeout.
+        """
+        stream = self._require(vm_id).stream(message)
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for reply in stream:
+                    return reply
+        except TimeoutError as error:
+            raise PeerError(f"no reply from {vm_id}", sent=True) from error
+        finally:
+            await stream.aclose()  # type: ignore[attr-defined]
+        raise PeerError(f"no reply from {vm_id}", sent=True)
+
+    def _require(self, vm_id: str) -> _Peer:
+        peer = self._peers.get(vm_id)
+        if peer is None:
+            raise PeerError(f"{vm_id} is not a peer", sent=False)
+        return peer
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._inbound.add(writer)
+        connection = _Connection(writer=writer)
+        try:
+            first = await _read_frame(reader)
+            if not isinstance(first.body, Hello):
+                raise FrameError("the first frame is not a hello")
+            if first.body.cluster != self.identity.settings.vm.cluster:
+                raise FrameError(f"peer is of cluster {first.body.cluster}")
+            connection.hello = first.body
+            self.note_hello(first.body)
+            connection.write(Frame(body=self.own_hello()))
+            while True:
+                frame = await _read_frame(reader)
+                task = asyncio.create_task(self._handle(connection, frame))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        except FrameError as error:
+            self.metrics.count("peer_frame_errors", side="listener")
+            logger.warning("peer connection ended", extra={"cause": str(error)})
+        except (OSError, EOFError, PeerError):
+            pass
+        finally:
+            self._inbound.discard(writer)
+            writer.close()
+
+    async def _handle(self, connection: _Connection, frame: Frame) -> None:
+        handler = self._handlers.get(type(frame.body))
+        if handler is None:
+            self.metrics.count("peer_unhandled", type=type(frame.body).__name__)
+            return
+        context = PeerContext(
+            hello=connection.hello,
+            _connection=connection,
+            _request_id=frame.request_id,
+        )
+        try:
+            reply = await handler(frame.body, context)
+        except Exception:
+            self.metrics.count("peer_handler_errors", type=type(frame.body).__name__)
+            logger.exception("peer request failed")
+            return
+        if reply is not None:
+            context.reply(reply)
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_peer_codec.py
@@ -0,0 +1,42 @@
+"""Tests of the frame codec."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+from gypsumvane_core.messages import Message
+from gypsumvane_core.messages import PartialResult
+from gypsumvane_core.messages import PartialResults
+from gypsumvane_daemon.peer_codec import FRAME_BYTES_MAX
+from gypsumvane_daemon.peer_codec import LENGTH_BYTES
+from gypsumvane_daemon.peer_codec import Frame
+from gypsumvane_daemon.peer_codec import FrameError
+from gypsumvane_daemon.peer_codec import decode_frame
+from gypsumvane_daemon.peer_codec import encode_frame
+
+
+class PeerCodecTest(unittest.TestCase):
+    """Check that frames survive a round trip and bad ones are refused."""
+
+    def test_every_message_type_round_trips(self) -> None:
+        """Guard against a schema that differs from the dataclasses."""
+        for cls in typing.get_args(Message):
+            frame = Frame(body=cls(), request_id=7, in_reply_to=3, final=False)
+            decoded = decode_frame(encode_frame(frame)[LENGTH_BYTES:])
+            self.assertEqual(decoded, frame)
+
+    def test_truncated_frames_are_refused(self) -> None:
+        """Guard against a crash on a frame that was cut."""
+        results = [PartialResult(body=b"x" * 64, service="s") for _ in range(3)]
+        data = encode_frame(Frame(body=PartialResults(results=results)))
+        for length in range(0, len(data) - LENGTH_BYTES, 8):
+            with self.subTest(length=length):
+                with self.assertRaises(FrameError):
+                    decode_frame(data[LENGTH_BYTES : LENGTH_BYTES + length])
+
+    def test_oversized_frame_is_not_sent(self) -> None:
+        """Guard against frames that the receiver must refuse."""
+        results = [PartialResult(body=b"x" * FRAME_BYTES_MAX)]
+        with self.assertRaises(FrameError):
+            encode_frame(Frame(body=PartialResults(results=results)))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the whole system with real processes."""
+
+from __future__ import annotations
