--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
@@ -0,0 +1,113 @@
+"""Tests of connections between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.messages import PartialBatch
+from gypsumvane_core.messages import PartialResult
+from gypsumvane_core.messages import PartialResults
+from gypsumvane_daemon.identity import DaemonIdentity
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_network import PeerError
+from gypsumvane_daemon.peer_network import PeerNetwork
+from gypsumvane_daemon.settings import Settings
+
+if TYPE_CHECKING:
+    from gypsumvane_daemon.peer_network import PeerContext
+
+
+def make_identity(vm_id: str, cluster: str = "test") -> DaemonIdentity:
+    """Build the identity of a daemon that listens on free ports."""
+    listener = {"address": "127.0.0.1:0"}
+    values = {
+        "vm": {"vm_id": vm_id, "failure_domain": "fd-a", "cluster": cluster},
+        "callers": listener,
+        "peers": listener,
+        "operators": {**listener, "token": "0123456789"},
+        "platform": {
+            "store_address": "127.0.0.1:1",
+            "live_list_address": "127.0.0.1:1",
+        },
+    }
+    return DaemonIdentity(settings=Settings.model_validate(values))
+
+
+async def wait_connected(network: PeerNetwork, vm_id: str) -> None:
+    """Wait until the network has a connection to the peer."""
+    while network.hello_of(vm_id) is None:
+        await asyncio.sleep(0.01)
+
+
+class PeerNetworkTest(unittest.IsolatedAsyncioTestCase):
+    """Check requests, streams and lost connections."""
+
+    async def asyncSetUp(self) -> None:
+        """Start two connected daemons' networks."""
+        self.kernels: list[Kernel] = []
+        self.first = await self.start("vm-1")
+        self.second = await self.start("vm-2")
+        await self.first.set_peers({"vm-2": self.second.identity.peer_address})
+        await wait_connected(self.first, "vm-2")
+
+    async def asyncTearDown(self) -> None:
+        """Stop all networks."""
+        for kernel in self.kernels:
+            await kernel.stop()
+
+    async def start(self, vm_id: str, cluster: str = "test") -> PeerNetwork:
+        """Start the network of one daemon."""
+        kernel = Kernel()
+        kernel.register(MetricsService())
+        network = PeerNetwork(make_identity(vm_id, cluster))
+        kernel.register(network)
+        await kernel.start()
+        self.kernels.append(kernel)
+        return network
+
+    async def test_stream_ends_with_the_final_reply(self) -> None:
+        """Guard against results that are lost or counted twice."""
+
+        async def handle(batch: PartialBatch, context: PeerContext) -> PartialResults:
+            results = [PartialResult(query_id=batch.query_id, attempt_id=1)]
+            context.reply(PartialResults(results=results), final=False)
+            return PartialResults()
+
+        self.second.register(PartialBatch, handle)
+        stream = self.first.stream("vm-2", PartialBatch(query_id="q"))
+        replies = [reply async for reply in stream]
+        self.assertEqual([len(reply.results) for reply in replies], [1, 0])
+
+    async def test_unknown_peer_is_reported_as_not_sent(self) -> None:
+        """Guard against a refusal that claims too much or too little."""
+        with self.assertRaises(PeerError) as caught:
+            await self.first.request("vm-9", PartialBatch(), timeout_s=1)
+        self.assertFalse(caught.exception.sent)
+
+    async def test_lost_connection_ends_open_requests_as_sent(self) -> None:
+        """Guard against callers that wait for a peer that has stopped."""
+        received = asyncio.Event()
+
+        async def handle(batch: PartialBatch, context: PeerContext) -> None:
+            received.set()
+
+        self.second.register(PartialBatch, handle)
+        request = asyncio.create_task(
+            self.first.request("vm-2", PartialBatch(), timeout_s=30)
+        )
+        await received.wait()
+        await self.second.stop()
+        with self.assertRaises(PeerError) as caught:
+            await request
+        self.assertTrue(caught.exception.sent)
+
+    async def test_peer_of_another_cluster_is_refused(self) -> None:
+        """Guard against two fleets that mix after a wrong address."""
+        other = await self.start("vm-3", cluster="other")
+        await self.first.set_peers({"vm-3": other.identity.peer_address})
+        while not other.metrics.value("peer_frame_errors", side="listener"):
+            await asyncio.sleep(0.01)
+        self.assertIsNone(self.first.hello_of("vm-3"))
