Close inbound peer connections cleanly and reset silent ones

Cause: stopping a daemon printed tracebacks of cancelled connection tasks, and a half-open connection stayed in use until TCP gave up.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -172,6 +172,11 @@
             raise PeerError(f"no connection to {self.vm_id}", sent=False)
         return self.connection
 
+    def reset(self) -> None:
+        """Drop the connection; the task opens another one."""
+        if self.connection is not None:
+            self.connection.writer.transport.abort()
+
     async def close(self) -> None:
         """End the connection."""
         self.task.cancel()
@@ -191,7 +196,7 @@
             type, Callable[[Any, PeerContext], Awaitable[Message | None]]
         ] = {}
         self._server: asyncio.Server | None = None
-        self._inbound: set[asyncio.StreamWriter] = set()
+        self._inbound: dict[asyncio.StreamWriter, asyncio.Task[None] | None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._hello_listeners: list[Callable[[Hello], None]] = []
 
@@ -213,11 +218,14 @@
         for peer in list(self._peers.values()):
             await peer.close()
         self._peers.clear()
-        for writer in list(self._inbound):
-            writer.close()
         for task in list(self._tasks):
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # A closed connection ends its task by itself. Cancelling the task
+        # instead would make asyncio print a traceback.
+        serving = [task for task in self._inbound.values() if task is not None]
+        for writer in list(self._inbound):
+            writer.close()
+        await asyncio.gather(*self._tasks, *serving, return_exceptions=True)
 
     def register(
         self,
@@ -260,6 +268,16 @@
                 expected = "" if vm_id.startswith("seed:") else vm_id
                 self._peers[vm_id] = _Peer(self, expected, address)
 
+    def reset(self, vm_id: str) -> None:
+        """Open a new connection to a peer that does not answer on the old one.
+
+        A connection that swallows bytes stays open until TCP gives up after
+        minutes, so the service that notices the silence calls this.
+        """
+        peer = self._peers.get(vm_id)
+        if peer is not None:
+            peer.reset()
+
     def peer_ids(self) -> list[str]:
         """Return the identifiers of all configured peers."""
         return list(self._peers)
@@ -310,10 +328,11 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._inbound.add(writer)
+        self._inbound[writer] = asyncio.current_task()
         connection = _Connection(writer=writer)
         try:
-            first = await _read_frame(reader)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                first = await _read_frame(reader)
             if not isinstance(first.body, Hello):
                 raise FrameError("the first frame is not a hello")
             if first.body.cluster != self.identity.settings.vm.cluster:
@@ -332,7 +351,7 @@
         except (OSError, EOFError, PeerError):
             pass
         finally:
-            self._inbound.discard(writer)
+            self._inbound.pop(writer, None)
             writer.close()
 
     async def _handle(self, connection: _Connection, frame: Frame) -> None:
