Add membership, homes, authority and the daemon life cycle

Cause: daemons did not know each other and no leaf had a home. Change: decisions in gypsumvane_core (assignment, view, confirmations, promises, gone facts, suspicion, authority, settlement, entry addresses, life cycle) and the services membership and lifecycle with heartbeats, joining, view writes, live list polling and handover of leaves. The assignment depends on the view alone: leaves of one service are recognised by their identifiers, because daemons with different document revisions or gone facts would otherwise assign a leaf to two homes in one epoch.

--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/authority.py
@@ -0,0 +1,116 @@
+"""Authority of one daemon over leaves, from views and evidence."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.assignment import preferred_homes
+from gypsumvane_core.grade import Grade
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from gypsumvane_core.gone import GoneFacts
+    from gypsumvane_core.messages import Member
+    from gypsumvane_core.view import View
+
+# Bounds the views kept while some incarnation has not acknowledged.
+HISTORY_MAX = 64
+
+
+def home_in(view: View, leaf_id: str, gone: GoneFacts) -> Member | None:
+    """Return the member that is home of a leaf in a view."""
+    for vm_id in preferred_homes(leaf_id, view.home_candidates()):
+        member = view.member(vm_id)
+        if member is not None and member.incarnation not in gone:
+            return member
+    return None
+
+
+@dataclass(slots=True)
+class Authority:
+    """Decide grades; knows consecutive views since the last full handover."""
+
+    incarnation: str
+    gone: GoneFacts
+    # Wait of a new home after it learns an epoch.
+    takeover_wait_s: float
+    adopted_at_s: float = 0.0
+    # Whether all others acknowledged the first view of the history.
+    _handed_over: bool = False
+    # Consecutive epochs; the last one is the current view.
+    _history: list[View] = field(default_factory=list)
+    _homes: list[dict[str, Member | None]] = field(default_factory=list)
+
+    def adopt(self, view: View, now_s: float) -> None:
+        """Continue or restart the history with a newer view."""
+        last = self._history[-1] if self._history else None
+        consecutive = last is not None and last.epoch + 1 == view.epoch
+        if not consecutive or len(self._history) >= HISTORY_MAX:
+            self._restart()
+        self._history.append(view)
+        self._homes.append({})
+        self.adopted_at_s = now_s
+
+    def note_gone(self) -> None:
+        """Forget assignments after new gone facts."""
+        self._homes = [{} for _ in self._history]
+
+    def update(self, acknowledged: Mapping[str, int]) -> bool:
+        """Check whether the current view is handed over and return whether.
+
+        Then every other incarnation that could hold a leaf by an older view
+        has given it up or ended.
+        """
+        if not self._history:
+            return False
+        view = self._history[-1]
+        if self._handed_over and len(self._history) == 1:
+            return True
+        for other in view.others(self.incarnation):
+            acknowledged_epoch = acknowledged.get(other.incarnation, 0)
+            if acknowledged_epoch < view.epoch and other.incarnation not in self.gone:
+                return False
+        del self._history[:-1]
+        del self._homes[:-1]
+        self._handed_over = True
+        return True
+
+    def home_of(self, leaf_id: str) -> Member | None:
+        """Return the home in the current view."""
+        return self._home(len(self._history) - 1, leaf_id) if self._history else None
+
+    def grade(
+        self, leaf_id: str, *, now_s: float, confirmed: bool, settled: bool
+    ) -> Grade:
+        """Return the authority over a leaf."""
+        if not self._history or not self._is_home(len(self._history) - 1, leaf_id):
+            return Grade.NONE
+        if self._holds_full(leaf_id):
+            return Grade.FULL if confirmed else Grade.UNCONFIRMED
+        waited = now_s - self.adopted_at_s >= self.takeover_wait_s
+        return Grade.HALF if waited and confirmed and settled else Grade.NONE
+
+    def _holds_full(self, leaf_id: str) -> bool:
+        places = range(len(self._history))
+        return self._handed_over and all(
+            self._is_home(place, leaf_id) for place in places
+        )
+
+    def _is_home(self, place: int, leaf_id: str) -> bool:
+        home = self._home(place, leaf_id)
+        return home is not None and home.incarnation == self.incarnation
+
+    def _restart(self) -> None:
+        self._history.clear()
+        self._homes.clear()
+        self._handed_over = False
+
+    def _home(self, place: int, leaf_id: str) -> Member | None:
+        homes = self._homes[place]
+        if leaf_id not in homes:
+            view = self._history[place]
+            homes[leaf_id] = home_in(view, leaf_id, self.gone)
+        return homes[leaf_id]
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/gone.py
@@ -0,0 +1,54 @@
+"""Facts about incarnations that ended for good."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclass(slots=True)
+class GoneFacts:
+    """Accumulate gone incarnations and when each became known here."""
+
+    known_at_s: dict[str, float] = field(default_factory=dict)
+
+    def add(self, incarnations: Iterable[str], now_s: float) -> list[str]:
+        """Add facts and return the new ones."""
+        new = [i for i in incarnations if i and i not in self.known_at_s]
+        for incarnation in new:
+            self.known_at_s[incarnation] = now_s
+        return new
+
+    def names(self) -> frozenset[str]:
+        """Return all gone incarnations."""
+        return frozenset(self.known_at_s)
+
+    def __contains__(self, incarnation: str) -> bool:
+        return incarnation in self.known_at_s
+
+
+@dataclass(slots=True)
+class LiveList:
+    """Compare listings of the platform's VMs."""
+
+    listing: int = -1
+    listed: frozenset[str] = frozenset()
+    # VMs that some listing contained.
+    seen: set[str] = field(default_factory=set)
+
+    def take(self, listing: int, vm_ids: Iterable[str]) -> bool:
+        """Take a listing over unless it is older than the known one."""
+        if listing < self.listing:
+            return False
+        self.listing = listing
+        self.listed = frozenset(vm_ids)
+        self.seen |= self.listed
+        return True
+
+    def disappeared(self, vm_id: str) -> bool:
+        """Return whether the VM was listed and no longer is."""
+        return vm_id in self.seen and vm_id not in self.listed
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/grade.py
@@ -0,0 +1,26 @@
+"""Grades of a daemon's authority over a leaf."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Grade(StrEnum):
+    """Name the part of a leaf's limit that a daemon may use."""
+
+    FULL = "full"
+    # A new home whose former home may still be active.
+    HALF = "half"
+    # A home without confirmation: a newer view may exist.
+    UNCONFIRMED = "unconfirmed"
+    NONE = "none"
+
+    def allowance(self, limit: int) -> int:
+        """Return the usable part; HALF and UNCONFIRMED add up to the limit."""
+        if self is Grade.FULL:
+            return limit
+        if self is Grade.HALF:
+            return limit - limit // 2
+        if self is Grade.UNCONFIRMED:
+            return limit // 2
+        return 0
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -0,0 +1,409 @@
+"""Membership decisions of one daemon, without I/O."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_core.authority import Authority
+from gypsumvane_core.confirmation import PeerConfirmation
+from gypsumvane_core.confirmation import StoreConfirmation
+from gypsumvane_core.gone import GoneFacts
+from gypsumvane_core.gone import LiveList
+from gypsumvane_core.grade import Grade
+from gypsumvane_core.promise import PromiseKeeper
+from gypsumvane_core.settlement import Settlement
+from gypsumvane_core.suspicion import Suspicion
+from gypsumvane_core.view import ViewChange
+from gypsumvane_core.view import first_view
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.messages import Heartbeat
+    from gypsumvane_core.messages import Member
+    from gypsumvane_core.view import View
+
+# Suspected members are removed at once only while they are at most half of
+# the members. An isolated daemon would otherwise remove all others.
+MASS_REMOVAL_AFTER_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipTimes:
+    """Set the durations that the safety of handovers depends on."""
+
+    validity_s: float = 2.0
+    leaf_call_max_s: float = 1.0
+    margin_s: float = 0.5
+    suspect_after_s: float = 1.5
+    # Bounds how late after its last answer a member can be found gone and
+    # still be left out of the peers' confirmation.
+    gone_grace_s: float = 30.0
+
+    @property
+    def takeover_wait_s(self) -> float:
+        """Return the wait of a new home after it learns an epoch."""
+        return self.validity_s + self.leaf_call_max_s + self.margin_s
+
+
+@dataclass(slots=True)
+class MembershipState:
+    """Hold what one daemon knows about members and decide from it."""
+
+    own: Member
+    clock: Clock
+    times: MembershipTimes = field(default_factory=MembershipTimes)
+    view: View | None = None
+    leaving_since_s: float | None = None
+    # Set when this daemon has ended all work; it never sends to a leaf again.
+    ended: bool = False
+    acknowledged_epoch: int = 0
+    acknowledged: dict[str, int] = field(default_factory=dict)
+    leaving: set[str] = field(default_factory=set)
+    joins: dict[str, Member] = field(default_factory=dict)
+    gone: GoneFacts = field(default_factory=GoneFacts)
+    live_list: LiveList = field(default_factory=LiveList)
+    store_confirmation: StoreConfirmation = field(default_factory=StoreConfirmation)
+    peer_confirmation: PeerConfirmation = field(default_factory=PeerConfirmation)
+    promises: PromiseKeeper = field(init=False)
+    suspicion: Suspicion = field(init=False)
+    authority: Authority = field(init=False)
+    settlement: Settlement = field(init=False)
+    # When each incarnation became known here, for the evidence that a VM
+    # runs another incarnation.
+    _known_since_s: dict[str, float] = field(default_factory=dict)
+    _absent_since_s: dict[str, float] = field(default_factory=dict)
+    # Leaves of which a part was granted and that may have calls in progress.
+    _granted: set[str] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.promises = PromiseKeeper(validity_s=self.times.validity_s)
+        self.suspicion = Suspicion(after_s=self.times.suspect_after_s)
+        self.authority = Authority(
+            incarnation=self.own.incarnation,
+            gone=self.gone,
+            takeover_wait_s=self.times.takeover_wait_s,
+        )
+        self.settlement = Settlement(
+            incarnation=self.own.incarnation,
+            gone_grace_s=self.times.gone_grace_s + self.times.margin_s,
+        )
+
+    # Views and gone facts.
+
+    def adopt(self, view: View) -> bool:
+        """Take over a newer view and return whether it was newer."""
+        if self.view is not None and view.epoch <= self.view.epoch:
+            return False
+        now_s = self.clock.monotonic_s()
+        self.view = view
+        self.authority.adopt(view, now_s)
+        self.settlement.adopt(view)
+        for member in view.others(self.own.incarnation):
+            self._known_since_s.setdefault(member.incarnation, now_s)
+            if member.vm_id == self.own.vm_id:
+                # Only one daemon process runs on a VM.
+                self.add_gone([member.incarnation])
+        for vm_id, member in list(self.joins.items()):
+            if view.has(member.incarnation):
+                del self.joins[vm_id]
+        self._update_handover()
+        return True
+
+    def add_gone(self, incarnations: Iterable[str]) -> list[str]:
+        """Take over gone facts and return the new ones."""
+        others = (i for i in incarnations if i != self.own.incarnation)
+        new = self.gone.add(others, self.clock.monotonic_s())
+        if new:
+            self.authority.note_gone()
+            self._update_handover()
+        return new
+
+    def take_listing(
+        self, listing: int, vm_ids: Iterable[str], *, sent_at_s: float
+    ) -> list[str]:
+        """Take over a live list and return incarnations found gone."""
+        if not self.live_list.take(listing, vm_ids) or self.view is None:
+            return []
+        found = [
+            m.incarnation
+            for m in self.view.others(self.own.incarnation)
+            if self.live_list.disappeared(m.vm_id) or self._long_absent(m)
+            if self._known_since_s[m.incarnation] < sent_at_s
+            # The platform gave the name of a lost VM to another one.
+            and not self.suspicion.answered_after(m.incarnation, sent_at_s)
+        ]
+        return self.add_gone(found)
+
+    def _long_absent(self, member: Member) -> bool:
+        """Return whether a daemon outside the view may take a VM as gone.
+
+        A fresh daemon has not seen the VMs of an old view listed. As the list
+        shows VMs late, it must list this VM and lack the other for a while.
+        """
+        now_s = self.clock.monotonic_s()
+        listed = self.live_list.listed
+        absent = self.own.vm_id in listed and member.vm_id not in listed
+        if self.is_member() or not absent:
+            self._absent_since_s.pop(member.incarnation, None)
+            return False
+        since_s = self._absent_since_s.setdefault(member.incarnation, now_s)
+        silent = not self.suspicion.answered_after(member.incarnation, since_s)
+        return silent and now_s - since_s > self.times.takeover_wait_s
+
+    # Heartbeats.
+
+    def heartbeat(self, *, reply: bool) -> dict[str, Any]:
+        """Return the fields of a heartbeat that belong to the membership."""
+        now_s = self.clock.monotonic_s()
+        age_s = self.store_confirmation.age_s(now_s)
+        leaving_s = self.leaving_since_s
+        return {
+            "epoch": self.epoch,
+            "acknowledged_epoch": self.acknowledged_epoch,
+            "confirmation_age_ms": -1 if age_s is None else math.ceil(age_s * 1000),
+            "promise": reply and self.view is not None and self.promises.give(now_s),
+            "leaving_for_ms": -1
+            if leaving_s is None
+            else int((now_s - leaving_s) * 1000),
+            "gone": sorted(self._relevant_gone()),
+            "incarnation": self.own.incarnation,
+            "settled": self.settlement.settled,
+        }
+
+    def receive(self, heartbeat: Heartbeat) -> None:
+        """Take over the facts of a heartbeat or a reply."""
+        sender = heartbeat.incarnation
+        known = self.acknowledged.get(sender, 0)
+        self.acknowledged[sender] = max(known, heartbeat.acknowledged_epoch)
+        if heartbeat.leaving_for_ms >= 0:
+            self.leaving.add(sender)
+        self.add_gone(heartbeat.gone)
+        self._update_handover()
+
+    def receive_reply(self, vm_id: str, reply: Heartbeat, *, sent_at_s: float) -> None:
+        """Take over an answered heartbeat."""
+        now_s = self.clock.monotonic_s()
+        self._compare_incarnations(vm_id, reply.incarnation, sent_at_s)
+        self.receive(reply)
+        self.suspicion.note_answer(reply.incarnation, now_s)
+        if self.view is None or reply.epoch > self.view.epoch:
+            return
+        if reply.confirmation_age_ms >= 0:
+            self.store_confirmation.note(sent_at_s - reply.confirmation_age_ms / 1000)
+        self.peer_confirmation.note(
+            reply.incarnation,
+            epoch=reply.epoch,
+            promise=reply.promise,
+            sent_at_s=sent_at_s,
+        )
+        self.settlement.note_answer(
+            self.view,
+            reply.incarnation,
+            epoch=reply.epoch,
+            settled=reply.settled,
+            sent_at_s=sent_at_s,
+            now_s=now_s,
+        )
+
+    def _compare_incarnations(
+        self, vm_id: str, incarnation: str, sent_at_s: float
+    ) -> None:
+        """Find older incarnations gone that a VM no longer runs.
+
+        The other incarnation must have been known before the answered request
+        was sent: an old process may have answered just before it ended.
+        """
+        if self.view is None or not incarnation:
+            return
+        ended = [
+            m.incarnation
+            for m in self.view.others(self.own.incarnation)
+            if m.vm_id == vm_id
+            and m.incarnation != incarnation
+            and self._known_since_s[m.incarnation] < sent_at_s
+        ]
+        self.add_gone(ended)
+
+    # Confirmation and authority.
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the known view, 0 without one."""
+        return 0 if self.view is None else self.view.epoch
+
+    def store_confirmed(self) -> bool:
+        """Return whether the store confirmed the view within the validity."""
+        age_s = self.store_confirmation.age_s(self.clock.monotonic_s())
+        return age_s is not None and age_s < self.times.validity_s
+
+    def peers_confirmed(self) -> bool:
+        """Return whether all living members confirmed the view."""
+        if self.view is None:
+            return False
+        return self.peer_confirmation.valid(
+            self.view,
+            own=self.own.incarnation,
+            gone=self.gone.known_at_s,
+            now_s=self.clock.monotonic_s(),
+            validity_s=self.times.validity_s,
+            gone_grace_s=self.times.gone_grace_s,
+        )
+
+    def confirmed(self) -> bool:
+        """Return whether no newer view can be in force."""
+        return self.store_confirmed() or self.peers_confirmed()
+
+    def home_of(self, leaf_id: str) -> str | None:
+        """Return the VM that is home of a leaf."""
+        home = self.authority.home_of(leaf_id)
+        return None if home is None else home.vm_id
+
+    def home_of_key(self, key: str) -> str | None:
+        """Return the VM that is home of a key."""
+        # The suffix keeps keys apart from leaves and from replica suffixes.
+        return self.home_of(f"{key}\0")
+
+    def grade(self, leaf_id: str) -> Grade:
+        """Return the authority of this daemon over a leaf now."""
+        if self.ended:
+            return Grade.NONE
+        grade = self.authority.grade(
+            leaf_id,
+            now_s=self.clock.monotonic_s(),
+            confirmed=self.confirmed(),
+            settled=self.settlement.settled,
+        )
+        if grade is not Grade.NONE:
+            self._granted.add(leaf_id)
+        return grade
+
+    def leaves_to_release(self) -> list[str]:
+        """Return granted leaves whose home is elsewhere now."""
+        homes = {leaf: self.authority.home_of(leaf) for leaf in self._granted}
+        own = self.own.incarnation
+        return [
+            leaf
+            for leaf, home in homes.items()
+            if home is None or home.incarnation != own
+        ]
+
+    def acknowledge(self, released: Iterable[str]) -> bool:
+        """Forget idle leaves and return whether the epoch is acknowledged."""
+        self._granted.difference_update(released)
+        if self.view is None or self.leaves_to_release():
+            return False
+        advanced = self.acknowledged_epoch < self.view.epoch
+        self.acknowledged_epoch = self.view.epoch
+        return advanced
+
+    def _update_handover(self) -> None:
+        if self.authority.update(self.acknowledged) and self.is_member():
+            self.settlement.note_handed_over()
+
+    # Members.
+
+    def is_member(self) -> bool:
+        """Return whether this incarnation is in the view."""
+        return self.view is not None and self.view.has(self.own.incarnation)
+
+    def live_members(self) -> list[Member]:
+        """Return the members that are not gone."""
+        if self.view is None:
+            return []
+        return [m for m in self.view.members if m.incarnation not in self.gone]
+
+    def is_leaving(self, member: Member) -> bool:
+        """Return whether a member announced that it is leaving."""
+        return member.leaving or member.incarnation in self.leaving
+
+    def suspected(self, member: Member) -> bool:
+        """Return whether a member does not answer."""
+        now_s = self.clock.monotonic_s()
+        if member.incarnation == self.own.incarnation:
+            return False
+        return self.suspicion.suspected(member.incarnation, now_s)
+
+    def is_senior(self) -> bool:
+        """Return whether this daemon is the first member that answers."""
+        alive = [m for m in self.live_members() if not self.suspected(m)]
+        return bool(alive) and alive[0].incarnation == self.own.incarnation
+
+    # Changes of the view.
+
+    def change_wanted(self, out_domains: frozenset[str]) -> ViewChange:
+        """Return what this daemon would change in the view."""
+        change = ViewChange(joins=dict(self.joins), own=self.own)
+        if self.leaving_since_s is not None:
+            change.leaving.add(self.own.incarnation)
+        if self.is_senior():
+            change.leaving |= self.leaving
+            change.out_domains = out_domains
+            change.removals = self._removals()
+        return change
+
+    def next_view(self, out_domains: frozenset[str]) -> View | None:
+        """Return the view that this daemon wants to write, None without change.
+
+        Members that are not senior write for joining daemons and themselves.
+        """
+        if self.view is None or not self.is_member():
+            return None
+        change = self.change_wanted(out_domains)
+        if not self.is_senior() and not self._concerns_this(change):
+            return None
+        following = change.apply(
+            self.view,
+            gone=self.gone.names(),
+            acknowledged=self._all_acknowledged(),
+            writer=self.own.vm_id,
+        )
+        return None if following is self.view else following
+
+    def view_without_members(self, stored: View | None) -> View | None:
+        """Return the view to write when no member is alive, else None."""
+        if stored is None:
+            return first_view(self.own, previous=None, gone=())
+        if any(m.incarnation not in self.gone for m in stored.members):
+            return None
+        return first_view(self.own, previous=stored, gone=self.gone.names())
+
+    def _concerns_this(self, change: ViewChange) -> bool:
+        listed = self.view.member(self.own.vm_id) if self.view is not None else None
+        if listed is None:
+            return False
+        moved = _addresses(listed) != _addresses(self.own)
+        leaves = bool(change.leaving) and not listed.leaving
+        return bool(change.joins) or leaves or moved
+
+    def _removals(self) -> set[str]:
+        members = self.live_members()
+        now_s = self.clock.monotonic_s()
+        suspected = [m.incarnation for m in members if self.suspected(m)]
+        if 2 * len(suspected) > len(members):
+            suspected = [
+                incarnation
+                for incarnation in suspected
+                if self.suspicion.silent_s(incarnation, now_s) > MASS_REMOVAL_AFTER_S
+            ]
+        return set(suspected)
+
+    def _all_acknowledged(self) -> dict[str, int]:
+        return self.acknowledged | {self.own.incarnation: self.acknowledged_epoch}
+
+    def _relevant_gone(self) -> set[str]:
+        """Return gone facts that another daemon may need."""
+        if self.view is None:
+            return set()
+        everyone = self.view.others(self.own.incarnation)
+        relevant = {m.incarnation for m in everyone if m.incarnation in self.gone}
+        return relevant | {self.own.incarnation} if self.ended else relevant
+
+
+def _addresses(member: Member) -> tuple[str, str, str]:
+    return member.peer_address, member.caller_address, member.operator_address
--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -74,6 +74,9 @@
     move_facts: list[MoveFact] = field(default_factory=list)
     evidence: list[MoveEvidence] = field(default_factory=list)
     briefs: list[UpstreamBrief] = field(default_factory=list)
+    # The incarnation of the sender.
+    incarnation: str = ""
+    settled: bool = False
 
 
 @dataclass(slots=True)
@@ -92,6 +95,8 @@
     caller_address: str = ""
     operator_address: str = ""
     leaving: bool = False
+    # The epoch that added this incarnation.
+    joined_epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -101,6 +106,9 @@
     epoch: int = 0
     members: list[Member] = field(default_factory=list)
     writer: str = ""
+    # Removed incarnations that may still hold authority.
+    former: list[Member] = field(default_factory=list)
+    out_domains: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/promise.py
@@ -0,0 +1,46 @@
+"""Promises to write no view, and the wait before a write."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class PromiseKeeper:
+    """Give promises until a write is intended or its outcome is unknown."""
+
+    validity_s: float
+    # Version of the view that a write with a lost answer would replace.
+    unresolved_version: int | None = None
+    _writing: bool = False
+    _last_given_s: float | None = None
+
+    def give(self, now_s: float) -> bool:
+        """Return whether the promise holds from now, and remember it."""
+        if self._writing or self.unresolved_version is not None:
+            return False
+        self._last_given_s = now_s
+        return True
+
+    def begin_write(self) -> None:
+        """Stop promising."""
+        self._writing = True
+
+    def end_write(self) -> None:
+        """Promise again."""
+        self._writing = False
+
+    def wait_s(self, now_s: float) -> float:
+        """Return how long the last promise is still valid."""
+        if self._last_given_s is None:
+            return 0.0
+        return max(0.0, self._last_given_s + self.validity_s - now_s)
+
+    def note_lost_answer(self, expected_version: int) -> None:
+        """Withhold promises: the write may take effect at any later time."""
+        self.unresolved_version = expected_version
+
+    def note_version(self, version: int) -> None:
+        """Promise again once another version makes the write impossible."""
+        if self.unresolved_version is not None and version != self.unresolved_version:
+            self.unresolved_version = None
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/settlement.py
@@ -0,0 +1,61 @@
+"""When a newly joined daemon may take leaves without acknowledgements."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gypsumvane_core.view import View
+
+
+@dataclass(slots=True)
+class Settlement:
+    """Find out whether a view from before the own joining can be in use.
+
+    Members of such a view that are cut off from the store confirm it to each
+    other and do not ask a later member. They cannot do so any more once a
+    member of that view has been alive with a newer one for longer than the
+    grace for gone members.
+    """
+
+    incarnation: str
+    gone_grace_s: float
+    settled: bool = False
+    _joined_epoch: int = 0
+    _first_answer_s: dict[str, float] = field(default_factory=dict)
+
+    def adopt(self, view: View) -> None:
+        """Start again when this incarnation joined in a newer view."""
+        own = (m for m in view.members if m.incarnation == self.incarnation)
+        joined = next((m.joined_epoch for m in own), 0)
+        if joined != self._joined_epoch:
+            self._joined_epoch = joined
+            self.settled = False
+            self._first_answer_s.clear()
+
+    def note_handed_over(self) -> None:
+        """Settle because all others acknowledged or ended."""
+        self.settled = True
+
+    def note_answer(
+        self,
+        view: View,
+        incarnation: str,
+        *,
+        epoch: int,
+        settled: bool,
+        sent_at_s: float,
+        now_s: float,
+    ) -> None:
+        """Settle when a settled older member has answered for long enough."""
+        if epoch < self._joined_epoch or not settled or not self._joined_epoch:
+            return
+        peers = (m for m in view.members if m.incarnation == incarnation)
+        older = any(m.joined_epoch < self._joined_epoch for m in peers)
+        if not older:
+            return
+        first_s = self._first_answer_s.setdefault(incarnation, now_s)
+        if sent_at_s - first_s > self.gone_grace_s:
+            self.settled = True
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/view.py
@@ -0,0 +1,182 @@
+"""The view: which incarnations are members, and since which epoch."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.messages import Member
+from gypsumvane_core.messages import ViewUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+VIEW_KEY = "config/view"
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Hold one epoch of the membership.
+
+    ``former`` are removed incarnations that may still hold authority over a
+    leaf: not known to be gone and without an acknowledged removal.
+    """
+
+    epoch: int
+    members: tuple[Member, ...] = ()
+    former: tuple[Member, ...] = ()
+    out_domains: frozenset[str] = frozenset()
+    writer: str = ""
+
+    def member(self, vm_id: str) -> Member | None:
+        """Return the member on a VM."""
+        return next((m for m in self.members if m.vm_id == vm_id), None)
+
+    def has(self, incarnation: str) -> bool:
+        """Return whether the incarnation is a member."""
+        return any(m.incarnation == incarnation for m in self.members)
+
+    def others(self, incarnation: str) -> list[Member]:
+        """Return all other incarnations that may hold authority."""
+        everyone = (*self.members, *self.former)
+        return [m for m in everyone if m.incarnation != incarnation]
+
+    def home_candidates(self) -> list[str]:
+        """Return the VMs that may become homes, by the view alone."""
+        staying = [m for m in self.members if not m.leaving]
+        inside = [m for m in staying if m.failure_domain not in self.out_domains]
+        return [m.vm_id for m in inside or staying]
+
+
+def view_to_message(view: View) -> ViewUpdate:
+    """Return the message that carries a view."""
+    return ViewUpdate(
+        epoch=view.epoch,
+        members=list(view.members),
+        writer=view.writer,
+        former=list(view.former),
+        out_domains=sorted(view.out_domains),
+    )
+
+
+def view_from_message(message: ViewUpdate) -> View:
+    """Return the view that a message carries."""
+    return View(
+        epoch=message.epoch,
+        members=tuple(message.members),
+        former=tuple(message.former),
+        out_domains=frozenset(message.out_domains),
+        writer=message.writer,
+    )
+
+
+def encode_view(view: View) -> bytes:
+    """Return the stored form of a view."""
+    return json.dumps(asdict(view_to_message(view)), sort_keys=True).encode()
+
+
+def decode_view(value: bytes) -> View:
+    """Read the stored form of a view.
+
+    Raises ValueError when it is not a view.
+    """
+    try:
+        fields = json.loads(value)
+        message = ViewUpdate(**fields)
+        message.members = [Member(**entry) for entry in fields["members"]]
+        message.former = [Member(**entry) for entry in fields["former"]]
+    except (TypeError, KeyError) as error:
+        raise ValueError(f"stored view is invalid: {error}") from error
+    return view_from_message(message)
+
+
+@dataclass(slots=True)
+class ViewChange:
+    """Collect changes for the next write of the view."""
+
+    joins: dict[str, Member] = field(default_factory=dict)
+    # Incarnations to remove.
+    removals: set[str] = field(default_factory=set)
+    # Incarnations that announced that they are leaving.
+    leaving: set[str] = field(default_factory=set)
+    out_domains: frozenset[str] | None = None
+    # The writer's own entry, whose addresses may have changed.
+    own: Member | None = None
+
+    def apply(
+        self,
+        view: View,
+        *,
+        gone: frozenset[str],
+        acknowledged: Mapping[str, int],
+        writer: str,
+    ) -> View:
+        """Return the next view, or the same one when nothing changes."""
+        epoch = view.epoch + 1
+        kept = [m for m in view.members if self._keeps(m, gone)]
+        kept = [self._marked(m) for m in kept]
+        known = {m.incarnation for m in kept}
+        joins = [m for m in self.joins.values() if m.incarnation not in known | gone]
+        added = [replace(m, joined_epoch=epoch, leaving=False) for m in joins]
+        members = (*kept, *added)
+        out_domains = view.out_domains if self.out_domains is None else self.out_domains
+        if members == view.members and out_domains == view.out_domains:
+            return view
+        present = {m.incarnation for m in members}
+        former = [
+            m
+            for m in (*view.members, *view.former)
+            if m.incarnation not in present | gone
+            and not _released(m, view, acknowledged)
+        ]
+        return View(
+            epoch=epoch,
+            members=members,
+            former=tuple(former),
+            out_domains=out_domains,
+            writer=writer,
+        )
+
+    def _keeps(self, member: Member, gone: frozenset[str]) -> bool:
+        if member.incarnation in gone or member.incarnation in self.removals:
+            return False
+        joining = self.joins.get(member.vm_id)
+        return joining is None or joining.incarnation == member.incarnation
+
+    def _marked(self, member: Member) -> Member:
+        leaving = member.leaving or member.incarnation in self.leaving
+        own = self.own
+        if own is not None and own.incarnation == member.incarnation:
+            joined_epoch = member.joined_epoch
+            return replace(own, leaving=leaving, joined_epoch=joined_epoch)
+        return replace(member, leaving=leaving)
+
+
+def _released(member: Member, view: View, acknowledged: Mapping[str, int]) -> bool:
+    """Return whether the member gave up all leaves and cannot get them back."""
+    is_home = not member.leaving and view.has(member.incarnation)
+    return not is_home and acknowledged.get(member.incarnation, 0) >= view.epoch
+
+
+def first_view(
+    member: Member,
+    *,
+    previous: View | None,
+    gone: Iterable[str],
+) -> View:
+    """Return the view that a daemon writes when no member is alive."""
+    dead = set(gone)
+    epoch = previous.epoch + 1 if previous is not None else 1
+    old = (*previous.members, *previous.former) if previous is not None else ()
+    return View(
+        epoch=epoch,
+        members=(replace(member, joined_epoch=epoch, leaving=False),),
+        former=tuple(m for m in old if m.incarnation not in dead),
+        out_domains=previous.out_domains if previous is not None else frozenset(),
+        writer=member.vm_id,
+    )
--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_assignment.py
@@ -0,0 +1,37 @@
+"""Tests of the choice of homes."""
+
+from __future__ import annotations
+
+import unittest
+
+from gypsumvane_core.assignment import preferred_homes
+
+VMS = [f"vm-{n}" for n in range(7)]
+
+
+class AssignmentTest(unittest.TestCase):
+    """Check spread and stability of homes."""
+
+    def test_leaves_of_one_service_have_different_homes(self) -> None:
+        """Guard against a daemon whose loss takes a whole service away."""
+        for service in range(50):
+            for suffixes in (("a", "b", "c"), ("0", "1", "2"), ("01", "02", "03")):
+                leaves = [f"svc{service}-{suffix}" for suffix in suffixes]
+                homes = {preferred_homes(leaf, VMS)[0] for leaf in leaves}
+                self.assertEqual(len(homes), 3)
+
+    def test_fewer_members_than_leaves(self) -> None:
+        """Guard against leaves without a home in a small fleet."""
+        for suffix in "abc":
+            homes = preferred_homes(f"svc-{suffix}", VMS[:2])
+            self.assertEqual(sorted(homes), VMS[:2])
+
+    def test_loss_of_a_member_moves_few_leaves(self) -> None:
+        """Guard against an assignment that moves most leaves at each change."""
+        leaves = [f"svc{service}-{s}" for service in range(200) for s in "ab"]
+        moved = [
+            leaf
+            for leaf in leaves
+            if preferred_homes(leaf, VMS)[0] != preferred_homes(leaf, VMS[1:])[0]
+        ]
+        self.assertLess(len(moved), len(leaves) * 0.25)
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
@@ -0,0 +1,131 @@
+"""The daemon's life cycle from start to graceful stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+from typing import cast
+
+from gypsumvane_core.life_cycle import LifeCycle
+from gypsumvane_core.life_cycle import LifeState
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.membership_service import MembershipService
+from gypsumvane_daemon.metrics import MetricsService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.kernel import Kernel
+    from gypsumvane_daemon.membership_ports import DocumentPort
+
+logger = logging.getLogger(__name__)
+
+POLL_S = 0.02
+# Peers may hand out lists with this daemon until a heartbeat has told them.
+ANNOUNCE_INTERVALS = 2
+
+
+class LifecycleService(Service):
+    """Hold the state of the daemon and lead it through a graceful stop."""
+
+    name = "lifecycle"
+
+    def __init__(self, identity: DaemonIdentity, *, clock: Clock) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._cycle = LifeCycle(self._on_state)
+        self._metrics: MetricsService
+        self._membership: MembershipService
+        self._documents: DocumentPort | None = None
+        self._idle_checks: list[Callable[[], bool]] = []
+        self._task: asyncio.Task[None] | None = None
+        self._leaving: asyncio.Task[None] | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to join."""
+        self._metrics = kernel.get(MetricsService)
+        self._membership = kernel.get(MembershipService)
+        try:
+            self._documents = cast("DocumentPort | None", kernel.find("documents"))
+        except LookupError:
+            self._documents = None
+        self._cycle.apply("join")
+        self._task = asyncio.create_task(self._follow_membership())
+
+    async def stop(self) -> None:
+        """End without waiting for work."""
+        tasks = [task for task in (self._task, self._leaving) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self.state is not LifeState.STOPPED:
+            self._cycle.apply("end")
+
+    @property
+    def state(self) -> LifeState:
+        """Return the state of the daemon."""
+        return self._cycle.state
+
+    @property
+    def serving(self) -> bool:
+        """Return whether callers' requests are accepted."""
+        return self.state in (LifeState.SERVING, LifeState.LEAVING)
+
+    def add_idle_check(self, check: Callable[[], bool]) -> None:
+        """Ask the check before the end whether no work is in progress."""
+        self._idle_checks.append(check)
+
+    async def leave(self) -> None:
+        """Leave gracefully; returns when the daemon may be stopped."""
+        if self._leaving is None:
+            self._leaving = asyncio.create_task(self._leave())
+        await asyncio.shield(self._leaving)
+
+    async def _leave(self) -> None:
+        was_serving = self.serving
+        self._cycle.apply("leave")
+        self._membership.begin_leaving()
+        if was_serving:
+            await asyncio.sleep(self._retention_s())
+        await self._wait_until(self._may_stop_serving)
+        self._cycle.apply("finish")
+        await self._wait_until(lambda: all(check() for check in self._idle_checks))
+        await self._membership.announce_end()
+
+    def _retention_s(self) -> float:
+        settings = self._identity.settings
+        announce_ms = ANNOUNCE_INTERVALS * settings.membership.heartbeat_interval_ms
+        return (settings.entry.keep_ms + announce_ms) / 1000
+
+    def _may_stop_serving(self) -> bool:
+        """Return whether another daemon is or becomes home of the own leaves.
+
+        While the store is down no view can record the leaving. The successors
+        then take over when this daemon announces its end.
+        """
+        membership = self._membership
+        if membership.handed_over():
+            return True
+        return not membership.state.store_confirmed() and membership.has_successor()
+
+    async def _follow_membership(self) -> None:
+        while True:
+            ready = self._documents is None or self._documents.ready
+            can_serve = ready and self._membership.can_serve()
+            if self.state is LifeState.JOINING and can_serve:
+                self._cycle.apply("serve")
+            elif self.state is LifeState.SERVING and not can_serve:
+                self._cycle.apply("lose_membership")
+            await asyncio.sleep(POLL_S)
+
+    async def _wait_until(self, condition: Callable[[], bool]) -> None:
+        # The conditions depend on time, so that no event announces them.
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+
+    def _on_state(self, state: LifeState) -> None:
+        self._metrics.count("life_cycle_changes", state=state.value)
+        logger.info("life cycle changed", extra={"state": state.value})
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
@@ -0,0 +1,84 @@
+"""Polling of the platform's list of VMs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+from pydantic import BaseModel
+from pydantic import ValidationError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.metrics import MetricsService
+    from gypsumvane_daemon.settings import PlatformSettings
+
+logger = logging.getLogger(__name__)
+
+TIMEOUT_S = 1.0
+
+
+class ListedVm(BaseModel):
+    """Describe one VM of the list."""
+
+    vm_id: str
+    failure_domain: str = ""
+    state: str = "live"
+
+
+class Listing(BaseModel):
+    """Hold one answer of the list."""
+
+    listing: int
+    vms: list[ListedVm]
+
+
+class LiveListPoller:
+    """Read the list at intervals and pass each answer on."""
+
+    def __init__(
+        self,
+        platform: PlatformSettings,
+        *,
+        clock: Clock,
+        metrics: MetricsService,
+        on_listing: Callable[[Listing, float], None],
+    ) -> None:
+        self._url = f"http://{platform.live_list_address}/v1/vms"
+        self._interval_s = platform.live_list_interval_ms / 1000
+        self._clock = clock
+        self._metrics = metrics
+        self._on_listing = on_listing
+        self._available = True
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        timeout = ClientTimeout(total=TIMEOUT_S)
+        async with ClientSession(timeout=timeout) as session:
+            while True:
+                await self._poll(session)
+                await asyncio.sleep(self._interval_s)
+
+    async def _poll(self, session: ClientSession) -> None:
+        sent_at_s = self._clock.monotonic_s()
+        try:
+            async with session.get(self._url) as response:
+                response.raise_for_status()
+                listing = Listing.model_validate_json(await response.read())
+        except (ClientError, TimeoutError, OSError, ValidationError) as error:
+            self._metrics.count("live_list_errors", reason=type(error).__name__)
+            self._note(available=False)
+            return
+        self._note(available=True)
+        self._on_listing(listing, sent_at_s)
+
+    def _note(self, *, available: bool) -> None:
+        if available != self._available:
+            self._available = available
+            logger.info("live list changed", extra={"available": available})
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -53,6 +53,8 @@
   moveFacts @8 :List(MoveFact);
   evidence @9 :List(MoveEvidence);
   briefs @10 :List(UpstreamBrief);
+  incarnation @11 :Text;
+  settled @12 :Bool;
 }
 
 struct Member {
@@ -63,12 +65,15 @@
   callerAddress @4 :Text;
   operatorAddress @5 :Text;
   leaving @6 :Bool;
+  joinedEpoch @7 :Int64;
 }
 
 struct ViewUpdate {
   epoch @0 :Int64;
   members @1 :List(Member);
   writer @2 :Text;
+  former @3 :List(Member);
+  outDomains @4 :List(Text);
 }
 
 struct ViewRequest {
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/view_store.py
@@ -0,0 +1,125 @@
+"""The stored view: reads, conditional writes and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.view import VIEW_KEY
+from gypsumvane_core.view import decode_view
+from gypsumvane_core.view import encode_view
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.membership import MembershipState
+    from gypsumvane_core.view import View
+    from gypsumvane_daemon.membership_ports import StorePort
+    from gypsumvane_daemon.metrics import MetricsService
+
+logger = logging.getLogger(__name__)
+
+CONFLICT_RETRIES = 5
+
+
+class ViewStore:
+    """Keep the stored view and the state of one daemon in step."""
+
+    def __init__(
+        self,
+        store: StorePort,
+        state: MembershipState,
+        *,
+        metrics: MetricsService,
+        out_domains: Callable[[], frozenset[str]],
+        on_view: Callable[[View], None],
+    ) -> None:
+        self._store = store
+        self._state = state
+        self._metrics = metrics
+        self._out_domains = out_domains
+        self._on_view = on_view
+        # A view that this process cannot read must not count as confirmed.
+        self._unreadable = False
+
+    def take(self, value: bytes | None, version: int) -> View | None:
+        """Take over a stored value and return the view in it."""
+        self._state.promises.note_version(version)
+        if value is None:
+            return None
+        try:
+            view = decode_view(value)
+        except ValueError as error:
+            self._metrics.count("view_unreadable")
+            if not self._unreadable:
+                logger.error("stored view is unreadable", extra={"cause": str(error)})
+            self._unreadable = True
+            return None
+        self._unreadable = False
+        self._on_view(view)
+        return view
+
+    def confirm(self, sent_at_s: float) -> None:
+        """Take over a successful read of the configuration."""
+        if not self._unreadable:
+            self._state.store_confirmation.note(sent_at_s)
+
+    async def write_change(self) -> None:
+        """Write the wanted change after the own promises have ended."""
+        promises = self._state.promises
+        promises.begin_write()
+        try:
+            await asyncio.sleep(promises.wait_s(self._state.clock.monotonic_s()))
+            for _ in range(CONFLICT_RETRIES):
+                if await self._write_once():
+                    return
+        finally:
+            promises.end_write()
+
+    async def create(self) -> None:
+        """Write a view as a daemon outside it, if no member is alive."""
+        stored = await self._store.get(VIEW_KEY)
+        version = None if stored is None else stored.version
+        view = None if stored is None else self.take(stored.value, stored.version)
+        if stored is not None and view is None:
+            return
+        following = self._state.view_without_members(view)
+        if following is not None:
+            await self._put(following, version)
+
+    async def resolve(self) -> None:
+        """Read the view, which may settle a write with a lost answer."""
+        stored = await self._store.get(VIEW_KEY)
+        if stored is not None:
+            self.take(stored.value, stored.version)
+
+    async def _write_once(self) -> bool:
+        """Return whether nothing is left to write."""
+        stored = await self._store.get(VIEW_KEY)
+        if stored is None:
+            return True
+        view = self.take(stored.value, stored.version)
+        if view is None or view.epoch != self._state.epoch:
+            return True
+        following = self._state.next_view(self._out_domains())
+        return following is None or await self._put(following, stored.version)
+
+    async def _put(self, view: View, version: int | None) -> bool:
+        try:
+            result = await self._store.put(
+                VIEW_KEY, encode_view(view), expected_version=version
+            )
+        except Exception as error:
+            if version is not None and getattr(error, "may_have_applied", True):
+                self._state.promises.note_lost_answer(version)
+                self._metrics.count("view_writes", result="lost")
+            raise
+        written = getattr(result, "version", None)
+        if written is None:
+            self._metrics.count("view_writes", result="conflict")
+            return False
+        self._metrics.count("view_writes", result="written")
+        self._state.promises.note_version(written)
+        self._on_view(view)
+        return True
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -0,0 +1,162 @@
+"""Tests of the membership with real peer connections and a fake store."""
+
+from __future__ import annotations
+
+import unittest
+
+from gypsumvane_core.grade import Grade
+from gypsumvane_core.life_cycle import LifeState
+from gypsumvane_core.view import VIEW_KEY
+from membership_fakes import FakeLiveList
+from membership_fakes import FakeObjects
+from membership_fakes import TestDaemon
+from membership_fakes import wait_for
+
+LEAVES = [f"stock-{service:02}-{leaf}" for service in range(10) for leaf in "ab"]
+
+
+class MembershipServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Check that daemons form views and hand leaves over."""
+
+    async def asyncSetUp(self) -> None:
+        self.shared = FakeObjects()
+        self.live_list = FakeLiveList()
+        await self.live_list.start()
+        self.live_list.set("vm-1", "vm-2", "vm-3")
+        self.daemons: list[TestDaemon] = []
+
+    async def asyncTearDown(self) -> None:
+        for daemon in self.daemons:
+            await daemon.stop()
+        await self.live_list.stop()
+
+    async def start(self, vm_id: str) -> TestDaemon:
+        seeds = [d.identity.peer_address for d in self.daemons]
+        daemon = TestDaemon(
+            vm_id, shared=self.shared, live_list=self.live_list.address, seeds=seeds
+        )
+        await daemon.start()
+        self.daemons.append(daemon)
+        return daemon
+
+    async def start_three(self) -> None:
+        for vm_id in ("vm-1", "vm-2", "vm-3"):
+            await self.start(vm_id)
+        await wait_for(self.all_served)
+
+    def all_served(self) -> bool:
+        """Return whether every leaf has one daemon with full authority."""
+        return all(self.holders(leaf, Grade.FULL) == 1 for leaf in LEAVES) and all(
+            len(d.membership.live_members()) == len(self.daemons) for d in self.daemons
+        )
+
+    def holders(self, leaf: str, grade: Grade) -> int:
+        return sum(d.membership.grade(leaf) is grade for d in self.daemons)
+
+    async def kill(self, daemon: TestDaemon) -> None:
+        self.daemons.remove(daemon)
+        await daemon.stop()
+
+    async def test_daemons_form_a_view_and_share_the_leaves(self) -> None:
+        """Guard against a start that ends with leaves without a home."""
+        await self.start_three()
+        for leaf in LEAVES:
+            homes = {d.membership.home_of(leaf) for d in self.daemons}
+            self.assertEqual(len(homes), 1)
+        for first, second in zip(LEAVES[::2], LEAVES[1::2], strict=True):
+            service = self.daemons[0].membership
+            self.assertNotEqual(service.home_of(first), service.home_of(second))
+
+    async def test_homes_stay_full_without_the_store(self) -> None:
+        """Guard against an outage of the store that halves all limits."""
+        await self.start_three()
+        self.shared.up = False
+        states = [d.membership.state for d in self.daemons]
+        await wait_for(lambda: not any(s.store_confirmed() for s in states))
+        await wait_for(self.all_served)
+
+    async def test_successor_of_a_gone_home_is_full_without_the_store(self) -> None:
+        """Guard against leaves without a home until the store is back."""
+        await self.start_three()
+        self.shared.up = False
+        await self.kill(self.daemons[2])
+        self.live_list.set("vm-1", "vm-2")
+        await wait_for(self.all_served)
+
+    async def test_silent_home_is_replaced_with_half(self) -> None:
+        """Guard against full authority while the former home may be active."""
+        await self.start_three()
+        lost = [x for x in LEAVES if self.daemons[0].membership.home_of(x) == "vm-3"]
+        await self.kill(self.daemons[2])
+        await wait_for(lambda: all(self.holders(x, Grade.HALF) == 1 for x in lost))
+        self.assertTrue(all(self.holders(x, Grade.FULL) == 0 for x in lost))
+        self.live_list.set("vm-1", "vm-2")
+        await wait_for(self.all_served)
+
+    async def test_restarted_process_replaces_its_former_incarnation(self) -> None:
+        """Guard against waiting for the live list after a quick restart."""
+        await self.start_three()
+        await self.kill(self.daemons[2])
+        await self.start("vm-3")
+        await wait_for(self.all_served)
+        view = self.daemons[0].membership.view
+        assert view is not None
+        self.assertEqual(len(view.members), 3)
+
+    async def test_fresh_daemons_take_over_an_old_view(self) -> None:
+        """Guard against a stored view that blocks a fresh set of daemons."""
+        await self.start_three()
+        for daemon in list(self.daemons):
+            await self.kill(daemon)
+        self.live_list.set("vm-4", "vm-5")
+        await self.start("vm-4")
+        await self.start("vm-5")
+        await wait_for(self.all_served)
+
+    async def test_lost_write_answer_withholds_promises_until_read_back(self) -> None:
+        """Guard against a promise while an own write may take effect."""
+        await self.start_three()
+        self.shared.lose_next_answer = True
+        await self.start("vm-4")
+        await wait_for(self.all_served)
+        for daemon in self.daemons:
+            promises = daemon.membership.state.promises
+            await wait_for(lambda p=promises: p.unresolved_version is None)
+
+    async def test_leaving_hands_over_before_it_stops(self) -> None:
+        """Guard against an acknowledgement while a call is in progress."""
+        await self.start_three()
+        leaving = self.daemons[2]
+        busy = next(
+            x for x in LEAVES if leaving.membership.home_of(x) == leaving.identity.vm_id
+        )
+        calls = {busy}
+        leaving.membership.set_release_check(lambda leaf: leaf not in calls)
+        leaving.membership.begin_leaving()
+        first = self.daemons[0].membership
+        await wait_for(lambda: first.home_of(busy) != "vm-3")
+        self.assertEqual(self.holders(busy, Grade.FULL), 0)
+        self.assertFalse(leaving.membership.handed_over())
+        calls.clear()
+        await leaving.lifecycle.leave()
+        self.assertIs(leaving.lifecycle.state, LifeState.STOPPING)
+        self.assertFalse(leaving.lifecycle.serving)
+        await self.kill(leaving)
+        await wait_for(self.all_served)
+
+    async def test_leaving_daemon_is_not_in_entry_addresses(self) -> None:
+        """Guard against callers that are sent to a leaving daemon."""
+        await self.start_three()
+        first = self.daemons[0].membership
+        self.assertEqual(len(first.entry_addresses("fd-a").addresses), 3)
+        self.daemons[1].membership.begin_leaving()
+        await wait_for(lambda: len(first.entry_addresses("fd-a").addresses) == 2)
+
+    async def test_unreadable_view_is_not_confirmed(self) -> None:
+        """Guard against authority by a view that this version cannot read."""
+        await self.start_three()
+        stored = self.shared.objects[VIEW_KEY]
+        stored.value = b"{}"
+        stored.version += 1
+        states = [d.membership.state for d in self.daemons]
+        await wait_for(lambda: not any(s.store_confirmed() for s in states))
