--- a/packages/gypsumvane-core/src/gypsumvane_core/authority.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/authority.py
@@ -24,7 +24,7 @@
     """Return the member that is home of a leaf in a view."""
     for vm_id in preferred_homes(leaf_id, view.home_candidates()):
         member = view.member(vm_id)
-        if member is not None and member.incarnation not in gone:
+        if member is not None and member.incarnation not in gone.ended:
             return member
     return None
 
@@ -71,7 +71,8 @@
             return True
         for other in view.others(self.incarnation):
             acknowledged_epoch = acknowledged.get(other.incarnation, 0)
-            if acknowledged_epoch < view.epoch and other.incarnation not in self.gone:
+            ended = other.incarnation in self.gone.ended
+            if acknowledged_epoch < view.epoch and not ended:
                 return False
         del self._history[:-1]
         del self._homes[:-1]
--- a/packages/gypsumvane-core/src/gypsumvane_core/gone.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/gone.py
@@ -14,7 +14,11 @@
 class GoneFacts:
     """Accumulate gone incarnations and when each became known here."""
 
+    # The longest time for which a call outlives its process at the leaf.
+    call_max_s: float
     known_at_s: dict[str, float] = field(default_factory=dict)
+    # Gone incarnations whose last calls have ended too.
+    ended: set[str] = field(default_factory=set)
 
     def add(self, incarnations: Iterable[str], now_s: float) -> list[str]:
         """Add facts and return the new ones."""
@@ -23,6 +27,16 @@
             self.known_at_s[incarnation] = now_s
         return new
 
+    def mature(self, now_s: float) -> bool:
+        """Update ``ended`` and return whether it grew."""
+        if len(self.ended) == len(self.known_at_s):
+            return False
+        before = len(self.ended)
+        for incarnation, known_at_s in self.known_at_s.items():
+            if now_s - known_at_s >= self.call_max_s:
+                self.ended.add(incarnation)
+        return len(self.ended) > before
+
     def names(self) -> frozenset[str]:
         """Return all gone incarnations."""
         return frozenset(self.known_at_s)
--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -66,7 +66,7 @@
     acknowledged: dict[str, int] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
     joins: dict[str, Member] = field(default_factory=dict)
-    gone: GoneFacts = field(default_factory=GoneFacts)
+    gone: GoneFacts = field(init=False)
     live_list: LiveList = field(default_factory=LiveList)
     store_confirmation: StoreConfirmation = field(default_factory=StoreConfirmation)
     peer_confirmation: PeerConfirmation = field(default_factory=PeerConfirmation)
@@ -80,8 +80,11 @@
     _absent_since_s: dict[str, float] = field(default_factory=dict)
     # Leaves of which a part was granted and that may have calls in progress.
     _granted: set[str] = field(default_factory=set)
+    # Granted leaves that must be idle once before the next acknowledgement.
+    _releasing: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
+        self.gone = GoneFacts(call_max_s=self.times.leaf_call_max_s)
         self.promises = PromiseKeeper(validity_s=self.times.validity_s)
         self.suspicion = Suspicion(after_s=self.times.suspect_after_s)
         self.authority = Authority(
@@ -101,8 +104,10 @@
         if self.view is not None and view.epoch <= self.view.epoch:
             return False
         now_s = self.clock.monotonic_s()
+        consecutive = view.epoch == self.epoch + 1
         self.view = view
         self.authority.adopt(view, now_s)
+        self._release_leaves(every=not consecutive)
         self.settlement.adopt(view)
         for member in view.others(self.own.incarnation):
             self._known_since_s.setdefault(member.incarnation, now_s)
@@ -119,10 +124,16 @@
         """Take over gone facts and return the new ones."""
         others = (i for i in incarnations if i != self.own.incarnation)
         new = self.gone.add(others, self.clock.monotonic_s())
-        if new:
+        self.refresh()
+        return new
+
+    def refresh(self) -> bool:
+        """Apply gone facts that are due and return whether homes may change."""
+        matured = self.gone.mature(self.clock.monotonic_s())
+        if matured:
             self.authority.note_gone()
             self._update_handover()
-        return new
+        return matured
 
     def take_listing(
         self, listing: int, vm_ids: Iterable[str], *, sent_at_s: float
@@ -273,6 +284,9 @@
         """Return the authority of this daemon over a leaf now."""
         if self.ended:
             return Grade.NONE
+        self.refresh()
+        if leaf_id in self._releasing:
+            return Grade.NONE
         grade = self.authority.grade(
             leaf_id,
             now_s=self.clock.monotonic_s(),
@@ -283,20 +297,30 @@
             self._granted.add(leaf_id)
         return grade
 
-    def leaves_to_release(self) -> list[str]:
-        """Return granted leaves whose home is elsewhere now."""
-        homes = {leaf: self.authority.home_of(leaf) for leaf in self._granted}
+    def _release_leaves(self, *, every: bool) -> None:
+        """Give up the granted leaves whose home is or was elsewhere.
+
+        A leaf that comes back with a later view must be idle once as well:
+        its home of the view in between takes an acknowledgement of the later
+        view as one of its own. Without all views between, any leaf may have
+        had another home.
+        """
         own = self.own.incarnation
-        return [
-            leaf
-            for leaf, home in homes.items()
-            if home is None or home.incarnation != own
-        ]
+        for leaf in self._granted:
+            home = self.authority.home_of(leaf)
+            if every or home is None or home.incarnation != own:
+                self._releasing.add(leaf)
+
+    def leaves_to_release(self) -> list[str]:
+        """Return the leaves that must be idle before the acknowledgement."""
+        return sorted(self._releasing)
 
     def acknowledge(self, released: Iterable[str]) -> bool:
         """Forget idle leaves and return whether the epoch is acknowledged."""
-        self._granted.difference_update(released)
-        if self.view is None or self.leaves_to_release():
+        idle = set(released)
+        self._granted -= idle
+        self._releasing -= idle
+        if self.view is None or self._releasing:
             return False
         advanced = self.acknowledged_epoch < self.view.epoch
         self.acknowledged_epoch = self.view.epoch
@@ -360,6 +384,7 @@
         following = change.apply(
             self.view,
             gone=self.gone.names(),
+            ended=self.gone.ended,
             acknowledged=self._all_acknowledged(),
             writer=self.own.vm_id,
         )
@@ -368,10 +393,10 @@
     def view_without_members(self, stored: View | None) -> View | None:
         """Return the view to write when no member is alive, else None."""
         if stored is None:
-            return first_view(self.own, previous=None, gone=())
+            return first_view(self.own, previous=None, ended=())
         if any(m.incarnation not in self.gone for m in stored.members):
             return None
-        return first_view(self.own, previous=stored, gone=self.gone.names())
+        return first_view(self.own, previous=stored, ended=self.gone.ended)
 
     def _concerns_this(self, change: ViewChange) -> bool:
         listed = self.view.member(self.own.vm_id) if self.view is not None else None
--- a/packages/gypsumvane-core/src/gypsumvane_core/view.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/view.py
@@ -13,7 +13,7 @@
 from gypsumvane_core.messages import ViewUpdate
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
     from collections.abc import Mapping
 
 VIEW_KEY = "config/view"
@@ -23,8 +23,8 @@
 class View:
     """Hold one epoch of the membership.
 
-    ``former`` are removed incarnations that may still hold authority over a
-    leaf: not known to be gone and without an acknowledged removal.
+    ``former`` are removed incarnations that may still have calls at a leaf:
+    not known to have ended and without an acknowledged removal.
     """
 
     epoch: int
@@ -113,6 +113,7 @@
         view: View,
         *,
         gone: frozenset[str],
+        ended: Collection[str],
         acknowledged: Mapping[str, int],
         writer: str,
     ) -> View:
@@ -131,7 +132,8 @@
         former = [
             m
             for m in (*view.members, *view.former)
-            if m.incarnation not in present | gone
+            if m.incarnation not in present
+            and m.incarnation not in ended
             and not _released(m, view, acknowledged)
         ]
         return View(
@@ -167,16 +169,15 @@
     member: Member,
     *,
     previous: View | None,
-    gone: Iterable[str],
+    ended: Collection[str],
 ) -> View:
     """Return the view that a daemon writes when no member is alive."""
-    dead = set(gone)
     epoch = previous.epoch + 1 if previous is not None else 1
     old = (*previous.members, *previous.former) if previous is not None else ()
     return View(
         epoch=epoch,
         members=(replace(member, joined_epoch=epoch, leaving=False),),
-        former=tuple(m for m in old if m.incarnation not in dead),
+        former=tuple(m for m in old if m.incarnation not in ended),
         out_domains=previous.out_domains if previous is not None else frozenset(),
         writer=member.vm_id,
     )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -562,6 +562,8 @@
     async def _watch_state_loop(self) -> None:
         while True:
             self._store.set_watching(self._should_watch())
+            if self.state.refresh():
+                self._changed()
             self._note_confirmation()
             await asyncio.sleep(self._interval_s / 2)
 
