Add the decisions of an upstream's home

A home needs to know how much work a leaf bears without asking other daemons.

Policy gains cold_report_hold_ms: a report of "cold" holds the limit down for at most this long, because reports mislead.

--- a/packages/gypsumvane-core/src/gypsumvane_core/document_models.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_models.py
@@ -39,6 +39,8 @@
     cold_concurrency: int = Field(default=1, ge=1, le=1000)
     cold_spacing_ms: int = Field(default=50, ge=0, le=10_000)
     warm_good_answers: int = Field(default=20, ge=1, le=100_000)
+    # Longest time for which a report of "cold" holds the limit down.
+    cold_report_hold_ms: int = Field(default=10_000, ge=0, le=600_000)
     canary_share: float = Field(default=0.02, gt=0, le=0.5)
     page_size_max: int = Field(default=100, ge=1, le=10_000)
 
--- a/packages/gypsumvane-core/src/gypsumvane_core/reason.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/reason.py
@@ -29,6 +29,7 @@
     CONNECTION_LOST = "connection_lost"
     SNAPSHOT_GONE = "snapshot_gone"
     SNAPSHOT_MISMATCH = "snapshot_mismatch"
+    ANSWER_MISMATCH = "answer_mismatch"
     NO_SNAPSHOT = "no_snapshot"
     CANCELLED = "cancelled"
     STORE_UNAVAILABLE = "store_unavailable"
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/upstream_briefs.py
@@ -0,0 +1,52 @@
+"""Newest summaries of all upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.messages import UpstreamBrief
+
+
+class BriefBoard:
+    """Keep the newest brief of each leaf, own and heard."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._briefs: dict[str, UpstreamBrief] = {}
+        self._listeners: list[Callable[[UpstreamBrief], None]] = []
+
+    def get(self, leaf_id: str) -> UpstreamBrief | None:
+        """Return the newest brief of a leaf."""
+        return self._briefs.get(leaf_id)
+
+    def all(self) -> list[UpstreamBrief]:
+        """Return the newest brief of each leaf."""
+        return list(self._briefs.values())
+
+    def on_change(self, listener: Callable[[UpstreamBrief], None]) -> None:
+        """Call the listener with each newer brief."""
+        self._listeners.append(listener)
+
+    def take(self, brief: UpstreamBrief) -> bool:
+        """Take over a brief and return whether it was newer."""
+        known = self._briefs.get(brief.leaf_id)
+        if known is not None and brief.sequence <= known.sequence:
+            return False
+        self._briefs[brief.leaf_id] = brief
+        for listener in self._listeners:
+            listener(brief)
+        return True
+
+    def next_sequence(self, leaf_id: str) -> int:
+        """Return a sequence number above all that were heard for a leaf.
+
+        It starts at the wall-clock time in milliseconds, so that a new home
+        goes on above the numbers of a former home that it never heard.
+        """
+        known = self._briefs.get(leaf_id)
+        now_ms = int(self._clock.unix_s() * 1000)
+        return max(now_ms, known.sequence + 1) if known is not None else now_ms
