--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/batch_reply.py
@@ -0,0 +1,67 @@
+"""Results of one batch, sent back as they finish."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.messages import PartialResult
+from gypsumvane_core.messages import PartialResults
+from gypsumvane_core.messages import UpstreamBrief
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Half of the largest frame, which leaves room for the other fields.
+REPLY_BYTES_MAX = 1 << 19
+
+
+class BatchReply:
+    """Coalesce the results that finish in the same turn of the event loop."""
+
+    def __init__(
+        self,
+        expected: int,
+        *,
+        send: Callable[[PartialResults, bool], None],
+        briefs: Callable[[list[PartialResult]], list[UpstreamBrief]],
+    ) -> None:
+        self._missing = expected
+        self._send = send
+        self._briefs = briefs
+        self._ready: list[PartialResult] = []
+        if expected == 0:
+            send(PartialResults(), True)
+
+    def add(self, result: PartialResult) -> None:
+        """Take over one result."""
+        if len(result.body) > REPLY_BYTES_MAX:
+            result.body = b""
+            result.kind = "failed"
+            result.verdict = Verdict.RAN.value
+            result.reason = Reason.UPSTREAM_ERROR.value
+        self._ready.append(result)
+        self._missing -= 1
+        if len(self._ready) == 1:
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        ready = self._ready
+        self._ready = []
+        while ready:
+            count = _count_that_fit(ready)
+            chunk, ready = ready[:count], ready[count:]
+            final = not ready and self._missing == 0
+            reply = PartialResults(results=chunk, briefs=self._briefs(chunk))
+            self._send(reply, final)
+
+
+def _count_that_fit(results: list[PartialResult]) -> int:
+    size = 0
+    for index, result in enumerate(results):
+        size += len(result.body)
+        if size > REPLY_BYTES_MAX and index:
+            return index
+    return len(results)
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_answer_check.py
@@ -0,0 +1,55 @@
+"""From the response of an upstream to an outcome."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.outcome import Completed
+from gypsumvane_core.outcome import Failed
+from gypsumvane_core.outcome import Outcome
+from gypsumvane_core.outcome import Refused
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+
+if TYPE_CHECKING:
+    from gypsumvane_daemon.leaf_task import LeafTask
+    from gypsumvane_daemon.upstream_client import LeafAnswer
+
+_REFUSAL_REASONS = {
+    400: Reason.BAD_REQUEST,
+    409: Reason.SNAPSHOT_GONE,
+    503: Reason.UPSTREAM_SHED,
+    504: Reason.DEADLINE,
+}
+
+
+def judge_answer(task: LeafTask, answer: LeafAnswer, request_id: str) -> Outcome:
+    """Return the outcome that a response proves and nothing more."""
+    if answer.request_id != request_id:
+        return Failed(Reason.ANSWER_MISMATCH, Verdict.MAY_HAVE_RUN)
+    if answer.not_run and answer.status >= 400:
+        return Refused(_refusal_reason(answer), message=_text(answer))
+    if answer.status != 200:
+        reason = Reason.DEADLINE if answer.status == 504 else Reason.UPSTREAM_ERROR
+        return Failed(reason, Verdict.MAY_HAVE_RUN, message=_text(answer))
+    if not _snapshot_matches(task, answer):
+        return Failed(Reason.SNAPSHOT_MISMATCH, Verdict.RAN)
+    return Completed(status=answer.status, body=answer.body)
+
+
+def _refusal_reason(answer: LeafAnswer) -> Reason:
+    if answer.status == 503 and (answer.draining or b"draining" in answer.body):
+        return Reason.UPSTREAM_LEAVING
+    return _REFUSAL_REASONS.get(answer.status, Reason.UPSTREAM_ERROR)
+
+
+def _snapshot_matches(task: LeafTask, answer: LeafAnswer) -> bool:
+    if not task.snapshot:
+        return True
+    if answer.snapshot < 0:
+        return not task.snapshot_required
+    return answer.snapshot == task.snapshot
+
+
+def _text(answer: LeafAnswer) -> str:
+    return answer.body[:200].decode(errors="replace")
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
@@ -0,0 +1,42 @@
+"""The connections of one upstream."""
+
+from __future__ import annotations
+
+from aiohttp import TCPConnector
+
+
+class LeafConnector(TCPConnector):
+    """Keep connections open and change their limit while running.
+
+    aiohttp has no public way to change the limit of a connector, and a new
+    connector would lose the open connections, so this class sets the private
+    fields of the aiohttp version that ``constraints.txt`` pins.
+    """
+
+    def __init__(self, limit: int) -> None:
+        # Idle connections are kept without a time limit: opening one costs up
+        # to 6 ms.
+        super().__init__(limit=max(1, limit), keepalive_timeout=None)
+
+    def set_limit(self, limit: int) -> None:
+        """Change the limit and close idle connections above it.
+
+        At limit 0 all idle connections are closed; the caller sends nothing.
+        """
+        # In aiohttp 0 means no limit.
+        self._limit = max(1, limit)
+        excess = self.open_count() - limit
+        for pool in self._conns.values():
+            while excess > 0 and pool:
+                protocol, _ = pool.popleft()
+                protocol.close()
+                excess -= 1
+
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+        idle = sum(
+            protocol.is_connected()
+            for pool in self._conns.values()
+            for protocol, _ in pool
+        )
+        return idle + len(self._acquired)
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/upstream_fakes.py
@@ -0,0 +1,211 @@
+"""Small fakes at the interfaces of the home role."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from gypsumvane_core.document import Document
+from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.settings import Settings
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+
+def make_settings(vm_id: str = "vm-1") -> Settings:
+    """Return settings with listeners on free ports."""
+    return Settings.model_validate(
+        {
+            "vm": {"vm_id": vm_id, "failure_domain": "a"},
+            "callers": {"address": "127.0.0.1:0"},
+            "peers": {"address": "127.0.0.1:0"},
+            "operators": {"address": "127.0.0.1:0", "token": "token-for-tests"},
+            "platform": {
+                "store_address": "127.0.0.1:1",
+                "live_list_address": "127.0.0.1:1",
+            },
+        }
+    )
+
+
+class FakeMembership(Service):
+    """Assign every leaf to one VM with a settable share of the limits."""
+
+    name = "membership"
+
+    def __init__(self, home: str | None = "vm-1") -> None:
+        self.home = home
+        # "full", "half" (rounded up), "other_half" (rounded down) or "none".
+        self.share = "full"
+        self._listeners: list[Callable[[], None]] = []
+        self.release_check: Callable[[str], bool] | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def home_of(self, leaf_id: str) -> str | None:
+        """Return the VM that is home of all leaves."""
+        return self.home
+
+    def allowance(self, leaf_id: str, limit: int) -> int:
+        """Return the settable share of a limit."""
+        shares = {"full": limit, "half": (limit + 1) // 2, "other_half": limit // 2}
+        return shares.get(self.share, 0)
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Remember a listener."""
+        self._listeners.append(listener)
+
+    def set_release_check(self, check: Callable[[str], bool]) -> None:
+        """Remember the check."""
+        self.release_check = check
+
+    def set_home(self, home: str | None) -> None:
+        """Assign all leaves to another VM."""
+        self.home = home
+        for listener in self._listeners:
+            listener()
+
+
+class FakeDocuments(Service):
+    """Hold documents that tests apply directly."""
+
+    name = "documents"
+
+    def __init__(self) -> None:
+        self.catalogue = DocumentCatalogue()
+        self._listeners: list[Callable[[str], None]] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def on_change(self, listener: Callable[[str], None]) -> None:
+        """Remember a listener."""
+        self._listeners.append(listener)
+
+    def put(self, name: str, body: dict[str, object]) -> None:
+        """Apply the next revision of a document."""
+        revision = self.catalogue.revisions().get(name, 0) + 1
+        self.catalogue.apply(
+            Document(
+                name=name,
+                revision=revision,
+                change_id=f"{name}-{revision}",
+                author="test",
+                reason="test",
+                accepted_unix_ms=0,
+                body=json.dumps(body).encode(),
+            )
+        )
+        for listener in self._listeners:
+            listener(name)
+
+    def put_index(self, leaves: list[dict[str, object]]) -> None:
+        """Apply an index of one service."""
+        self.put(
+            "index/stock",
+            {
+                "name": "stock",
+                "kind": "search",
+                "leaves": leaves,
+                "partition_maps": {7: ["shelf"]},
+            },
+        )
+
+    def put_policy(self, **values: int) -> None:
+        """Apply fleet defaults."""
+        self.put("fleet", {"defaults": values})
+
+
+@dataclass
+class FakeLeaf:
+    """Serve the upstream contract with settable behaviour."""
+
+    boot_id: str = "boot-1"
+    snapshot: str = "7"
+    draining: bool = False
+    cold: bool = False
+    snapshots: list[int] = field(default_factory=lambda: [7])
+    # Replaces the answer to searches, lookups and runs.
+    answer: Callable[[web.Request], Awaitable[web.StreamResponse]] | None = None
+    calls: list[dict[str, str]] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    running: int = 0
+    running_max: int = 0
+    connections: int = 0
+    address: str = ""
+    _runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        app = web.Application()
+        for path in ("/v1/search", "/v1/lookup", "/v1/run"):
+            app.router.add_post(path, self._work)
+        app.router.add_delete("/v1/requests/{id}", self._delete)
+        app.router.add_get("/v1/status", self._status)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = "127.0.0.1:" + str(self._runner.addresses[0][1])
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def headers(self, request: web.Request) -> dict[str, str]:
+        """Return the headers of a correct response."""
+        headers = {"Boot-Id": self.boot_id, "Upstream-Version": "v1"}
+        headers["Request-Id"] = request.headers.get("Request-Id", "")
+        if self.snapshot:
+            headers["Snapshot"] = self.snapshot
+        if self.draining:
+            headers["Draining"] = "1"
+        return headers
+
+    def refusal(self, request: web.Request, status: int, error: str) -> web.Response:
+        """Return a refusal made before anything ran."""
+        headers = self.headers(request) | {"Verdict": "not-run"}
+        return web.json_response({"error": error}, status=status, headers=headers)
+
+    async def _work(self, request: web.Request) -> web.StreamResponse:
+        self.calls.append({"path": request.path, **request.headers})
+        self.running += 1
+        self.running_max = max(self.running_max, self.running)
+        try:
+            if self.answer is not None:
+                return await self.answer(request)
+            await asyncio.sleep(0)
+            return web.json_response({"hits": []}, headers=self.headers(request))
+        finally:
+            self.running -= 1
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        self.cancelled.append(request.match_info["id"])
+        return web.Response(status=204)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        body = {
+            "boot_id": self.boot_id,
+            "version": "v1",
+            "draining": self.draining,
+            "cold": self.cold,
+            "snapshots": self.snapshots,
+        }
+        return web.json_response(body, headers=self.headers(request))
