Admit callers' requests at the root

Without admission, twice the capacity leaves almost no complete answer in time. RootAdmission bounds whole requests in flight by a limit that follows the share of answers in time and the share of their time in flight; a bounded queue is ordered by priority and takes turns between callers.

--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/caller_queue.py
@@ -0,0 +1,111 @@
+"""Waiting requests of all callers, fair between callers."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections import deque
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.priority import Priority
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from gypsumvane_core.admission_request import AdmissionRequest
+
+# From this share of its time in the queue the oldest request of a caller shows
+# an overload.
+OVERLOAD_WAIT_SHARE = 0.25
+
+
+def _take(requests: deque[AdmissionRequest], now_s: float) -> AdmissionRequest:
+    """Remove the oldest request, in an overload the newest one.
+
+    In a lasting overload the oldest ones begin with hardly enough time left
+    and many of them end late; the newest ones have nearly all of it.
+    """
+    oldest = requests[0]
+    allowed_s = oldest.deadline_s - oldest.arrived_s
+    overloaded = now_s - oldest.arrived_s > OVERLOAD_WAIT_SHARE * allowed_s
+    if overloaded and oldest.priority is not Priority.RUN:
+        return requests.pop()
+    return requests.popleft()
+
+
+class CallerQueue:
+    """Order requests by priority and take turns between callers."""
+
+    def __init__(self) -> None:
+        # For each priority the callers in turn and their requests in order of
+        # arrival.
+        self._turns: dict[Priority, OrderedDict[str, deque[AdmissionRequest]]] = {
+            priority: OrderedDict() for priority in Priority
+        }
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def __iter__(self) -> Iterator[AdmissionRequest]:
+        for callers in self._turns.values():
+            for requests in callers.values():
+                yield from requests
+
+    def push(self, request: AdmissionRequest) -> None:
+        """Add a request behind the others of its caller."""
+        callers = self._turns[request.priority]
+        callers.setdefault(request.caller_id, deque()).append(request)
+        self._length += 1
+
+    def pop(
+        self, priorities: tuple[Priority, ...], now_s: float
+    ) -> AdmissionRequest | None:
+        """Remove the next request of these priorities."""
+        for priority in priorities:
+            callers = self._turns[priority]
+            if callers:
+                caller_id, requests = next(iter(callers.items()))
+                request = _take(requests, now_s)
+                callers.move_to_end(caller_id)
+                self._drop_empty(priority, caller_id)
+                self._length -= 1
+                return request
+        return None
+
+    def pop_excess(self, newcomer: AdmissionRequest) -> AdmissionRequest | None:
+        """Remove a request in favour of a newcomer.
+
+        It is the newest one of the caller who waits with most requests, of
+        the lowest priority present. None means that the newcomer itself has
+        to go.
+        """
+        for priority in reversed(Priority):
+            if priority < newcomer.priority:
+                return None
+            callers = self._turns[priority]
+            if not callers:
+                continue
+            caller_id = max(callers, key=lambda name: len(callers[name]))
+            own = len(callers.get(newcomer.caller_id, ()))
+            is_same = priority is newcomer.priority
+            if is_same and len(callers[caller_id]) <= own:
+                return None
+            request = callers[caller_id].pop()
+            self._drop_empty(priority, caller_id)
+            self._length -= 1
+            return request
+        return None
+
+    def remove(self, request: AdmissionRequest) -> bool:
+        """Remove a request and return whether it was waiting."""
+        requests = self._turns[request.priority].get(request.caller_id)
+        if requests is None or request not in requests:
+            return False
+        requests.remove(request)
+        self._drop_empty(request.priority, request.caller_id)
+        self._length -= 1
+        return True
+
+    def _drop_empty(self, priority: Priority, caller_id: str) -> None:
+        if not self._turns[priority][caller_id]:
+            del self._turns[priority][caller_id]
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/in_flight_limit.py
@@ -0,0 +1,63 @@
+"""The number of callers' requests that a root works on at once."""
+
+from __future__ import annotations
+
+START_LIMIT = 32
+# Below this share of complete answers in time the limit falls.
+IN_TIME_SHARE_MIN = 0.95
+FALL_FACTOR = 0.8
+GROWTH_SHARE = 0.1
+# Share of a request's time that it may spend in flight, on average, for the
+# limit to grow, and from which it falls. Waiting here can be ordered, cut off
+# and refused; waiting behind the upstreams makes answers late.
+RUN_SHARE_GROWTH_MAX = 0.4
+RUN_SHARE_MAX = 0.6
+# A smaller window would let one late answer decide.
+WINDOW_MIN = 20
+
+
+class InFlightLimit:
+    """Adapt to the share of complete answers delivered in time."""
+
+    def __init__(self, limit_max: int) -> None:
+        self.limit_max = limit_max
+        self._limit = float(min(START_LIMIT, limit_max))
+        # Requests of an older generation were admitted under another limit.
+        self.generation = 0
+        self._begin_window()
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may be in flight."""
+        return max(1, min(int(self._limit), self.limit_max))
+
+    def note_full(self) -> None:
+        """Record that the limit kept a request waiting."""
+        self._was_full = True
+
+    def on_finish(self, *, in_time: bool, run_share: float, generation: int) -> None:
+        """Record the end of a request and the share of its time in flight."""
+        if generation != self.generation:
+            return
+        self._finished += 1
+        self._in_time += in_time
+        self._run_share_sum += run_share
+        if self._finished >= max(WINDOW_MIN, self.limit):
+            self._adapt()
+
+    def _adapt(self) -> None:
+        run_share = self._run_share_sum / self._finished
+        late = self._in_time < IN_TIME_SHARE_MIN * self._finished
+        if late or run_share > RUN_SHARE_MAX:
+            self._limit = max(1.0, self._limit * FALL_FACTOR)
+            self.generation += 1
+        elif self._was_full and run_share <= RUN_SHARE_GROWTH_MAX:
+            grown = self._limit + max(1.0, self._limit * GROWTH_SHARE)
+            self._limit = min(float(self.limit_max), grown)
+        self._begin_window()
+
+    def _begin_window(self) -> None:
+        self._finished = 0
+        self._in_time = 0
+        self._run_share_sum = 0.0
+        self._was_full = False
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_admission_service.py
@@ -0,0 +1,80 @@
+"""Tests of the admission service."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from gypsumvane_core.admission_request import AdmissionRequest
+from gypsumvane_core.clock import SystemClock
+from gypsumvane_core.priority import Priority
+from gypsumvane_core.reason import Reason
+from gypsumvane_daemon.admission_service import AdmissionRefused
+from gypsumvane_daemon.admission_service import AdmissionService
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.metrics import MetricsService
+from upstream_fakes import FakeDocuments
+
+
+class AdmissionServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Check tickets, refusals and callers that leave."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = SystemClock()
+        self.documents = FakeDocuments()
+        self.documents.put_policy(root_in_flight_max=1, root_queue_max=1)
+        self.metrics = MetricsService()
+        self.service = AdmissionService(self.clock)
+        kernel = Kernel()
+        for service in (self.metrics, self.documents, self.service):
+            kernel.register(service)
+        await kernel.start()
+        self.addAsyncCleanup(kernel.stop)
+
+    def request(self, left_s: float = 5.0) -> AdmissionRequest:
+        """Build a search."""
+        return AdmissionRequest(
+            priority=Priority.SEARCH,
+            caller_id="a",
+            deadline_s=self.clock.monotonic_s() + left_s,
+        )
+
+    async def test_second_request_waits_for_the_first(self) -> None:
+        """Guard against more requests in flight than the limit."""
+        first = await self.service.admit(self.request())
+        second = asyncio.create_task(self.service.admit(self.request()))
+        await asyncio.sleep(0)
+        self.assertFalse(second.done())
+        first.finish(in_time=True)
+        first.finish(in_time=True)
+        (await second).finish(in_time=True)
+
+    async def test_refusal_names_its_reason_and_is_counted(self) -> None:
+        """Guard against refusals that nobody can explain."""
+        await self.service.admit(self.request())
+        waiting = asyncio.create_task(self.service.admit(self.request()))
+        await asyncio.sleep(0)
+        with self.assertRaises(AdmissionRefused) as caught:
+            await self.service.admit(self.request())
+        self.assertIs(caught.exception.reason, Reason.QUEUE_FULL)
+        count = self.metrics.value("admission_refusals", reason="queue_full")
+        self.assertEqual(count, 1)
+        waiting.cancel()
+
+    async def test_waiting_request_is_refused_at_its_deadline(self) -> None:
+        """Guard against a request that waits for ever."""
+        await self.service.admit(self.request())
+        with self.assertRaises(AdmissionRefused) as caught:
+            await self.service.admit(self.request(left_s=0.05))
+        self.assertIs(caught.exception.reason, Reason.DEADLINE)
+
+    async def test_caller_that_leaves_frees_its_place(self) -> None:
+        """Guard against places held by callers that have left."""
+        first = await self.service.admit(self.request())
+        leaving = asyncio.create_task(self.service.admit(self.request()))
+        await asyncio.sleep(0)
+        first.finish(in_time=True)
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
+        ticket = await asyncio.wait_for(self.service.admit(self.request()), 5)
+        ticket.finish(in_time=True)
