Treat every refusal within the limit as a sign of cold

A leaf that turned cold without warning needs a spaced call at a time for all its warm-up; a quicker recovery after a refusal without slowdown would send more than it bears. A lost connection or the loss of all kept connections may be a restart and is a sign too; a status report is then asked for at once. The spacing counts from the last call sent, also when the fall came after it. Briefs go to peers when they changed, in heartbeats and in results.

--- a/packages/gypsumvane-core/src/gypsumvane_core/concurrency_limit.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/concurrency_limit.py
@@ -10,9 +10,6 @@
 # The spacing is halved at each step of growth and dropped at this fraction of
 # the cold spacing, so that growth takes a bounded number of steps.
 SPACING_STEPS = 8
-# After a single refusal without slowdown the limit grows back in a quarter of
-# the answers: a lasting cold state shows itself by slow answers before that.
-SHED_RECOVERY_DIVISOR = 4
 
 
 class ConcurrencyLimit:
@@ -24,7 +21,6 @@
         self.limit = 1
         self.spacing_s = 0.0
         self._good = 0
-        self._good_per_step = 1
         self.fall_to_cold()
 
     @property
@@ -43,15 +39,6 @@
         self.limit = min(self._policy.cold_concurrency, self._slots)
         self.spacing_s = self._policy.cold_spacing_ms / 1000
         self._good = 0
-        self._good_per_step = self._policy.warm_good_answers
-
-    def fall_after_shed(self) -> None:
-        """Fall as far as for a cold upstream but recover in fewer answers."""
-        was_full = self.full
-        self.fall_to_cold()
-        if was_full:
-            steps = self._policy.warm_good_answers // SHED_RECOVERY_DIVISOR
-            self._good_per_step = max(1, steps)
 
     def forget_progress(self) -> None:
         """Count good answers from zero again."""
@@ -62,7 +49,7 @@
         if self.full:
             return False
         self._good += 1
-        if self._good < self._good_per_step:
+        if self._good < self._policy.warm_good_answers:
             return False
         self._good = 0
         self.limit = min(self._slots, self.limit + max(1, self.limit // 2))
--- a/packages/gypsumvane-core/src/gypsumvane_core/upstream_briefs.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/upstream_briefs.py
@@ -10,6 +10,35 @@
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.messages import UpstreamBrief
 
+# An unchanged brief is renewed after this time, so that peers that missed it
+# get it; sequence numbers are wall-clock milliseconds.
+RENEW_MS = 5000
+# A smaller change of the latency or the queue does not change a choice.
+LATENCY_CHANGE_SHARE = 0.25
+QUEUE_CHANGE = 4
+
+
+def differs(known: UpstreamBrief, newer: UpstreamBrief) -> bool:
+    """Return whether a brief is worth sending after a known one."""
+    if newer.sequence - known.sequence >= RENEW_MS:
+        return True
+    if _facts(known) != _facts(newer):
+        return True
+    if abs(newer.queued - known.queued) >= QUEUE_CHANGE:
+        return True
+    change_ms = abs(newer.latency_ms - known.latency_ms)
+    return change_ms > LATENCY_CHANGE_SHARE * known.latency_ms
+
+
+def _facts(brief: UpstreamBrief) -> tuple[object, ...]:
+    return (
+        brief.state,
+        brief.limit,
+        brief.snapshots,
+        brief.version,
+        brief.boot_id,
+    )
+
 
 class BriefBoard:
     """Keep the newest brief of each leaf, own and heard."""
--- a/packages/gypsumvane-core/src/gypsumvane_core/upstream_state.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/upstream_state.py
@@ -24,7 +24,6 @@
     ASSIGNED = "assigned"
     RELEASED = "released"
     COLD_SIGN = "cold_sign"
-    LOWERED = "lowered"
     GREW = "grew"
     WARMED = "warmed"
     DRAIN = "drain"
@@ -43,7 +42,6 @@
     (UpstreamEvent.ASSIGNED, (UpstreamState.UNKNOWN,), UpstreamState.COLD),
     (UpstreamEvent.RELEASED, _ASSIGNED, UpstreamState.UNKNOWN),
     (UpstreamEvent.COLD_SIGN, _SERVING, UpstreamState.COLD),
-    (UpstreamEvent.LOWERED, (UpstreamState.WARM,), UpstreamState.WARMING),
     (UpstreamEvent.GREW, (UpstreamState.COLD,), UpstreamState.WARMING),
     (UpstreamEvent.WARMED, (UpstreamState.WARMING,), UpstreamState.WARM),
     (
--- a/packages/gypsumvane-core/src/gypsumvane_core/upstream_trust.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/upstream_trust.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -15,10 +16,10 @@
 if TYPE_CHECKING:
     from gypsumvane_core.document_models import Policy
 
-# A slow answer and a refusal within this time are one sign of cold.
-SIGN_WINDOW_S = 1.0
-# Refusals or failures in a row that are a sign of cold without a slow answer.
+# Errors or missed deadlines in a row that are a sign of cold.
 FAILURES_IN_ROW = 3
+# Bounds the memory of an upstream that restarts again and again.
+FORMER_BOOTS_MAX = 16
 # A drain seen in an answer or report ends when reports deny it for this time,
 # because a lagging report may still describe the time before the drain.
 DRAIN_END_S = 5.0
@@ -65,13 +66,13 @@
         # Grows with each fall; answers to calls of an older generation do not
         # raise the limit.
         self._generation = 0
-        self._former_boots: set[str] = set()
+        self._former_boots: deque[str] = deque(maxlen=FORMER_BOOTS_MAX)
         self._drains: set[DrainCause] = set()
         self._drain_denied_since_s: float | None = None
-        self._next_send_s = 0.0
+        self._last_sent_s = float("-inf")
+        # Set by a refusal that names the time after which to try again.
+        self._not_before_s = float("-inf")
         self._last_heard_s = float("-inf")
-        self._last_shed_s = float("-inf")
-        self._last_slow_s = float("-inf")
         self._failures = 0
         self._report_cold_since_s: float | None = None
 
@@ -122,11 +123,12 @@
             return None
         if not confirmed and self._may_be_cold(now_s):
             return None
-        return max(0.0, self._next_send_s - now_s)
+        spaced_s = self._last_sent_s + self._limit.spacing_s
+        return max(0.0, spaced_s - now_s, self._not_before_s - now_s)
 
     def on_sent(self, now_s: float) -> SentCall:
         """Record that a call is being sent."""
-        self._next_send_s = now_s + self._limit.spacing_s
+        self._last_sent_s = now_s
         return SentCall(generation=self._generation, sent_s=now_s)
 
     def on_headers(self, now_s: float, *, boot_id: str, draining: bool) -> bool:
@@ -142,31 +144,29 @@
     def on_good_answer(self, call: SentCall, now_s: float) -> None:
         """Record an answer in time; it may raise the limit."""
         took_s = now_s - call.sent_s
-        if self.service_time.is_slow(took_s):
-            self.service_time.add(took_s)
-            self._last_slow_s = now_s
-            self._check_slow_and_shedding(now_s)
-            return
+        slow = self.service_time.is_slow(took_s)
         self.service_time.add(took_s)
-        if call.generation != self._generation:
+        if slow or call.generation != self._generation:
             return
         self._failures = 0
         if not self._held_by_report(now_s):
             self._grow()
 
-    def on_shed(self, now_s: float) -> None:
-        """Record that the upstream refused work within its limit."""
-        self._last_shed_s = now_s
-        self._failures += 1
-        if self._failures >= FAILURES_IN_ROW:
-            self.on_cold_sign()
-        elif not self._check_slow_and_shedding(now_s):
-            self._limit.fall_after_shed()
-            self._generation += 1
-            self._machine.apply(UpstreamEvent.LOWERED)
+    def on_shed(self, now_s: float, *, retry_after_s: float = 0.0) -> None:
+        """Record that the upstream refused work within its limit.
+
+        Nobody else sends to it, so one such refusal shows that it bears less
+        than before; waiting for slow answers as well would send more.
+        """
+        self._not_before_s = now_s + retry_after_s
+        self.on_cold_sign()
+
+    def on_connection_lost(self) -> None:
+        """Record a connection that ended; the upstream may have restarted."""
+        self.on_cold_sign()
 
     def on_failure(self) -> None:
-        """Record an error, a lost connection or a missed deadline."""
+        """Record an error of the upstream."""
         self._failures += 1
         self._limit.forget_progress()
         if self._failures >= FAILURES_IN_ROW:
@@ -179,9 +179,7 @@
         about the upstream.
         """
         if self.service_time.is_slow(now_s - call.sent_s):
-            self._last_slow_s = now_s
-            if not self._check_slow_and_shedding(now_s):
-                self.on_failure()
+            self.on_failure()
 
     def on_unreachable(self) -> None:
         """Record that no connection can be opened."""
@@ -234,7 +232,7 @@
         if boot_id in self._former_boots:
             return False
         if self.boot_id:
-            self._former_boots.add(self.boot_id)
+            self._former_boots.append(self.boot_id)
             self.on_cold_sign()
             self._report_cold_since_s = None
             self.set_drain(DrainCause.UPSTREAM, on=False)
@@ -253,13 +251,6 @@
         if self._limit.full:
             self._machine.apply(UpstreamEvent.WARMED)
 
-    def _check_slow_and_shedding(self, now_s: float) -> bool:
-        earlier_s = min(self._last_shed_s, self._last_slow_s)
-        if now_s - earlier_s > SIGN_WINDOW_S:
-            return False
-        self.on_cold_sign()
-        return True
-
     def _held_by_report(self, now_s: float) -> bool:
         since_s = self._report_cold_since_s
         if since_s is None:
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/brief_exchange.py
@@ -0,0 +1,54 @@
+"""Briefs of own upstreams in heartbeats and results."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from gypsumvane_core.messages import Heartbeat
+    from gypsumvane_core.messages import UpstreamBrief
+    from gypsumvane_core.upstream_briefs import BriefBoard
+
+
+class BriefExchange:
+    """Send each peer the own briefs that changed since the last message."""
+
+    def __init__(
+        self, board: BriefBoard, own_leaf_ids: Callable[[], Iterable[str]]
+    ) -> None:
+        self._board = board
+        self._own_leaf_ids = own_leaf_ids
+        # VM identifier to the sequence last sent for each leaf.
+        self._sent: dict[str, dict[str, int]] = {}
+
+    def contribute(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Fill the briefs of a heartbeat."""
+        heartbeat.briefs.extend(self.unsent(vm_id, self._own_leaf_ids()))
+
+    def receive(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Take over the briefs of a heartbeat."""
+        for brief in heartbeat.briefs:
+            self._board.take(brief)
+
+    def unsent(self, vm_id: str, leaf_ids: Iterable[str]) -> list[UpstreamBrief]:
+        """Return the briefs that a peer lacks and count them as sent.
+
+        A lost message is made good by the next brief, which is renewed every
+        few seconds.
+        """
+        sent = self._sent.setdefault(vm_id, {})
+        unsent = []
+        for leaf_id in leaf_ids:
+            brief = self._board.get(leaf_id)
+            if brief is not None and sent.get(leaf_id) != brief.sequence:
+                sent[leaf_id] = brief.sequence
+                unsent.append(brief)
+        return unsent
+
+    def forget(self, leaf_id: str) -> None:
+        """Forget what was sent about a leaf that has another home now."""
+        for sent in self._sent.values():
+            sent.pop(leaf_id, None)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 from dataclasses import dataclass
@@ -41,6 +42,7 @@
 logger = logging.getLogger(__name__)
 
 STATUS_INTERVAL_S = 1.0
+OUTAGE_STATUS_INTERVAL_S = 0.2
 # Connections beside those of the calls: one for status, one to cancel.
 CONTROL_CONNECTIONS = 2
 # A waiting queue is looked at again this often, because authority and
@@ -97,6 +99,9 @@
         self._jobs: set[asyncio.Task[None]] = set()
         self._poller: asyncio.Task[None] | None = None
         self._status_failures = 0
+        self._connected = False
+        # Set to ask for a status report at once.
+        self._probe = asyncio.Event()
         self._version = ""
 
     # Life cycle.
@@ -177,6 +182,7 @@
             return
         now_s = self._clock.monotonic_s()
         self._drop_late(now_s)
+        self._check_connections()
         while len(self._queue):
             wait_s = self._send_wait_s(now_s)
             if wait_s != 0.0:
@@ -228,6 +234,12 @@
         for task in self._queue.drop_unfinishable(now_s, service_s):
             self._refuse(task, Reason.DEADLINE)
 
+    def _check_connections(self) -> None:
+        # A restarted upstream has closed all kept connections.
+        if self.idle and self._connected and not self._client.open_connections():
+            self._connected = False
+            self.trust.on_connection_lost()
+
     def _refuse(self, task: LeafTask, reason: Reason) -> None:
         self._count("leaf_refusals", reason=reason.value)
         task.refuse(Refused(reason))
@@ -299,6 +311,7 @@
         self, run: _Run, answer: LeafAnswer, outcome: Outcome, now_s: float
     ) -> None:
         self._version = answer.version or self._version
+        self._connected = True
         current = self.trust.on_headers(
             now_s, boot_id=answer.boot_id, draining=answer.draining
         )
@@ -308,17 +321,19 @@
         if isinstance(outcome, Completed):
             self.trust.on_good_answer(run.sent, now_s)
         elif outcome.reason is Reason.UPSTREAM_SHED:
-            self.trust.on_shed(now_s)
+            self.trust.on_shed(now_s, retry_after_s=answer.retry_after_ms / 1000)
         elif outcome.reason is Reason.UPSTREAM_ERROR:
             self.trust.on_failure()
         if before != (self.trust.state, self.trust.limit):
             self.publish()
+            self._probe.set()
 
     def _on_error(self, run: _Run, error: LeafCallError) -> None:
         if error.unreachable:
             self._on_unreachable(str(error.message))
-        elif not run.abandoned:
-            self.trust.on_failure()
+        else:
+            self.trust.on_connection_lost()
+            self._probe.set()
         run.task.finish(self._failed(run, Reason.CONNECTION_LOST))
 
     def _failed(self, run: _Run, reason: Reason) -> LeafResult:
@@ -376,17 +391,28 @@
                 await self._poll_once()
             self.publish()
             self.pump()
-            await asyncio.sleep(STATUS_INTERVAL_S)
+            await self._wait_for_next_poll()
+
+    async def _wait_for_next_poll(self) -> None:
+        unavailable = self.trust.state is UpstreamState.UNAVAILABLE
+        interval_s = OUTAGE_STATUS_INTERVAL_S if unavailable else STATUS_INTERVAL_S
+        self._probe.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval_s):
+                await self._probe.wait()
 
     async def _poll_once(self) -> None:
         try:
             answer = await self._client.status()
         except LeafCallError as error:
             self._status_failures += 1
-            if error.unreachable or self._status_failures >= STATUS_FAILURES_MAX:
+            # A full upstream may be late with its status; a closed connection
+            # is an outage.
+            if not error.late or self._status_failures >= STATUS_FAILURES_MAX:
                 self._on_unreachable(error.message)
             return
         self._status_failures = 0
+        self._connected = True
         self._read_status(answer)
         if self.trust.limit:
             await self._client.open_ahead(self._connections_wanted())
@@ -420,14 +446,14 @@
             self.publish()
 
     def _connections_wanted(self) -> int:
-        # Calls never need more, and staying below half of the maximum leaves
-        # room for another home while authority is shared.
         return min(self._connections_allowed(), self.trust.limit + 1)
 
     def _connections_allowed(self) -> int:
         allowed = self._authority.allowance(
             self.leaf.leaf_id, self.leaf.connections_max
         )
+        # Calls never need more, and staying below half of the maximum leaves
+        # room for another home while a paused one still holds connections.
         return min(allowed, self.leaf.slots + CONTROL_CONNECTIONS)
 
     def _apply_connection_limit(self) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -69,6 +69,7 @@
     snapshot: int = -1
     draining: bool = False
     not_run: bool = False
+    retry_after_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -78,6 +79,8 @@
     message: str
     # No connection could be opened.
     unreachable: bool = False
+    # The time ran out.
+    late: bool = False
     args: tuple[str, ...] = field(default=(), init=False)
 
 
@@ -182,7 +185,7 @@
         except ClientConnectorError as error:
             raise LeafCallError(str(error), unreachable=True) from error
         except TimeoutError as error:
-            raise LeafCallError("no status in time") from error
+            raise LeafCallError("no status in time", late=True) from error
         except (ClientError, OSError, ValueError) as error:
             raise LeafCallError(f"{type(error).__name__}: {error}") from error
 
@@ -206,4 +209,5 @@
         snapshot=int(headers.get("Snapshot") or -1),
         draining=headers.get("Draining") == "1",
         not_run=headers.get("Verdict") == "not-run",
+        retry_after_ms=int(headers.get("Retry-After-Ms") or 0),
     )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_ports.py
@@ -9,6 +9,17 @@
     from collections.abc import Callable
 
     from gypsumvane_core.document import DocumentCatalogue
+    from gypsumvane_core.messages import Heartbeat
+
+
+class Contributor(Protocol):
+    """Fill and read the fields of one service in heartbeats."""
+
+    def contribute(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Fill fields of a heartbeat to a peer."""
+
+    def receive(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Read fields of a heartbeat from a peer."""
 
 
 class HomeAuthority(Protocol):
@@ -26,6 +37,9 @@
     def set_release_check(self, check: Callable[[str], bool]) -> None:
         """Ask the check whether no call to a leaf is in progress."""
 
+    def add_contributor(self, contributor: Contributor) -> None:
+        """Let a service fill and read fields of heartbeats."""
+
 
 class DocumentSource(Protocol):
     """Provide the applied documents; see DocumentService."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_service.py
@@ -21,8 +21,10 @@
 from gypsumvane_core.priority import Priority
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.upstream_briefs import BriefBoard
+from gypsumvane_core.upstream_briefs import differs
 from gypsumvane_core.upstream_trust import DrainCause
 from gypsumvane_daemon.batch_reply import BatchReply
+from gypsumvane_daemon.brief_exchange import BriefExchange
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.leaf_task import LeafTask
 from gypsumvane_daemon.leaf_worker import LeafWorker
@@ -56,6 +58,7 @@
         self._identity = identity
         self._clock = clock
         self.briefs = BriefBoard(clock)
+        self._exchange = BriefExchange(self.briefs, lambda: self._workers)
         self._workers: dict[str, LeafWorker] = {}
         self._closing: dict[str, LeafWorker] = {}
         self._closers: set[asyncio.Task[None]] = set()
@@ -73,6 +76,7 @@
         self._documents = cast("DocumentSource", kernel.find("documents"))
         self._authority.set_release_check(self.idle)
         self._authority.on_change(self._sync)
+        self._authority.add_contributor(self._exchange)
         self._documents.on_change(lambda name: self._sync())
         peers = kernel.get(PeerNetwork)
         peers.register(PartialBatch, self._on_batch)
@@ -146,7 +150,11 @@
         def send(reply: PartialResults, final: bool) -> None:
             context.reply(reply, final=final)
 
-        reply = BatchReply(len(batch.requests), send=send, briefs=self._briefs_of)
+        def briefs(results: list[PartialResult]) -> list[UpstreamBrief]:
+            leaf_ids = (result.leaf_id for result in results)
+            return self._exchange.unsent(context.hello.vm_id, leaf_ids)
+
+        reply = BatchReply(len(batch.requests), send=send, briefs=briefs)
         for request in batch.requests:
             self._submit_partial(batch, request, reply.add)
 
@@ -158,10 +166,6 @@
     ) -> LeafRunReply:
         return await self.run_once(request)
 
-    def _briefs_of(self, results: list[PartialResult]) -> list[UpstreamBrief]:
-        briefs = (self.briefs.get(result.leaf_id) for result in results)
-        return [brief for brief in briefs if brief is not None]
-
     # Partial requests.
 
     def _submit_partial(
@@ -258,6 +262,7 @@
     def _release(self, leaf_id: str) -> None:
         worker = self._workers.pop(leaf_id)
         worker.release(Reason.NOT_HOME)
+        self._exchange.forget(leaf_id)
         self._closing[leaf_id] = worker
         closer = asyncio.create_task(self._close(leaf_id, worker))
         self._closers.add(closer)
@@ -269,8 +274,10 @@
             del self._closing[leaf_id]
 
     def _publish(self, brief: UpstreamBrief) -> None:
+        known = self.briefs.get(brief.leaf_id)
         brief.sequence = self.briefs.next_sequence(brief.leaf_id)
-        self.briefs.take(brief)
+        if known is None or differs(known, brief):
+            self.briefs.take(brief)
 
 
 def _setter(future: asyncio.Future[ResultType]) -> Callable[[ResultType], None]:
--- a/packages/gypsumvane-daemon/tests/upstream_fakes.py
+++ b/packages/gypsumvane-daemon/tests/upstream_fakes.py
@@ -72,6 +72,9 @@
         """Remember the check."""
         self.release_check = check
 
+    def add_contributor(self, contributor: object) -> None:
+        """Do nothing; there are no heartbeats."""
+
     def set_home(self, home: str | None) -> None:
         """Assign all leaves to another VM."""
         self.home = home
