--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/leaf_choice.py
@@ -0,0 +1,94 @@
+"""Choice of a leaf among the candidates of a service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Sequence
+    from random import Random
+
+    from gypsumvane_core.document_models import LeafModel
+    from gypsumvane_core.index_routes import Candidates
+    from gypsumvane_core.messages import UpstreamBrief
+
+# A leaf that is never asked gives no good answers and would stay cold.
+COLD_STATES = frozenset({"unknown", "cold", "warming"})
+COLD_SHARE = 0.03
+LATENCY_MIN_MS = 1.0
+
+
+class LeafChooser:
+    """Choose by the power of two choices over load and latency."""
+
+    def __init__(
+        self, brief_of: Callable[[str], UpstreamBrief | None], random: Random
+    ) -> None:
+        self._brief_of = brief_of
+        self._random = random
+        # Attempts of this root in progress; briefs lag behind them.
+        self._in_progress: dict[str, int] = {}
+
+    def begin(self, leaf_id: str) -> None:
+        """Count an attempt in progress."""
+        self._in_progress[leaf_id] = self._in_progress.get(leaf_id, 0) + 1
+
+    def end(self, leaf_id: str) -> None:
+        """Forget an attempt in progress."""
+        left = self._in_progress.get(leaf_id, 0) - 1
+        if left > 0:
+            self._in_progress[leaf_id] = left
+        else:
+            self._in_progress.pop(leaf_id, None)
+
+    def in_progress(self, leaf_id: str) -> int:
+        """Return how many attempts are in progress at a leaf."""
+        return self._in_progress.get(leaf_id, 0)
+
+    def choose(
+        self, candidates: Candidates, tried: Collection[str] = ()
+    ) -> LeafModel | None:
+        """Return a leaf that was not tried yet, None when there is none.
+
+        A leaf that only may serve the snapshot is a last resort.
+        """
+        leaf = self._choose_among(candidates.known, tried)
+        return leaf or self._choose_among(candidates.possible, tried)
+
+    def _choose_among(
+        self, candidates: Sequence[LeafModel], tried: Collection[str]
+    ) -> LeafModel | None:
+        if tried:
+            candidates = [leaf for leaf in candidates if leaf.leaf_id not in tried]
+        if not candidates:
+            return None
+        if len(candidates) == 1:
+            return candidates[0]
+        first, second = self._draw_two(candidates)
+        if self._load(second.leaf_id) < self._load(first.leaf_id):
+            first, second = second, first
+        if self._is_idle_cold(second.leaf_id) and self._random.random() < COLD_SHARE:
+            return second
+        return first
+
+    def _draw_two(self, candidates: Sequence[LeafModel]) -> tuple[LeafModel, LeafModel]:
+        count = len(candidates)
+        first = int(self._random.random() * count)
+        second = int(self._random.random() * (count - 1))
+        return candidates[first], candidates[second + (second >= first)]
+
+    def _load(self, leaf_id: str) -> float:
+        brief = self._brief_of(leaf_id)
+        waiting = self.in_progress(leaf_id) + 1
+        if brief is None:
+            return waiting * LATENCY_MIN_MS
+        waiting += brief.queued
+        return waiting / max(brief.limit, 1) * max(brief.latency_ms, LATENCY_MIN_MS)
+
+    def _is_idle_cold(self, leaf_id: str) -> bool:
+        if self.in_progress(leaf_id):
+            return False
+        brief = self._brief_of(leaf_id)
+        return brief is None or (brief.state in COLD_STATES and not brief.queued)
--- a/packages/gypsumvane-core/src/gypsumvane_core/reason.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/reason.py
@@ -37,3 +37,4 @@
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_UNRESOLVED = "key_unresolved"
     CONFLICT = "conflict"
+    INTERNAL_ERROR = "internal_error"
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
@@ -0,0 +1,283 @@
+"""Decisions of one query: whom to ask, when to ask again, when to end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from heapq import heapify
+from heapq import heappop
+from heapq import heappush
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.query_attempt import Attempt
+from gypsumvane_core.query_attempt import AttemptKind
+from gypsumvane_core.query_attempt import AttemptState
+from gypsumvane_core.query_state import Disposition
+from gypsumvane_core.query_state import verdict_of
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from gypsumvane_core.document_models import LeafModel
+    from gypsumvane_core.document_models import Policy
+    from gypsumvane_core.extra_budget import ExtraBudget
+    from gypsumvane_core.gone_snapshots import GoneSnapshots
+    from gypsumvane_core.hedge_delay import HedgeDelays
+    from gypsumvane_core.index_routes import IndexRoutes
+    from gypsumvane_core.leaf_choice import LeafChooser
+    from gypsumvane_core.messages import PartialResult
+    from gypsumvane_core.query_state import QueryState
+    from gypsumvane_core.query_state import ServicePart
+
+# Refusals of a home or of this daemon: no upstream was asked.
+BEFORE_UPSTREAM = frozenset(
+    {
+        Reason.NOT_HOME,
+        Reason.NO_HOME,
+        Reason.PEER_UNAVAILABLE,
+        Reason.QUEUE_FULL,
+        Reason.STOPPING,
+        Reason.DOMAIN_OUT,
+        Reason.UPSTREAM_LEAVING,
+        Reason.UPSTREAM_UNAVAILABLE,
+        Reason.UPSTREAM_COLD,
+    }
+)
+
+
+@dataclass(slots=True)
+class Step:
+    """List what a decision asks the caller to do."""
+
+    send: list[Attempt] = field(default_factory=list)
+    cancel: list[Attempt] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ScatterTools:
+    """Share what the queries of an index have in common."""
+
+    chooser: LeafChooser
+    budget: ExtraBudget
+    delays: HedgeDelays
+    gone: GoneSnapshots
+    # Called with a counter's name and a reason.
+    count: Callable[[str, str], None]
+    # Called with an attempt, whether it failed and its latency in milliseconds.
+    record: Callable[[Attempt, bool, float], None]
+
+
+class Scatter:
+    """Drive the state of one query by events."""
+
+    def __init__(
+        self,
+        state: QueryState,
+        *,
+        policy: Policy,
+        answer_by_s: float,
+        routes: IndexRoutes,
+        refresh_routes: Callable[[], IndexRoutes],
+        services_of: Callable[[tuple[str, ...]], Iterable[str]],
+        tools: ScatterTools,
+    ) -> None:
+        self.state = state
+        self.answer_by_s = answer_by_s
+        self._policy = policy
+        self._routes = routes
+        self._refresh_routes = refresh_routes
+        self._services_of = services_of
+        self._tools = tools
+        self._hedge_times: list[tuple[float, str]] = []
+
+    @property
+    def done(self) -> bool:
+        """Return whether no further event can improve the answer."""
+        return self.state.outstanding == 0
+
+    @property
+    def next_tick_s(self) -> float | None:
+        """Return when the next hedge is due."""
+        return self._hedge_times[0][0] if self._hedge_times else None
+
+    def start(self, now_s: float) -> Step:
+        """Pin the snapshot of the routes and ask every service."""
+        step = Step()
+        choice = self._routes.choice
+        if choice is not None:
+            self._pin(choice.snapshot, choice.services, now_s, step)
+        return step
+
+    def on_result(self, result: PartialResult, now_s: float) -> Step:
+        """Take a result and decide what follows."""
+        step = Step()
+        state = self.state
+        disposition = state.take(result)
+        if disposition is Disposition.ACCEPTED:
+            self._on_accepted(state.attempts[result.attempt_id], now_s, step)
+        elif disposition is Disposition.FAILED:
+            attempt = state.attempts[result.attempt_id]
+            self._on_failed(attempt, verdict_of(result), now_s, step)
+        else:
+            self._tools.count("gateway_results_dropped", disposition)
+        return step
+
+    def on_lost(
+        self,
+        attempts: Iterable[Attempt],
+        reason: Reason,
+        verdict: Verdict,
+        now_s: float,
+    ) -> Step:
+        """Fail the attempts that can get no result any more."""
+        step = Step()
+        for attempt in list(attempts):
+            # A restart in this loop cancels the attempts that follow.
+            if attempt.state is AttemptState.OUTSTANDING:
+                self.state.fail(attempt, reason, verdict)
+                self._on_failed(attempt, verdict, now_s, step)
+        return step
+
+    def on_tick(self, now_s: float) -> Step:
+        """Hedge the services that are due."""
+        step = Step()
+        while self._hedge_times and self._hedge_times[0][0] <= now_s:
+            _, service = heappop(self._hedge_times)
+            part = self.state.parts.get(service)
+            if part is not None and part.body is None and part.outstanding:
+                self._hedge(part, now_s, step)
+        return step
+
+    def finish(self, now_s: float) -> Step:
+        """End the query and cancel what is outstanding."""
+        self._hedge_times.clear()
+        step = Step()
+        cancelled = self.state.finish()
+        for attempt in cancelled:
+            # An attempt that started late had too little time to be judged.
+            if attempt.kind is AttemptKind.FIRST:
+                self._record(attempt, now_s, failed=True)
+        self._cancel(cancelled, step)
+        return step
+
+    def _pin(
+        self, snapshot: int, services: tuple[str, ...], now_s: float, step: Step
+    ) -> None:
+        self._cancel(self.state.pin(snapshot, self._services_of(services)), step)
+        self._hedge_times.clear()
+        for part in self.state.parts.values():
+            leaf = self._choose(part)
+            if leaf is None:
+                part.reason = self._routes.reason_without_leaf(part.service)
+                continue
+            self._send(part, leaf, AttemptKind.FIRST, now_s, step)
+            delay_s = self._tools.delays.delay_s(part.service, self._policy)
+            self._hedge_times.append((now_s + delay_s, part.service))
+        heapify(self._hedge_times)
+        if not self.state.restarted:
+            self._tools.budget.add_first_tries(len(self._hedge_times), self._policy)
+
+    def _on_accepted(self, attempt: Attempt, now_s: float, step: Step) -> None:
+        part = self.state.parts[attempt.service]
+        self._tools.chooser.end(attempt.leaf.leaf_id)
+        self._tools.delays.add(part.service, now_s - part.first_sent_at_s)
+        self._record(attempt, now_s, failed=False)
+        losers = self.state.cancel_part(part)
+        for loser in losers:
+            self._record(loser, now_s, failed=False)
+        self._cancel(losers, step)
+
+    def _on_failed(
+        self, attempt: Attempt, verdict: Verdict, now_s: float, step: Step
+    ) -> None:
+        self._tools.chooser.end(attempt.leaf.leaf_id)
+        part = self.state.parts[attempt.service]
+        reason = part.reason or Reason.UPSTREAM_ERROR
+        self._tools.count("gateway_attempts_failed", reason)
+        if verdict is not Verdict.NOT_RUN and reason is not Reason.PEER_LOST:
+            self._record(attempt, now_s, failed=True)
+        if reason is Reason.SNAPSHOT_GONE:
+            self._tools.gone.mark(attempt.leaf.leaf_id, attempt.snapshot)
+            if self._restart(now_s, step):
+                return
+        if part.outstanding:
+            return
+        self._try_again(part, reason, verdict, now_s, step)
+
+    def _restart(self, now_s: float, step: Step) -> bool:
+        self._routes = self._refresh_routes()
+        choice = self._routes.choice
+        if self.state.restarted or choice is None:
+            return False
+        if choice.snapshot == self.state.snapshot:
+            return False
+        self._tools.count("gateway_restarts", Reason.SNAPSHOT_GONE)
+        self._pin(choice.snapshot, choice.services, now_s, step)
+        return True
+
+    def _try_again(
+        self,
+        part: ServicePart,
+        reason: Reason,
+        verdict: Verdict,
+        now_s: float,
+        step: Step,
+    ) -> None:
+        leaf = self._choose(part)
+        if leaf is None or now_s >= self.answer_by_s:
+            return
+        if self._is_free(part, reason, verdict):
+            part.rerouted = True
+            self._send(part, leaf, AttemptKind.REROUTE, now_s, step)
+            self._tools.count("gateway_reroutes", reason)
+        elif self._tools.budget.take_retry():
+            self._send(part, leaf, AttemptKind.RETRY, now_s, step)
+            self._tools.count("gateway_retries", reason)
+        else:
+            self._tools.count("gateway_retries_denied", reason)
+
+    def _is_free(self, part: ServicePart, reason: Reason, verdict: Verdict) -> bool:
+        if part.rerouted or verdict is not Verdict.NOT_RUN:
+            return False
+        return reason in BEFORE_UPSTREAM
+
+    def _hedge(self, part: ServicePart, now_s: float, step: Step) -> None:
+        if part.hedged or now_s >= self.answer_by_s:
+            return
+        leaf = self._choose(part)
+        if leaf is None:
+            return
+        if not self._tools.budget.take_hedge():
+            self._tools.count("gateway_hedges_denied", "budget")
+            delay_s = self._tools.delays.delay_s(part.service, self._policy)
+            heappush(self._hedge_times, (now_s + delay_s, part.service))
+            return
+        part.hedged = True
+        self._send(part, leaf, AttemptKind.HEDGE, now_s, step)
+        self._tools.count("gateway_hedges", "delay")
+
+    def _choose(self, part: ServicePart) -> LeafModel | None:
+        candidates = self._routes.candidates(part.service, self.state.snapshot)
+        return self._tools.chooser.choose(candidates, part.tried)
+
+    def _send(
+        self,
+        part: ServicePart,
+        leaf: LeafModel,
+        kind: AttemptKind,
+        now_s: float,
+        step: Step,
+    ) -> None:
+        self._tools.chooser.begin(leaf.leaf_id)
+        step.send.append(self.state.open(part.service, leaf, kind, now_s))
+
+    def _record(self, attempt: Attempt, now_s: float, *, failed: bool) -> None:
+        self._tools.record(attempt, failed, (now_s - attempt.sent_at_s) * 1000)
+
+    def _cancel(self, attempts: list[Attempt], step: Step) -> None:
+        for attempt in attempts:
+            self._tools.chooser.end(attempt.leaf.leaf_id)
+            step.cancel.append(attempt)
