Add the gateway service

Cause: a daemon must be root for the requests that callers send to it.

Change: one PartialBatch per home over the peer network, calls to the own upstreams service for own leaves, cancellation of losers and of everything outstanding at the end. Other services are met through protocols and found by name, because their modules are written at the same time.

--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_query.py
@@ -0,0 +1,231 @@
+"""Input and output of one scattered query."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections import defaultdict
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.messages import Cancel
+from gypsumvane_core.messages import PartialRequest
+from gypsumvane_core.messages import PartialResults
+from gypsumvane_core.query_attempt import AttemptState
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.peer_codec import FrameError
+from gypsumvane_daemon.peer_network import PeerError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from collections.abc import Iterable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.messages import PartialBatch
+    from gypsumvane_core.messages import PartialResult
+    from gypsumvane_core.query_attempt import Attempt
+    from gypsumvane_core.scatter import Scatter
+    from gypsumvane_core.scatter import Step
+    from gypsumvane_daemon.gateway_ports import HomesPort
+    from gypsumvane_daemon.gateway_ports import PeersPort
+    from gypsumvane_daemon.gateway_ports import UpstreamsPort
+
+logger = logging.getLogger(__name__)
+
+# How long replies are awaited after the answer, to count the late ones.
+LINGER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayLinks:
+    """Hold the services that a query uses."""
+
+    own_vm_id: str
+    clock: Clock
+    peers: PeersPort
+    homes: HomesPort
+    upstreams: UpstreamsPort
+    # Keeps a reference to each running task.
+    tasks: set[asyncio.Task[None]]
+
+
+class GatewayQuery:
+    """Carry out the steps of a scatter and feed it with results."""
+
+    def __init__(
+        self, scatter: Scatter, *, template: PartialBatch, links: GatewayLinks
+    ) -> None:
+        self._scatter = scatter
+        self._template = template
+        self._links = links
+        self._home_of_attempt: dict[int, str] = {}
+        self._own_tasks: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.get_running_loop()
+        self._ended: asyncio.Future[None] = self._loop.create_future()
+        self._tick: asyncio.TimerHandle | None = None
+        self._tick_at_s: float | None = None
+
+    async def run(self) -> None:
+        """Return when the answer is as complete as it can be in time."""
+        left_s = self._scatter.answer_by_s - self._now_s()
+        deadline = self._loop.call_later(max(left_s, 0.0), self._end)
+        try:
+            self._carry_out(self._scatter.start(self._now_s()))
+            await self._ended
+        finally:
+            deadline.cancel()
+            self._end()
+
+    def _now_s(self) -> float:
+        return self._links.clock.monotonic_s()
+
+    def _end(self) -> None:
+        if self._scatter.state.finished:
+            return
+        step = self._scatter.finish(self._now_s())
+        if self._tick is not None:
+            self._tick.cancel()
+        self._cancel(step.cancel)
+        if not self._ended.done():
+            self._ended.set_result(None)
+        if self._own_tasks:
+            self._loop.call_later(LINGER_S, self._abandon)
+
+    def _abandon(self) -> None:
+        for task in list(self._own_tasks):
+            task.cancel()
+
+    def _on_tick(self) -> None:
+        self._tick = None
+        self._tick_at_s = None
+        self._carry_out(self._scatter.on_tick(self._now_s()))
+
+    def _arm(self) -> None:
+        at_s = self._scatter.next_tick_s
+        if at_s == self._tick_at_s:
+            return
+        if self._tick is not None:
+            self._tick.cancel()
+        self._tick_at_s = at_s
+        self._tick = None
+        if at_s is not None:
+            delay_s = max(at_s - self._now_s(), 0.0)
+            self._tick = self._loop.call_later(delay_s, self._on_tick)
+
+    def _carry_out(self, step: Step) -> None:
+        self._cancel(step.cancel)
+        if step.send:
+            self._send(step.send)
+        if self._scatter.state.finished:
+            return
+        if self._scatter.done:
+            self._end()
+        else:
+            self._arm()
+
+    def _cancel(self, attempts: Iterable[Attempt]) -> None:
+        by_home: dict[str, list[int]] = defaultdict(list)
+        for attempt in attempts:
+            home = self._home_of_attempt.get(attempt.attempt_id)
+            if home is not None:
+                by_home[home].append(attempt.attempt_id)
+        query_id = self._template.query_id
+        for home, attempt_ids in by_home.items():
+            if home == self._links.own_vm_id:
+                self._links.upstreams.cancel(query_id, attempt_ids)
+                continue
+            with contextlib.suppress(PeerError):
+                message = Cancel(query_id=query_id, attempt_ids=attempt_ids)
+                self._links.peers.notify(home, message)
+
+    def _send(self, attempts: Iterable[Attempt]) -> None:
+        by_home: dict[str, list[Attempt]] = defaultdict(list)
+        homeless: list[Attempt] = []
+        for attempt in attempts:
+            # A restart in the same step may have cancelled it already.
+            if attempt.state is not AttemptState.OUTSTANDING:
+                continue
+            home = self._links.homes.home_of(attempt.leaf.leaf_id)
+            if home is None:
+                homeless.append(attempt)
+                continue
+            self._home_of_attempt[attempt.attempt_id] = home
+            by_home[home].append(attempt)
+        for home, group in by_home.items():
+            self._send_to_home(home, group)
+        if homeless:
+            self._lose(homeless, Reason.NO_HOME, Verdict.NOT_RUN)
+
+    def _send_to_home(self, home: str, attempts: list[Attempt]) -> None:
+        left_s = self._scatter.answer_by_s - self._now_s()
+        batch = replace(
+            self._template,
+            snapshot=attempts[0].snapshot,
+            deadline_left_ms=max(int(left_s * 1000), 0),
+            requests=[
+                PartialRequest(
+                    attempt_id=attempt.attempt_id,
+                    service=attempt.service,
+                    leaf_id=attempt.leaf.leaf_id,
+                )
+                for attempt in attempts
+            ],
+        )
+        if home != self._links.own_vm_id:
+            self._spawn(self._ask_peer(home, batch, attempts))
+            return
+        for request, attempt in zip(batch.requests, attempts, strict=True):
+            self._spawn(self._ask_own(batch, request, attempt))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        for tasks in (self._own_tasks, self._links.tasks):
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+
+    async def _ask_peer(
+        self, home: str, batch: PartialBatch, attempts: list[Attempt]
+    ) -> None:
+        # A stream that ends without an answer for an attempt has lost it.
+        reason = Reason.PEER_LOST
+        verdict = Verdict.MAY_HAVE_RUN
+        try:
+            async for reply in self._links.peers.stream(home, batch):
+                if isinstance(reply, PartialResults):
+                    self._take_all(reply)
+        except PeerError as error:
+            if not error.sent:
+                reason = Reason.PEER_UNAVAILABLE
+                verdict = Verdict.NOT_RUN
+        except FrameError:
+            reason = Reason.BAD_REQUEST
+            verdict = Verdict.NOT_RUN
+        self._lose(attempts, reason, verdict)
+
+    async def _ask_own(
+        self, batch: PartialBatch, request: PartialRequest, attempt: Attempt
+    ) -> None:
+        try:
+            result = await self._links.upstreams.run_partial(batch, request)
+        except Exception:
+            logger.exception("partial request failed")
+            self._lose([attempt], Reason.INTERNAL_ERROR, Verdict.MAY_HAVE_RUN)
+            return
+        self._take(result)
+
+    def _take_all(self, results: PartialResults) -> None:
+        for brief in results.briefs:
+            self._links.upstreams.briefs.take(brief)
+        for result in results.results:
+            self._take(result)
+
+    def _take(self, result: PartialResult) -> None:
+        self._carry_out(self._scatter.on_result(result, self._now_s()))
+
+    def _lose(
+        self, attempts: Iterable[Attempt], reason: Reason, verdict: Verdict
+    ) -> None:
+        self._carry_out(self._scatter.on_lost(attempts, reason, verdict, self._now_s()))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
@@ -51,6 +51,16 @@
             raise LookupError(f"no service named {service_class.name}")
         return service
 
+    def find(self, name: str) -> Service:
+        """Return the service of this name.
+
+        Raises LookupError when there is none.
+        """
+        service = self._services.get(name)
+        if service is None:
+            raise LookupError(f"no service named {name}")
+        return service
+
     async def start(self) -> None:
         """Start all services; stop the started ones when one fails."""
         for service in self._services.values():
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/gateway_fakes.py
@@ -0,0 +1,328 @@
+"""Small fakes at the interfaces between the root role and other services."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_core.clock import SystemClock
+from gypsumvane_core.document import Document
+from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.messages import Cancel
+from gypsumvane_core.messages import PartialBatch
+from gypsumvane_core.messages import PartialRequest
+from gypsumvane_core.messages import PartialResult
+from gypsumvane_core.messages import PartialResults
+from gypsumvane_core.messages import UpstreamBrief
+from gypsumvane_daemon.gateway_service import GatewayService
+from gypsumvane_daemon.identity import DaemonIdentity
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_network import PeerError
+from gypsumvane_daemon.settings import Settings
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+OWN_VM = "vm-own"
+
+
+def fake_identity() -> DaemonIdentity:
+    """Build the identity of the daemon under test."""
+    listener = {"address": "127.0.0.1:0"}
+    settings = Settings.model_validate(
+        {
+            "vm": {"vm_id": OWN_VM, "failure_domain": "a"},
+            "callers": listener,
+            "peers": listener,
+            "operators": listener | {"token": "test-token"},
+            "platform": {
+                "store_address": "127.0.0.1:1",
+                "live_list_address": "127.0.0.1:1",
+            },
+        }
+    )
+    return DaemonIdentity(settings=settings)
+
+
+class FakeService(Service):
+    """Start and stop without work."""
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+class FakeDocuments(FakeService):
+    """Hold documents that a test applies."""
+
+    name = "documents"
+
+    def __init__(self) -> None:
+        self.catalogue = DocumentCatalogue()
+        self.ready = True
+        self._listeners: list[Callable[[str], None]] = []
+
+    def on_change(self, listener: Callable[[str], None]) -> None:
+        """Remember the listener."""
+        self._listeners.append(listener)
+
+    def apply(self, name: str, body: dict[str, Any]) -> None:
+        """Apply the next revision of a document."""
+        known = self.catalogue.get(name)
+        revision = known.revision + 1 if known is not None else 1
+        document = Document(
+            name=name,
+            revision=revision,
+            change_id=f"{name}-{revision}",
+            author="test",
+            reason="test",
+            accepted_unix_ms=0,
+            body=json.dumps(body).encode(),
+        )
+        self.catalogue.apply(document)
+        for listener in self._listeners:
+            listener(name)
+
+
+@dataclass
+class FakeMembership(FakeService):
+    """Spread the leaves over homes by their last letter."""
+
+    name = "membership"
+    homes: dict[str, str | None] = field(default_factory=dict)
+
+    def home_of(self, leaf_id: str) -> str | None:
+        """Return the home that a test set, else one per replica."""
+        return self.homes.get(leaf_id, f"vm-{leaf_id[-1]}")
+
+
+class FakeBriefs:
+    """Hold briefs that a test sets."""
+
+    def __init__(self) -> None:
+        self.briefs: dict[str, UpstreamBrief] = {}
+
+    def get(self, leaf_id: str) -> UpstreamBrief | None:
+        """Return a brief."""
+        return self.briefs.get(leaf_id)
+
+    def take(self, brief: UpstreamBrief) -> bool:
+        """Take over a brief."""
+        self.briefs[brief.leaf_id] = brief
+        return True
+
+
+@dataclass
+class FakeLeaf:
+    """Answer like a leaf at its home."""
+
+    body: bytes = b'{"hits": [], "total": 0}'
+    delay_s: float = 0.0
+    kind: str = "answered"
+    verdict: str = "ran"
+    reason: str = ""
+    snapshot: int | None = None
+    # Changes a result on its way back; None drops it.
+    alter: Callable[[PartialResult], PartialResult | None] | None = None
+    asked: int = 0
+
+    async def ask(
+        self, batch: PartialBatch, request: PartialRequest
+    ) -> PartialResult | None:
+        """Return the result after the delay."""
+        self.asked += 1
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        result = PartialResult(
+            query_id=batch.query_id,
+            attempt_id=request.attempt_id,
+            service=request.service,
+            leaf_id=request.leaf_id,
+            kind=self.kind,
+            verdict=self.verdict,
+            reason=self.reason,
+            snapshot=batch.snapshot if self.snapshot is None else self.snapshot,
+            body=self.body,
+        )
+        return self.alter(result) if self.alter is not None else result
+
+
+class FakeUpstreams(FakeService):
+    """Hold the leaves of all homes."""
+
+    name = "upstreams"
+
+    def __init__(self) -> None:
+        self.briefs = FakeBriefs()
+        self.leaves: dict[str, FakeLeaf] = {}
+        self.cancelled: list[int] = []
+
+    async def run_partial(
+        self, batch: PartialBatch, request: PartialRequest
+    ) -> PartialResult:
+        """Ask a leaf whose home is the daemon under test."""
+        result = await self.leaves[request.leaf_id].ask(batch, request)
+        assert result is not None
+        return result
+
+    def cancel(self, query_id: str, attempt_ids: Iterable[int]) -> None:
+        """Record the cancelled attempts."""
+        self.cancelled += attempt_ids
+
+
+class FakePeers(FakeService):
+    """Act as the homes of the other daemons."""
+
+    name = "peers"
+
+    def __init__(self, upstreams: FakeUpstreams) -> None:
+        self._upstreams = upstreams
+        self.batches: list[tuple[str, PartialBatch]] = []
+        self.cancels: list[tuple[str, Cancel]] = []
+        # Homes without a connection.
+        self.missing: set[str] = set()
+        # Homes whose connection ends after the batch was sent.
+        self.lost: set[str] = set()
+
+    def notify(self, vm_id: str, message: Any) -> None:
+        """Record a cancellation."""
+        self.cancels.append((vm_id, message))
+
+    async def stream(self, vm_id: str, message: Any) -> AsyncIterator[Any]:
+        """Yield a result for each leaf as it answers."""
+        if vm_id in self.missing:
+            raise PeerError("no connection", sent=False)
+        self.batches.append((vm_id, message))
+        if vm_id in self.lost:
+            raise PeerError("connection lost", sent=True)
+        work = [
+            self._upstreams.leaves[request.leaf_id].ask(message, request)
+            for request in message.requests
+        ]
+        if not any(
+            self._upstreams.leaves[request.leaf_id].delay_s
+            for request in message.requests
+        ):
+            results = [await ask for ask in work]
+            yield PartialResults(results=[r for r in results if r is not None])
+            return
+        for next_done in asyncio.as_completed(work):
+            result = await next_done
+            if result is not None:
+                yield PartialResults(results=[result])
+
+
+class FakeMoves(FakeService):
+    """Choose no version unless a test sets one."""
+
+    name = "moves"
+
+    def __init__(self) -> None:
+        self.version: str | None = None
+        self.recorded: list[tuple[str, bool]] = []
+
+    def choose_version(self, index: str, route: str, draw: float) -> str | None:
+        """Return the version that a test set."""
+        return self.version
+
+    def record(
+        self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
+    ) -> None:
+        """Remember the evidence."""
+        self.recorded.append((version, failed))
+
+
+def hits_body(*hits: tuple[str, float]) -> bytes:
+    """Build the body of a partial answer."""
+    return json.dumps(
+        {
+            "hits": [{"id": hit_id, "score": score} for hit_id, score in hits],
+            "total": len(hits),
+        }
+    ).encode()
+
+
+def index_body(
+    name: str = "stock",
+    *,
+    kind: str = "search",
+    services: int = 3,
+    snapshots: Iterable[int] = (1,),
+) -> dict[str, Any]:
+    """Describe an index with the leaves `<service>-a` and `<service>-b`."""
+    names = [f"s{number}" for number in range(services)]
+    return {
+        "name": name,
+        "kind": kind,
+        "leaves": [
+            {
+                "leaf_id": f"{service}-{replica}",
+                "service": service,
+                "failure_domain": replica,
+                "address": "127.0.0.1:9",
+            }
+            for service in names
+            for replica in ("a", "b")
+        ],
+        "partition_maps": {snapshot: names for snapshot in snapshots},
+    }
+
+
+class GatewayRig:
+    """Start a gateway with fakes."""
+
+    def __init__(self) -> None:
+        self.kernel = Kernel()
+        self.metrics = MetricsService()
+        self.documents = FakeDocuments()
+        self.membership = self.make_membership()
+        self.upstreams = FakeUpstreams()
+        self.peers = FakePeers(self.upstreams)
+        self.moves = FakeMoves()
+        self.clock = SystemClock()
+        self.identity = fake_identity()
+        self.gateway = GatewayService(
+            self.identity, clock=self.clock, rng=random.Random(5)
+        )
+        for service in (
+            self.metrics,
+            self.peers,
+            self.documents,
+            self.membership,
+            self.upstreams,
+            self.moves,
+            self.gateway,
+        ):
+            self.kernel.register(service)
+
+    def make_membership(self) -> FakeMembership:
+        """Return the fake that tells homes."""
+        return FakeMembership()
+
+    def apply_index(self, body: dict[str, Any], *, limit: int = 2) -> None:
+        """Apply an index whose leaves all serve all of its snapshots."""
+        self.documents.apply(f"index/{body['name']}", body)
+        for leaf in body["leaves"]:
+            leaf_id = leaf["leaf_id"]
+            self.upstreams.leaves.setdefault(leaf_id, FakeLeaf())
+            self.upstreams.briefs.briefs[leaf_id] = UpstreamBrief(
+                leaf_id=leaf_id,
+                state="warm",
+                limit=limit,
+                snapshots=list(body["partition_maps"]),
+            )
+
+    def leaves_of(self, service: str) -> list[FakeLeaf]:
+        """Return both leaves of a service."""
+        return [self.upstreams.leaves[f"{service}-{r}"] for r in ("a", "b")]
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
@@ -0,0 +1,159 @@
+"""Tests of the root role with fakes of the other services."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from gateway_fakes import OWN_VM
+from gateway_fakes import GatewayRig
+from gateway_fakes import hits_body
+from gateway_fakes import index_body
+from gypsumvane_core.key_service import service_of_key
+from gypsumvane_core.query_answer import AnswerOutcome
+from gypsumvane_core.query_answer import LookupAnswer
+from gypsumvane_core.query_answer import SearchAnswer
+from gypsumvane_core.query_request import LookupRequest
+from gypsumvane_core.query_request import SearchRequest
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+
+
+class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
+    """Run a gateway with fakes."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the gateway with one search index."""
+        self.rig = GatewayRig()
+        await self.rig.kernel.start()
+        self.addAsyncCleanup(self.rig.kernel.stop)
+        self.rig.apply_index(index_body())
+
+    async def search(self, *, wait_s: float = 1.0, **kwargs: int) -> SearchAnswer:
+        """Search the index."""
+        return await self.rig.gateway.search(
+            SearchRequest(
+                request_id="r1",
+                index="stock",
+                query="speakers",
+                deadline_s=self.rig.clock.monotonic_s() + wait_s,
+                **kwargs,
+            )
+        )
+
+    async def lookup(self, key: str) -> LookupAnswer:
+        """Look a key up in the ledger."""
+        return await self.rig.gateway.lookup(
+            LookupRequest(
+                request_id="r2",
+                index="ledger",
+                key=key,
+                deadline_s=self.rig.clock.monotonic_s() + 1.0,
+            )
+        )
+
+
+class GatewaySearchTest(GatewayTestCase):
+    """Check what a search asks, accepts and answers."""
+
+    async def test_hits_of_all_services_are_merged(self) -> None:
+        """Guard against a page that misses hits or orders them wrongly."""
+        for number, hits in enumerate(
+            [(("c", 2.0), ("a", 1.0)), (("b", 2.0),), (("d", 3.0),)]
+        ):
+            for leaf in self.rig.leaves_of(f"s{number}"):
+                leaf.body = hits_body(*hits)
+        answer = await self.search(limit=2, offset=1)
+        self.assertIs(answer.outcome, AnswerOutcome.COMPLETE)
+        self.assertEqual([hit["id"] for hit in answer.hits], ["b", "c"])
+        self.assertEqual(answer.total, 4)
+        self.assertEqual((answer.coverage.asked, answer.coverage.answered), (3, 3))
+
+    async def test_one_batch_goes_to_each_home(self) -> None:
+        """Guard against one message per leaf and against a lost own leaf."""
+        self.rig.membership.homes = {
+            f"s{number}-{replica}": OWN_VM if number == 0 else "vm-x"
+            for number in range(3)
+            for replica in ("a", "b")
+        }
+        answer = await self.search()
+        self.assertIs(answer.outcome, AnswerOutcome.COMPLETE)
+        self.assertEqual([home for home, _ in self.rig.peers.batches], ["vm-x"])
+
+    async def test_slow_service_is_left_out_before_the_deadline(self) -> None:
+        """Guard against an answer that is late or claims to be complete."""
+        for leaf in self.rig.leaves_of("s1"):
+            leaf.delay_s = 30.0
+        answer = await self.search(wait_s=0.2)
+        self.assertIs(answer.outcome, AnswerOutcome.PARTIAL)
+        self.assertEqual(
+            [(entry.service, entry.reason) for entry in answer.coverage.left_out],
+            [("s1", Reason.DEADLINE)],
+        )
+        cancelled = [i for _, c in self.rig.peers.cancels for i in c.attempt_ids]
+        self.assertIn(2, cancelled)
+
+    async def test_lost_home_is_replaced(self) -> None:
+        """Guard against services left out because one daemon was lost."""
+        self.rig.peers.lost = {"vm-a"}
+        answer = await self.search()
+        self.assertIs(answer.outcome, AnswerOutcome.COMPLETE)
+
+    async def test_missing_connection_costs_no_budget(self) -> None:
+        """Guard against a budget that is used up by calls that never left."""
+        self.rig.peers.missing = {"vm-a"}
+        for _ in range(40):
+            answer = await self.search()
+            self.assertIs(answer.outcome, AnswerOutcome.COMPLETE)
+        retries = self.rig.metrics.value("gateway_retries", reason="peer_unavailable")
+        self.assertEqual(retries, 0)
+
+    async def test_crossed_results_are_dropped(self) -> None:
+        """Guard against an answer that belongs to another query."""
+        for leaf in self.rig.leaves_of("s0"):
+            leaf.alter = lambda result: replace(result, query_id="other")
+        for leaf in self.rig.leaves_of("s1"):
+            leaf.alter = lambda result: replace(result, service="s2")
+        answer = await self.search(wait_s=0.1)
+        self.assertEqual(answer.coverage.answered, 1)
+        for reason in ("foreign_query", "wrong_service"):
+            count = self.rig.metrics.value("gateway_results_dropped", reason=reason)
+            self.assertGreater(count, 0)
+
+    async def test_answer_restarts_when_the_snapshot_is_gone(self) -> None:
+        """Guard against answers that mix snapshots during a version change."""
+        self.rig.apply_index(index_body(snapshots=(1, 2)))
+        for replica in ("a", "b"):
+            leaf = self.rig.upstreams.leaves[f"s1-{replica}"]
+            leaf.kind, leaf.verdict, leaf.reason = "refused", "not_run", "snapshot_gone"
+        first = await self.search()
+        self.assertEqual(first.coverage.left_out[0].reason, Reason.SNAPSHOT_GONE)
+        restarts = self.rig.metrics.value("gateway_restarts", reason="snapshot_gone")
+        self.assertEqual(restarts, 1)
+        self.assertEqual(first.snapshot, 1)
+
+    async def test_refusals_of_all_leaves_are_not_run(self) -> None:
+        """Guard against a refusal that claims that something ran, or hides it."""
+        self.rig.membership.homes = dict.fromkeys(self.rig.upstreams.leaves)
+        answer = await self.search()
+        self.assertIs(answer.outcome, AnswerOutcome.REFUSED)
+        self.assertIs(answer.verdict, Verdict.NOT_RUN)
+        self.rig.membership.homes = {}
+        self.rig.peers.lost = {"vm-a", "vm-b"}
+        answer = await self.search()
+        self.assertIs(answer.outcome, AnswerOutcome.FAILED)
+        self.assertIs(answer.verdict, Verdict.MAY_HAVE_RUN)
+
+
+class GatewayLookupTest(GatewayTestCase):
+    """Check that a lookup reaches the service of its key."""
+
+    async def test_key_reaches_one_service(self) -> None:
+        """Guard against lookups at a service that does not hold the key."""
+        self.rig.apply_index(index_body("ledger", kind="lookup", services=3))
+        for leaf in self.rig.upstreams.leaves.values():
+            leaf.body = b'{"found": true, "record": {"name": "x"}}'
+        for key in ("k1", "k2", "k3"):
+            answer = await self.lookup(key)
+            self.assertEqual(answer.record, {"name": "x"})
+            self.assertEqual(answer.service, service_of_key(key, ["s0", "s1", "s2"]))
