Add the callers' HTTP listener

Cause: callers reach the daemon by docs/callers.md.

Change: aiohttp listener with bodies validated by pydantic, typed errors with verdict and reason, a body limit of 64 KiB, Request-Id returned, and a stop that answers every request that has arrived.

Conclusion: the documented answers and errors pass over HTTP with fakes.

--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -0,0 +1,184 @@
+"""Callers' HTTP listener."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+from typing import cast
+
+from aiohttp import web
+
+from gypsumvane_core.query_answer import AnswerOutcome
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.caller_error import CallerError
+from gypsumvane_daemon.caller_headers import REQUEST_ID
+from gypsumvane_daemon.caller_headers import read_token
+from gypsumvane_daemon.caller_replies import error_reply
+from gypsumvane_daemon.caller_routes import REQUEST_ID_KEY
+from gypsumvane_daemon.caller_routes import CallerLinks
+from gypsumvane_daemon.caller_routes import CallerRoutes
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.settings import split_address
+from gypsumvane_daemon.tls import server_context
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.caller_ports import AdmissionPort
+    from gypsumvane_daemon.caller_ports import BookingsPort
+    from gypsumvane_daemon.caller_ports import EntryPort
+    from gypsumvane_daemon.caller_ports import GatewayPort
+    from gypsumvane_daemon.caller_ports import LifecyclePort
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.kernel import Kernel
+
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+logger = logging.getLogger(__name__)
+
+SERVING = "serving"
+BODY_BYTES_MAX = 64 << 10
+# Kept connections stay usable this long after the listener has closed, so that
+# a request that is already on its way is still answered.
+IDLE_GRACE_S = 0.5
+# Longer than any deadline of a caller.
+STOP_TIMEOUT_S = 65.0
+
+
+class CallerApi(Service):
+    """Serve the callers' interface."""
+
+    name = "callers"
+
+    def __init__(self, identity: DaemonIdentity, *, clock: Clock) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._request_count = 0
+        self._metrics: MetricsService
+        self._lifecycle: LifecyclePort
+        self._stopping = False
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for callers."""
+        self._metrics = kernel.get(MetricsService)
+        self._lifecycle = cast("LifecyclePort", kernel.find("lifecycle"))
+        routes = CallerRoutes(
+            CallerLinks(
+                clock=self._clock,
+                failure_domain=self._identity.failure_domain,
+                admission=cast("AdmissionPort", kernel.find("admission")),
+                gateway=cast("GatewayPort", kernel.find("gateway")),
+                bookings=cast("BookingsPort", kernel.find("bookings")),
+                lifecycle=self._lifecycle,
+                entry=cast("EntryPort", kernel.find("membership")),
+            )
+        )
+        await self._listen(self._build_app(routes))
+
+    async def stop(self) -> None:
+        """Stop listening and answer every request that has arrived."""
+        if self._runner is None or self._site is None:
+            return
+        self._stopping = True
+        await self._site.stop()
+        server = self._runner.server
+        if server is not None and server.connections:
+            await asyncio.sleep(IDLE_GRACE_S)
+        await self._runner.cleanup()
+        self._runner = None
+
+    def _build_app(self, routes: CallerRoutes) -> web.Application:
+        app = web.Application(
+            client_max_size=BODY_BYTES_MAX, middlewares=[self._middleware]
+        )
+        app.router.add_post("/v1/indexes/{index}/search", routes.search)
+        app.router.add_post("/v1/indexes/{index}/lookup", routes.lookup)
+        app.router.add_post("/v1/indexes/{index}/run", routes.run)
+        app.router.add_post("/v1/idempotency-keys", routes.reserve_keys)
+        app.router.add_get("/v1/entry-addresses", routes.entry_addresses)
+        app.router.add_get("/v1/ready", routes.ready)
+        return app
+
+    async def _listen(self, app: web.Application) -> None:
+        settings = self._identity.settings.callers
+        host, port = split_address(settings.address)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=STOP_TIMEOUT_S
+        )
+        await self._runner.setup()
+        self._site = web.TCPSite(
+            self._runner, host, port, ssl_context=server_context(settings.tls)
+        )
+        await self._site.start()
+        bound = self._runner.addresses[0]
+        self._identity.caller_address = (
+            settings.advertised_address or f"{host}:{bound[1]}"
+        )
+
+    @web.middleware
+    async def _middleware(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        response = await self._answer(request, handler)
+        if self._stopping or self._lifecycle.state != SERVING:
+            # Makes callers with kept connections go to another address.
+            response.force_close()
+        return response
+
+    async def _answer(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        request_id = ""
+        try:
+            request_id = read_token(request.headers, REQUEST_ID) or self._new_id()
+            request[REQUEST_ID_KEY] = request_id
+            response = await handler(request)
+        except Exception as error:
+            response = self._error_response(error, request_id)
+        if request_id:
+            response.headers[REQUEST_ID] = request_id
+        return response
+
+    def _new_id(self) -> str:
+        self._request_count += 1
+        return f"{self._identity.incarnation}.{self._request_count}"
+
+    def _error_response(self, error: Exception, request_id: str) -> web.Response:
+        if isinstance(error, CallerError):
+            return self._refuse(request_id, error.reason, error.message, error.status)
+        if isinstance(error, web.HTTPException):
+            return self._refuse(
+                request_id, Reason.BAD_REQUEST, error.reason, error.status
+            )
+        reason = getattr(error, "reason", None)
+        if isinstance(reason, Reason):
+            # AdmissionRefused
+            return self._refuse(request_id, reason, "the request was not admitted")
+        logger.error("caller request failed", exc_info=error)
+        self._metrics.count("caller_requests_failed", reason=Reason.INTERNAL_ERROR)
+        return error_reply(
+            request_id=request_id,
+            reason=Reason.INTERNAL_ERROR,
+            message="internal error",
+            verdict=Verdict.MAY_HAVE_RUN,
+            outcome=AnswerOutcome.FAILED,
+        )
+
+    def _refuse(
+        self,
+        request_id: str,
+        reason: Reason,
+        message: str,
+        status: int | None = None,
+    ) -> web.Response:
+        self._metrics.count("caller_requests_refused", reason=reason)
+        return error_reply(
+            request_id=request_id, reason=reason, message=message, status=status
+        )
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -0,0 +1,223 @@
+"""Handlers of the callers' requests."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from aiohttp import web
+from pydantic import BaseModel
+from pydantic import ValidationError
+
+from gypsumvane_core.admission_request import AdmissionRequest
+from gypsumvane_core.messages import BookingRequest
+from gypsumvane_core.outcome import Completed
+from gypsumvane_core.query_answer import AnswerOutcome
+from gypsumvane_core.query_request import LookupRequest
+from gypsumvane_core.query_request import SearchRequest
+from gypsumvane_core.reason import Reason
+from gypsumvane_daemon.caller_bodies import LookupBody
+from gypsumvane_daemon.caller_bodies import ReserveBody
+from gypsumvane_daemon.caller_bodies import RunBody
+from gypsumvane_daemon.caller_bodies import SearchBody
+from gypsumvane_daemon.caller_error import CallerError
+from gypsumvane_daemon.caller_headers import IDEMPOTENCY_KEY
+from gypsumvane_daemon.caller_headers import read_headers
+from gypsumvane_daemon.caller_replies import json_reply
+from gypsumvane_daemon.caller_replies import lookup_reply
+from gypsumvane_daemon.caller_replies import run_reply
+from gypsumvane_daemon.caller_replies import search_reply
+
+if TYPE_CHECKING:
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.caller_headers import CallerHeaders
+    from gypsumvane_daemon.caller_ports import AdmissionPort
+    from gypsumvane_daemon.caller_ports import BookingsPort
+    from gypsumvane_daemon.caller_ports import EntryPort
+    from gypsumvane_daemon.caller_ports import GatewayPort
+    from gypsumvane_daemon.caller_ports import LifecyclePort
+    from gypsumvane_daemon.caller_ports import TicketPort
+
+REQUEST_ID_KEY = web.RequestKey("request_id", str)
+# A caller that states no deadline is held to the policy of the index, which
+# cannot exceed this.
+DEADLINE_MS_DEFAULT = 60_000
+BodyType = TypeVar("BodyType", bound=BaseModel)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLinks:
+    """Hold the services that requests use."""
+
+    clock: Clock
+    failure_domain: str
+    admission: AdmissionPort
+    gateway: GatewayPort
+    bookings: BookingsPort
+    lifecycle: LifecyclePort
+    entry: EntryPort
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """Hold the common parts of a request that was read."""
+
+    request_id: str
+    index: str
+    headers: CallerHeaders
+    deadline_s: float
+    body: bytes
+
+
+class CallerRoutes:
+    """Read requests, pass them on and write the replies."""
+
+    def __init__(self, links: CallerLinks) -> None:
+        self._links = links
+
+    async def search(self, request: web.Request) -> web.Response:
+        """Search all services of an index."""
+        call = await self._read(request)
+        body = parse_body(SearchBody, call.body)
+        ticket = await self._admit(call, "search")
+        in_time = False
+        try:
+            answer = await self._links.gateway.search(
+                SearchRequest(
+                    request_id=call.request_id,
+                    index=call.index,
+                    query=body.query,
+                    deadline_s=call.deadline_s,
+                    limit=body.limit,
+                    offset=body.offset,
+                    caller_id=call.headers.caller_id,
+                )
+            )
+            in_time = self._is_in_time(call, answer.outcome)
+            return search_reply(answer)
+        finally:
+            ticket.finish(in_time)
+
+    async def lookup(self, request: web.Request) -> web.Response:
+        """Look a key up in its service."""
+        call = await self._read(request)
+        body = parse_body(LookupBody, call.body)
+        ticket = await self._admit(call, "lookup")
+        in_time = False
+        try:
+            answer = await self._links.gateway.lookup(
+                LookupRequest(
+                    request_id=call.request_id,
+                    index=call.index,
+                    key=body.key,
+                    deadline_s=call.deadline_s,
+                    caller_id=call.headers.caller_id,
+                )
+            )
+            in_time = self._is_in_time(call, answer.outcome)
+            return lookup_reply(answer)
+        finally:
+            ticket.finish(in_time)
+
+    async def run(self, request: web.Request) -> web.Response:
+        """Run a non-idempotent request at most once."""
+        call = await self._read(request)
+        parse_body(RunBody, call.body)
+        if not call.headers.idempotency_key:
+            raise CallerError(Reason.KEY_MISSING, f"{IDEMPOTENCY_KEY} is required")
+        ticket = await self._admit(call, "run")
+        in_time = False
+        try:
+            outcome = await self._links.bookings.run(self._booking(call))
+            label = AnswerOutcome.FAILED
+            if isinstance(outcome, Completed):
+                label = AnswerOutcome.COMPLETE
+            in_time = self._is_in_time(call, label)
+            return run_reply(outcome, request_id=call.request_id)
+        finally:
+            ticket.finish(in_time)
+
+    async def reserve_keys(self, request: web.Request) -> web.Response:
+        """Reserve idempotency keys at this daemon."""
+        self._check_serving()
+        body = parse_body(ReserveBody, await request.read() or b"{}")
+        keys = self._links.bookings.reserve(body.count)
+        return json_reply({"request_id": request[REQUEST_ID_KEY], "keys": keys})
+
+    async def entry_addresses(self, request: web.Request) -> web.Response:
+        """Tell which addresses a caller should use."""
+        failure_domain = request.query.get("failure_domain")
+        entry = self._links.entry.entry_addresses(
+            failure_domain or self._links.failure_domain
+        )
+        return json_reply({"addresses": list(entry.addresses), "keep_s": entry.keep_s})
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Tell whether the daemon serves."""
+        serving = self._links.lifecycle.serving
+        return json_reply({"ready": serving}, status=200 if serving else 503)
+
+    async def _read(self, request: web.Request) -> _Call:
+        self._check_serving()
+        headers = read_headers(request.headers)
+        now_s = self._links.clock.monotonic_s()
+        deadline_ms = headers.deadline_ms or DEADLINE_MS_DEFAULT
+        return _Call(
+            request_id=request[REQUEST_ID_KEY],
+            index=request.match_info["index"],
+            headers=headers,
+            deadline_s=now_s + deadline_ms / 1000,
+            body=await request.read(),
+        )
+
+    def _check_serving(self) -> None:
+        if not self._links.lifecycle.serving:
+            raise CallerError(Reason.NOT_READY, "the daemon does not serve")
+
+    async def _admit(self, call: _Call, route: str) -> TicketPort:
+        return await self._links.admission.admit(
+            AdmissionRequest(
+                route=route,
+                index=call.index,
+                caller_id=call.headers.caller_id,
+                deadline_s=call.deadline_s,
+            )
+        )
+
+    def _booking(self, call: _Call) -> BookingRequest:
+        left_s = call.deadline_s - self._links.clock.monotonic_s()
+        return BookingRequest(
+            key=call.headers.idempotency_key,
+            fingerprint=fingerprint(call.index, call.body),
+            index=call.index,
+            route="run",
+            deadline_left_ms=max(int(left_s * 1000), 0),
+            caller_id=call.headers.caller_id,
+            body=call.body,
+        )
+
+    def _is_in_time(self, call: _Call, outcome: AnswerOutcome) -> bool:
+        if outcome is not AnswerOutcome.COMPLETE:
+            return False
+        return self._links.clock.monotonic_s() <= call.deadline_s
+
+
+def fingerprint(index: str, body: bytes) -> str:
+    """Return a hash that tells whether a key is reused with another request."""
+    return hashlib.sha256(index.encode() + b"\0" + body).hexdigest()
+
+
+def parse_body(model: type[BodyType], body: bytes) -> BodyType:
+    """Validate a JSON body.
+
+    Raises CallerError that names the first member that is wrong.
+    """
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        place = ".".join(str(part) for part in first["loc"])
+        text = f"{place}: {first['msg']}" if place else first["msg"]
+        raise CallerError(Reason.BAD_REQUEST, text) from error
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/caller_fakes.py
@@ -0,0 +1,114 @@
+"""Small fakes at the interfaces of the callers' listener."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gateway_fakes import FakeMembership
+from gateway_fakes import FakeService
+from gateway_fakes import GatewayRig
+from gypsumvane_core.outcome import Completed
+from gypsumvane_daemon.caller_api import CallerApi
+
+if TYPE_CHECKING:
+    from gypsumvane_core.messages import BookingRequest
+    from gypsumvane_core.outcome import Outcome
+    from gypsumvane_core.reason import Reason
+
+
+@dataclass
+class FakeEntryAddresses:
+    """List one address."""
+
+    addresses: tuple[str, ...]
+    keep_s: float = 10.0
+
+
+class FakeEntryMembership(FakeMembership):
+    """Tell entry addresses too."""
+
+    def entry_addresses(self, failure_domain: str) -> FakeEntryAddresses:
+        """Return an address that names the failure domain."""
+        return FakeEntryAddresses(addresses=(f"{failure_domain}:1",))
+
+
+class FakeRefusalError(Exception):
+    """Stand for AdmissionRefused."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class FakeAdmission(FakeService):
+    """Admit all requests unless a test sets a reason."""
+
+    name = "admission"
+
+    def __init__(self) -> None:
+        self.reason: Reason | None = None
+        self.finished: list[bool] = []
+
+    async def admit(self, request: object) -> FakeAdmission:
+        """Return a ticket."""
+        if self.reason is not None:
+            raise FakeRefusalError(self.reason)
+        return self
+
+    def finish(self, in_time: bool) -> None:
+        """Record the end of a request."""
+        self.finished.append(in_time)
+
+
+class FakeLifecycle(FakeService):
+    """Serve until a test says otherwise."""
+
+    name = "lifecycle"
+    state = "serving"
+    serving = True
+
+
+class FakeBookings(FakeService):
+    """Return the outcome that a test sets."""
+
+    name = "bookings"
+
+    def __init__(self) -> None:
+        self.outcome: Outcome = Completed(status=200, body=b'{"booked": true}')
+        self.requests: list[BookingRequest] = []
+        self.delay_s = 0.0
+        self.begun = asyncio.Event()
+
+    async def run(self, request: BookingRequest) -> Outcome:
+        """Record the request."""
+        self.requests.append(request)
+        self.begun.set()
+        await asyncio.sleep(self.delay_s)
+        return self.outcome
+
+    def reserve(self, count: int) -> list[str]:
+        """Return numbered keys."""
+        return [f"key-{number}" for number in range(count)]
+
+
+class CallerRig(GatewayRig):
+    """Start a callers' listener over a gateway with fakes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.admission = FakeAdmission()
+        self.lifecycle = FakeLifecycle()
+        self.bookings = FakeBookings()
+        self.api = CallerApi(self.identity, clock=self.clock)
+        for service in (self.admission, self.lifecycle, self.bookings, self.api):
+            self.kernel.register(service)
+
+    def make_membership(self) -> FakeMembership:
+        """Return a membership that knows entry addresses."""
+        return FakeEntryMembership()
+
+    def url(self, path: str) -> str:
+        """Return the address of a call."""
+        return f"http://{self.identity.caller_address}{path}"
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -0,0 +1,153 @@
+"""Tests of the callers' listener."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from aiohttp import ClientSession
+
+from caller_fakes import CallerRig
+from gateway_fakes import index_body
+from gypsumvane_core.outcome import Failed
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.caller_api import BODY_BYTES_MAX
+
+SEARCH = "/v1/indexes/stock/search"
+RUN = "/v1/indexes/ledger/run"
+
+
+class CallerApiTest(unittest.IsolatedAsyncioTestCase):
+    """Check what callers see over HTTP."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the listener with a search and a lookup index."""
+        self.rig = CallerRig()
+        await self.rig.kernel.start()
+        self.addAsyncCleanup(self.rig.kernel.stop)
+        self.rig.apply_index(index_body())
+        self.rig.apply_index(index_body("ledger", kind="lookup"))
+        self.session = ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def post(
+        self, path: str, body: Any = None, *, data: bytes | None = None, **headers: str
+    ) -> tuple[int, dict[str, Any]]:
+        """Send a request and return status and body."""
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        async with self.session.post(
+            self.rig.url(path), json=body, data=data, headers=names
+        ) as response:
+            value = await response.json()
+            self.request_id = response.headers.get("Request-Id")
+            self.connection = response.headers.get("Connection")
+            return response.status, value
+
+    async def test_search_answer_has_the_documented_form(self) -> None:
+        """Guard against an answer that differs from docs/callers.md."""
+        status, answer = await self.post(SEARCH, {"query": "x"}, Request_Id="q-7")
+        self.assertEqual(status, 200)
+        self.assertEqual(
+            answer,
+            {
+                "outcome": "complete",
+                "verdict": "ran",
+                "request_id": "q-7",
+                "snapshot": 1,
+                "coverage": {"asked": 3, "answered": 3, "left_out": []},
+                "hits": [],
+                "total": 0,
+            },
+        )
+        self.assertEqual(self.request_id, "q-7")
+        self.assertEqual(self.rig.admission.finished, [True])
+
+    async def test_lookup_returns_the_record(self) -> None:
+        """Guard against a lookup that loses its record."""
+        for leaf in self.rig.upstreams.leaves.values():
+            leaf.body = b'{"found": true, "record": {"id": "k"}}'
+        status, answer = await self.post("/v1/indexes/ledger/lookup", {"key": "k"})
+        self.assertEqual((status, answer["record"]), (200, {"id": "k"}))
+
+    async def test_bad_requests_are_refused_with_a_reason(self) -> None:
+        """Guard against bad input that runs, or that gets an untyped error."""
+        cases: list[tuple[int, str, dict[str, Any]]] = [
+            (400, SEARCH, {"body": {"limit": 5}}),
+            (400, SEARCH, {"body": {"query": "x", "limit": 0}}),
+            (400, SEARCH, {"body": {"query": "x", "limit": 90, "offset": 90}}),
+            (400, SEARCH, {"body": {"query": "x", "other": 1}}),
+            (400, SEARCH, {"data": b"\xff{"}),
+            (400, SEARCH, {"body": {"query": "x"}, "Deadline_Ms": "soon"}),
+            (400, SEARCH, {"body": {"query": "x"}, "Caller_Id": "a b"}),
+            (400, RUN, {"body": {"key": "x"}}),
+            (404, "/v1/indexes/none/search", {"body": {"query": "x"}}),
+            (404, "/v1/none", {"body": {}}),
+            (405, "/v1/ready", {"body": {}}),
+            (413, SEARCH, {"data": b"x" * (BODY_BYTES_MAX + 1)}),
+        ]
+        for expected, path, kwargs in cases:
+            with self.subTest(path=path, kwargs=str(kwargs)[:60]):
+                status, answer = await self.post(path, **kwargs)
+                self.assertEqual(status, expected)
+                self.assertEqual(
+                    (answer["outcome"], answer["verdict"]), ("refused", "not_run")
+                )
+                self.assertEqual(answer["request_id"], self.request_id)
+                self.assertNotIn("Traceback", answer["message"])
+        self.assertEqual([leaf.asked for leaf in self.rig.leaves_of("s0")], [0, 0])
+
+    async def test_refused_admission_runs_nothing(self) -> None:
+        """Guard against work for a request that was refused."""
+        self.rig.admission.reason = Reason.QUEUE_FULL
+        status, answer = await self.post(SEARCH, {"query": "x"})
+        self.assertEqual((status, answer["reason"]), (429, "queue_full"))
+        self.assertEqual([leaf.asked for leaf in self.rig.leaves_of("s0")], [0, 0])
+
+    async def test_run_passes_the_callers_key_and_verdict(self) -> None:
+        """Guard against a booking that loses its key or its verdict."""
+        status, answer = await self.post(RUN, {"key": "x"}, Idempotency_Key="k1")
+        self.assertEqual((status, answer["record"]), (200, {"booked": True}))
+        self.assertEqual(self.rig.bookings.requests[0].key, "k1")
+        self.rig.bookings.outcome = Failed(
+            reason=Reason.KEY_UNRESOLVED, verdict=Verdict.MAY_HAVE_RUN
+        )
+        status, answer = await self.post(RUN, {"key": "x"}, Idempotency_Key="k1")
+        self.assertEqual((status, answer["verdict"]), (409, "may_have_run"))
+
+    async def test_unexpected_error_hides_its_cause(self) -> None:
+        """Guard against a stack trace or a false verdict in an answer."""
+        self.rig.bookings.outcome = "not an outcome"  # type: ignore[assignment]
+        with self.assertLogs("gypsumvane_daemon.caller_api", "ERROR"):
+            status, answer = await self.post(RUN, {"key": "x"}, Idempotency_Key="k")
+        self.assertEqual((status, answer["verdict"]), (502, "may_have_run"))
+        self.assertEqual(answer["message"], "internal error")
+
+    async def test_daemon_that_does_not_serve_refuses(self) -> None:
+        """Guard against work at a daemon that is not ready."""
+        self.rig.lifecycle.serving = False
+        status, answer = await self.post(SEARCH, {"query": "x"})
+        self.assertEqual((status, answer["verdict"]), (503, "not_run"))
+        async with self.session.get(self.rig.url("/v1/ready")) as response:
+            self.assertEqual(response.status, 503)
+
+    async def test_keys_and_entry_addresses(self) -> None:
+        """Guard against entry points that callers cannot use."""
+        status, answer = await self.post("/v1/idempotency-keys", {"count": 2})
+        self.assertEqual((status, answer["keys"]), (200, ["key-0", "key-1"]))
+        url = self.rig.url("/v1/entry-addresses?failure_domain=b")
+        async with self.session.get(url) as response:
+            self.assertEqual(
+                await response.json(), {"addresses": ["b:1"], "keep_s": 10.0}
+            )
+
+    async def test_stop_answers_the_requests_in_progress(self) -> None:
+        """Guard against a planned stop that cuts off a booking."""
+        self.rig.bookings.delay_s = 0.8
+        call = asyncio.create_task(self.post(RUN, {"key": "x"}, Idempotency_Key="k1"))
+        await self.rig.bookings.begun.wait()
+        await self.rig.api.stop()
+        status, _ = await call
+        self.assertEqual(status, 200)
+        self.assertEqual(self.connection, "close")
