Bind the callers' listener to admission, life cycle and policy

Cause: the interfaces of the other services are now known: admission takes a priority, the life cycle has idle checks, and a caller without Deadline-Ms must be held to the policy of the index already in the admission queue.

--- a/packages/gypsumvane-core/src/gypsumvane_core/admission_request.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/admission_request.py
@@ -1,16 +1,19 @@
-"""What a request states when it asks for admission."""
+"""A caller's request that asks for admission."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
+if TYPE_CHECKING:
+    from gypsumvane_core.priority import Priority
 
-@dataclass(frozen=True, slots=True)
+
+@dataclass(frozen=True, slots=True, eq=False)
 class AdmissionRequest:
-    """Ask to be run; the deadline is on the passed clock."""
+    """Describe a whole query, lookup or run; parts are not admitted singly."""
 
-    # "run", "lookup" or "search".
-    route: str
-    index: str
+    priority: Priority
     caller_id: str
+    # Monotonic time of the passed clock.
     deadline_s: float
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/priority.py
@@ -0,0 +1,18 @@
+"""Order of importance of requests."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+
+class Priority(IntEnum):
+    """Rank requests; a lower number goes first."""
+
+    RUN = 0
+    LOOKUP = 1
+    SEARCH = 2
+
+    @classmethod
+    def of_route(cls, route: str) -> Priority:
+        """Return the priority of a route; unknown routes go last."""
+        return {"run": cls.RUN, "lookup": cls.LOOKUP}.get(route, cls.SEARCH)
--- a/packages/gypsumvane-core/src/gypsumvane_core/query_state.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/query_state.py
@@ -212,7 +212,7 @@
     def _is_of_pinned_snapshot(self, result: PartialResult) -> bool:
         if result.snapshot == self.snapshot:
             return True
-        return not self._snapshot_required and result.snapshot == 0
+        return not self._snapshot_required and result.snapshot <= 0
 
 
 def _disposition_after_end(attempt: Attempt, result: PartialResult) -> Disposition:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -61,6 +61,7 @@
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
         self._request_count = 0
+        self._in_progress = 0
         self._metrics: MetricsService
         self._lifecycle: LifecyclePort
         self._stopping = False
@@ -69,6 +70,7 @@
         """Listen for callers."""
         self._metrics = kernel.get(MetricsService)
         self._lifecycle = cast("LifecyclePort", kernel.find("lifecycle"))
+        self._lifecycle.add_idle_check(lambda: self._in_progress == 0)
         routes = CallerRoutes(
             CallerLinks(
                 clock=self._clock,
@@ -126,8 +128,12 @@
     async def _middleware(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
-        response = await self._answer(request, handler)
-        if self._stopping or self._lifecycle.state != SERVING:
+        self._in_progress += 1
+        try:
+            response = await self._answer(request, handler)
+        finally:
+            self._in_progress -= 1
+        if self._stopping or self._lifecycle.state.value != SERVING:
             # Makes callers with kept connections go to another address.
             response.force_close()
         return response
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_ports.py
@@ -6,16 +6,17 @@
 from typing import Protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from gypsumvane_core.admission_request import AdmissionRequest
+    from gypsumvane_core.document_models import Policy
     from gypsumvane_core.messages import BookingRequest
     from gypsumvane_core.outcome import Outcome
     from gypsumvane_core.query_answer import LookupAnswer
     from gypsumvane_core.query_answer import SearchAnswer
     from gypsumvane_core.query_request import LookupRequest
     from gypsumvane_core.query_request import SearchRequest
-    from gypsumvane_core.reason import Reason
 
 
 class TicketPort(Protocol):
@@ -32,15 +33,15 @@
         """Wait for a place; raises AdmissionRefused with a reason."""
 
 
-class RefusedAdmission(Protocol):
-    """Describe the error that a refused admission raises."""
-
-    reason: Reason
-
-
 class GatewayPort(Protocol):
     """Search and look up; see GatewayService."""
 
+    def policy(self, index: str) -> Policy:
+        """Return the policy in force for an index."""
+
+    def service_of(self, index: str, key: str) -> str:
+        """Return the service of a key, empty without a partition map."""
+
     async def search(self, request: SearchRequest) -> SearchAnswer:
         """Search all services of an index."""
 
@@ -58,17 +59,28 @@
         """Return keys that this daemon reserves."""
 
 
+class StatePort(Protocol):
+    """Name a state; see LifeState."""
+
+    @property
+    def value(self) -> str:
+        """Return the name."""
+
+
 class LifecyclePort(Protocol):
     """Know the life cycle of the daemon; see LifecycleService."""
 
     @property
-    def state(self) -> str:
-        """Return the name of the state."""
+    def state(self) -> StatePort:
+        """Return the state."""
 
     @property
     def serving(self) -> bool:
         """Return whether callers may send requests."""
 
+    def add_idle_check(self, check: Callable[[], bool]) -> None:
+        """Ask the check before the end whether no work is in progress."""
+
 
 class EntryAddressesPort(Protocol):
     """Hold the addresses that callers may use; see EntryAddresses."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -14,6 +14,7 @@
 from gypsumvane_core.admission_request import AdmissionRequest
 from gypsumvane_core.messages import BookingRequest
 from gypsumvane_core.outcome import Completed
+from gypsumvane_core.priority import Priority
 from gypsumvane_core.query_answer import AnswerOutcome
 from gypsumvane_core.query_request import LookupRequest
 from gypsumvane_core.query_request import SearchRequest
@@ -41,9 +42,6 @@
     from gypsumvane_daemon.caller_ports import TicketPort
 
 REQUEST_ID_KEY = web.RequestKey("request_id", str)
-# A caller that states no deadline is held to the policy of the index, which
-# cannot exceed this.
-DEADLINE_MS_DEFAULT = 60_000
 BodyType = TypeVar("BodyType", bound=BaseModel)
 
 
@@ -81,7 +79,7 @@
         """Search all services of an index."""
         call = await self._read(request)
         body = parse_body(SearchBody, call.body)
-        ticket = await self._admit(call, "search")
+        ticket = await self._admit(call, Priority.SEARCH)
         in_time = False
         try:
             answer = await self._links.gateway.search(
@@ -104,7 +102,7 @@
         """Look a key up in its service."""
         call = await self._read(request)
         body = parse_body(LookupBody, call.body)
-        ticket = await self._admit(call, "lookup")
+        ticket = await self._admit(call, Priority.LOOKUP)
         in_time = False
         try:
             answer = await self._links.gateway.lookup(
@@ -124,13 +122,13 @@
     async def run(self, request: web.Request) -> web.Response:
         """Run a non-idempotent request at most once."""
         call = await self._read(request)
-        parse_body(RunBody, call.body)
+        body = parse_body(RunBody, call.body)
         if not call.headers.idempotency_key:
             raise CallerError(Reason.KEY_MISSING, f"{IDEMPOTENCY_KEY} is required")
-        ticket = await self._admit(call, "run")
+        ticket = await self._admit(call, Priority.RUN)
         in_time = False
         try:
-            outcome = await self._links.bookings.run(self._booking(call))
+            outcome = await self._links.bookings.run(self._booking(call, body))
             label = AnswerOutcome.FAILED
             if isinstance(outcome, Completed):
                 label = AnswerOutcome.COMPLETE
@@ -142,7 +140,7 @@
     async def reserve_keys(self, request: web.Request) -> web.Response:
         """Reserve idempotency keys at this daemon."""
         self._check_serving()
-        body = parse_body(ReserveBody, await request.read() or b"{}")
+        body = parse_body(ReserveBody, await _read_body(request) or b"{}")
         keys = self._links.bookings.reserve(body.count)
         return json_reply({"request_id": request[REQUEST_ID_KEY], "keys": keys})
 
@@ -161,38 +159,41 @@
 
     async def _read(self, request: web.Request) -> _Call:
         self._check_serving()
-        headers = read_headers(request.headers)
         now_s = self._links.clock.monotonic_s()
-        deadline_ms = headers.deadline_ms or DEADLINE_MS_DEFAULT
+        headers = read_headers(request.headers)
+        index = request.match_info["index"]
+        deadline_ms = self._links.gateway.policy(index).deadline_ms
+        if headers.deadline_ms is not None:
+            deadline_ms = min(headers.deadline_ms, deadline_ms)
         return _Call(
             request_id=request[REQUEST_ID_KEY],
-            index=request.match_info["index"],
+            index=index,
             headers=headers,
             deadline_s=now_s + deadline_ms / 1000,
-            body=await request.read(),
+            body=await _read_body(request),
         )
 
     def _check_serving(self) -> None:
         if not self._links.lifecycle.serving:
             raise CallerError(Reason.NOT_READY, "the daemon does not serve")
 
-    async def _admit(self, call: _Call, route: str) -> TicketPort:
+    async def _admit(self, call: _Call, priority: Priority) -> TicketPort:
         return await self._links.admission.admit(
             AdmissionRequest(
-                route=route,
-                index=call.index,
+                priority=priority,
                 caller_id=call.headers.caller_id,
                 deadline_s=call.deadline_s,
             )
         )
 
-    def _booking(self, call: _Call) -> BookingRequest:
+    def _booking(self, call: _Call, body: RunBody) -> BookingRequest:
         left_s = call.deadline_s - self._links.clock.monotonic_s()
         return BookingRequest(
             key=call.headers.idempotency_key,
             fingerprint=fingerprint(call.index, call.body),
             index=call.index,
             route="run",
+            service=self._links.gateway.service_of(call.index, body.key),
             deadline_left_ms=max(int(left_s * 1000), 0),
             caller_id=call.headers.caller_id,
             body=call.body,
@@ -204,6 +205,13 @@
         return self._links.clock.monotonic_s() <= call.deadline_s
 
 
+async def _read_body(request: web.Request) -> bytes:
+    try:
+        return await request.read()
+    except (web.RequestPayloadError, OSError, EOFError) as error:
+        raise CallerError(Reason.BAD_REQUEST, "the body cannot be read") from error
+
+
 def fingerprint(index: str, body: bytes) -> str:
     """Return a hash that tells whether a key is reused with another request."""
     return hashlib.sha256(index.encode() + b"\0" + body).hexdigest()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_plan.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_plan.py
@@ -14,6 +14,7 @@
     from gypsumvane_core.index_routes import IndexRoutes
     from gypsumvane_core.index_routes import VersionChoice
     from gypsumvane_core.partial_body import PartialBody
+    from gypsumvane_core.priority import Priority
     from gypsumvane_daemon.gateway_index import GatewayIndex
 
 
@@ -22,7 +23,7 @@
     """Tell searches and lookups apart."""
 
     route: str
-    priority: int
+    priority: Priority
     parse_body: Callable[[bytes], PartialBody]
     # A lookup's upstream may leave the snapshot out.
     snapshot_required: bool
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
@@ -15,6 +15,7 @@
 from gypsumvane_core.outcome import Refused
 from gypsumvane_core.partial_body import parse_hit_page
 from gypsumvane_core.partial_body import parse_lookup_record
+from gypsumvane_core.priority import Priority
 from gypsumvane_core.query_state import QueryState
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.scatter import Scatter
@@ -38,6 +39,7 @@
 
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.document_models import IndexDocument
+    from gypsumvane_core.document_models import Policy
     from gypsumvane_core.query_answer import LookupAnswer
     from gypsumvane_core.query_answer import SearchAnswer
     from gypsumvane_core.query_attempt import Attempt
@@ -52,10 +54,16 @@
     from gypsumvane_daemon.kernel import Kernel
 
 SEARCH = QueryKind(
-    route="search", priority=2, parse_body=parse_hit_page, snapshot_required=True
+    route="search",
+    priority=Priority.SEARCH,
+    parse_body=parse_hit_page,
+    snapshot_required=True,
 )
 LOOKUP = QueryKind(
-    route="lookup", priority=1, parse_body=parse_lookup_record, snapshot_required=False
+    route="lookup",
+    priority=Priority.LOOKUP,
+    parse_body=parse_lookup_record,
+    snapshot_required=False,
 )
 
 
@@ -121,6 +129,18 @@
         self._count_answer("lookup", answer.outcome)
         return answer
 
+    def policy(self, index: str) -> Policy:
+        """Return the policy in force for an index."""
+        return self._index(index).policy
+
+    def service_of(self, index: str, key: str) -> str:
+        """Return the service of a key, empty without a partition map."""
+        document = self._index(index).document
+        if document is None or not document.partition_maps:
+            return ""
+        services = document.partition_maps[max(document.partition_maps)]
+        return service_of_key(key, services) if services else ""
+
     def _plan_search(self, request: SearchRequest) -> QueryPlan | Refused:
         index = self._index(request.index)
         wanted = request.offset + request.limit
--- a/packages/gypsumvane-daemon/tests/caller_fakes.py
+++ b/packages/gypsumvane-daemon/tests/caller_fakes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from gateway_fakes import FakeMembership
@@ -13,6 +14,8 @@
 from gypsumvane_daemon.caller_api import CallerApi
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gypsumvane_core.messages import BookingRequest
     from gypsumvane_core.outcome import Outcome
     from gypsumvane_core.reason import Reason
@@ -62,13 +65,27 @@
         self.finished.append(in_time)
 
 
+class FakeState(Enum):
+    """Name states as LifeState does."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
 class FakeLifecycle(FakeService):
     """Serve until a test says otherwise."""
 
     name = "lifecycle"
-    state = "serving"
+    state = FakeState.SERVING
     serving = True
 
+    def __init__(self) -> None:
+        self.idle_checks: list[Callable[[], bool]] = []
+
+    def add_idle_check(self, check: Callable[[], bool]) -> None:
+        """Remember the check."""
+        self.idle_checks.append(check)
+
 
 class FakeBookings(FakeService):
     """Return the outcome that a test sets."""
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -147,7 +147,10 @@
         self.rig.bookings.delay_s = 0.8
         call = asyncio.create_task(self.post(RUN, {"key": "x"}, Idempotency_Key="k1"))
         await self.rig.bookings.begun.wait()
+        idle = self.rig.lifecycle.idle_checks[0]
+        self.assertFalse(idle())
         await self.rig.api.stop()
+        self.assertTrue(idle())
         status, _ = await call
         self.assertEqual(status, 200)
         self.assertEqual(self.connection, "close")
