Add the store client

The daemons need conditional writes, reads and one watch over config/. aiohttp repeats a PUT after a lost connection; the repetition of a write that took effect gets 412 and looks like a conflict.

--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/backoff.py
@@ -0,0 +1,28 @@
+"""Growing pauses with jitter between attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
+
+
+class Backoff:
+    """Double the pause up to a maximum and draw from its upper half."""
+
+    def __init__(self, rng: Random, *, first_s: float, max_s: float) -> None:
+        self._rng = rng
+        self._first_s = first_s
+        self._max_s = max_s
+        self._pause_s = first_s
+
+    def next_s(self) -> float:
+        """Return the next pause."""
+        pause_s = self._pause_s
+        self._pause_s = min(self._max_s, 2 * pause_s)
+        return pause_s * self._rng.uniform(0.5, 1.0)
+
+    def reset(self) -> None:
+        """Begin with the first pause again."""
+        self._pause_s = self._first_s
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/settings.py
@@ -65,6 +65,10 @@
     store_address: Address
     live_list_address: Address
     store_timeout_ms: int = Field(default=1000, ge=10, le=60_000)
+    store_watch_wait_ms: int = Field(default=500, ge=10, le=60_000)
+    store_pause_first_ms: int = Field(default=100, ge=1, le=60_000)
+    store_pause_max_ms: int = Field(default=2000, ge=1, le=600_000)
+    store_resolve_ms: int = Field(default=3000, ge=10, le=600_000)
     live_list_interval_ms: int = Field(default=1000, ge=50, le=60_000)
     store_watchers_per_domain: int = Field(default=2, ge=1, le=100)
 
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
@@ -0,0 +1,290 @@
+"""Single calls of the object store's HTTP protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import quote
+
+from aiohttp import ClientConnectorError
+from aiohttp import ClientError
+from aiohttp import ClientOSError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+from aiohttp import ConnectionTimeoutError
+from aiohttp import ServerDisconnectedError
+from yarl import URL
+
+from gypsumvane_daemon.backoff import Backoff
+from gypsumvane_daemon.store_objects import Changes
+from gypsumvane_daemon.store_objects import Conflict
+from gypsumvane_daemon.store_objects import ObjectChange
+from gypsumvane_daemon.store_objects import PutResult
+from gypsumvane_daemon.store_objects import StoreCallCount
+from gypsumvane_daemon.store_objects import StoredObject
+from gypsumvane_daemon.store_objects import StoreError
+from gypsumvane_daemon.store_objects import WatchGapError
+from gypsumvane_daemon.store_objects import Written
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from aiohttp import ClientHandlerType
+    from aiohttp import ClientRequest
+    from aiohttp import ClientResponse
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.settings import PlatformSettings
+
+RATE_RETRIES_MAX = 2
+RATE_PAUSE_FIRST_S = 0.05
+RATE_PAUSE_MAX_S = 1.0
+# 429 and 503 are refusals by the contract: the write was not made.
+REFUSED_STATUSES = frozenset({429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    kind: str
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes | None = None
+    extra_timeout_s: float = 0.0
+
+    @property
+    def writes(self) -> bool:
+        return self.method != "GET"
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes
+    etag: str
+    sent_at_s: float
+
+
+class StoreHttp:
+    """Make calls, count each and classify its result."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        *,
+        clock: Clock,
+        rng: Random,
+        count: Callable[[str, str], None],
+    ) -> None:
+        self._base = f"http://{settings.store_address}"
+        self._timeout_s = settings.store_timeout_ms / 1000
+        self._clock = clock
+        self._rng = rng
+        self._count = count
+        self._calls: Counter[tuple[str, str]] = Counter()
+        self._session: ClientSession
+
+    async def open(self) -> None:
+        """Open the connection pool."""
+        self._session = ClientSession(middlewares=(_send_once,))
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        await self._session.close()
+
+    def calls(self) -> list[StoreCallCount]:
+        """Return the calls by kind and result."""
+        return [
+            StoreCallCount(kind=kind, result=result, calls=calls)
+            for (kind, result), calls in sorted(self._calls.items())
+        ]
+
+    async def get(self, key: str) -> StoredObject | None:
+        """Read an object."""
+        reply = await self._run(_Call(kind="get", method="GET", path=_object_path(key)))
+        if reply.status == 404:
+            return None
+        self._require(reply, 200)
+        return StoredObject(
+            key=key,
+            value=reply.body,
+            version=_version(reply),
+            read_at_s=reply.sent_at_s,
+        )
+
+    async def put(
+        self, key: str, value: bytes, *, expected_version: int | None
+    ) -> PutResult:
+        """Write an object on a condition; None creates it."""
+        if expected_version is None:
+            condition = {"If-None-Match": "*"}
+        else:
+            condition = {"If-Match": f'"{expected_version}"'}
+        reply = await self._run(
+            _Call(
+                kind="put",
+                method="PUT",
+                path=_object_path(key),
+                headers=condition,
+                body=value,
+            )
+        )
+        if reply.status == 412:
+            return Conflict()
+        self._require(reply, 200, writes=True)
+        return Written(version=_version(reply, writes=True))
+
+    async def list(self, prefix: str) -> Changes:
+        """Read all objects below a prefix."""
+        reply = await self._run(
+            _Call(
+                kind="list", method="GET", path="/v1/objects", query={"prefix": prefix}
+            )
+        )
+        self._require(reply, 200)
+        return _changes(reply)
+
+    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Changes:
+        """Wait for objects that change after a version.
+
+        Raises WatchGapError when the store cannot tell them any more.
+        """
+        query = {"prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
+        reply = await self._run(
+            _Call(
+                kind="watch",
+                method="GET",
+                path="/v1/watch",
+                query=query,
+                extra_timeout_s=wait_ms / 1000,
+            )
+        )
+        if 400 <= reply.status < 500:
+            raise WatchGapError(
+                f"watch answered {reply.status}", may_have_applied=False
+            )
+        self._require(reply, 200)
+        changes = _changes(reply)
+        if changes.version < after:
+            raise WatchGapError("store version went back", may_have_applied=False)
+        return changes
+
+    async def _run(self, call: _Call) -> _Reply:
+        pauses = Backoff(self._rng, first_s=RATE_PAUSE_FIRST_S, max_s=RATE_PAUSE_MAX_S)
+        for _ in range(RATE_RETRIES_MAX):
+            reply = await self._exchange(call)
+            if reply.status != 429:
+                break
+            await asyncio.sleep(pauses.next_s())
+        else:
+            reply = await self._exchange(call)
+        if reply.status in REFUSED_STATUSES:
+            raise StoreError(f"store answered {reply.status}", may_have_applied=False)
+        return reply
+
+    async def _exchange(self, call: _Call) -> _Reply:
+        url = URL(self._base + call.path, encoded=True).with_query(call.query)
+        sent_at_s = self._clock.monotonic_s()
+        try:
+            async with self._session.request(
+                call.method,
+                url,
+                data=call.body,
+                headers=call.headers,
+                allow_redirects=False,
+                timeout=ClientTimeout(total=self._timeout_s + call.extra_timeout_s),
+            ) as response:
+                body = await response.read()
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            self._note(call, "unreachable")
+            raise StoreError(
+                f"store is unreachable: {error}", may_have_applied=False
+            ) from error
+        except (ClientError, OSError) as error:
+            self._note(call, "lost")
+            raise StoreError(
+                f"store gave no answer: {type(error).__name__}",
+                may_have_applied=call.writes,
+            ) from error
+        self._note(call, str(response.status))
+        return _Reply(
+            status=response.status,
+            body=body,
+            etag=response.headers.get("ETag", ""),
+            sent_at_s=sent_at_s,
+        )
+
+    def _note(self, call: _Call, result: str) -> None:
+        self._calls[call.kind, result] += 1
+        self._count(call.kind, result)
+
+    @staticmethod
+    def _require(reply: _Reply, status: int, *, writes: bool = False) -> None:
+        if reply.status != status:
+            # Only a server error leaves it open whether a write was made.
+            raise StoreError(
+                f"store answered {reply.status}",
+                may_have_applied=writes and reply.status >= 500,
+            )
+
+
+async def _send_once(
+    request: ClientRequest, handler: ClientHandlerType
+) -> ClientResponse:
+    """Keep aiohttp from repeating a PUT whose answer was lost.
+
+    It repeats idempotent methods after a lost connection. The repetition of a
+    write that took effect would get 412 and look like a conflict.
+    """
+    if request.method == "GET":
+        return await handler(request)
+    try:
+        return await handler(request)
+    except (ClientConnectorError, ConnectionTimeoutError):
+        raise
+    except (ClientOSError, ServerDisconnectedError) as error:
+        raise ClientError(f"connection was lost: {error}") from error
+
+
+def _object_path(key: str) -> str:
+    return "/v1/objects/" + quote(key, safe="/")
+
+
+def _version(reply: _Reply, *, writes: bool = False) -> int:
+    try:
+        return int(reply.etag.strip('"'))
+    except ValueError as error:
+        raise StoreError(
+            f"store sent a bad ETag: {reply.etag!r}", may_have_applied=writes
+        ) from error
+
+
+def _changes(reply: _Reply) -> Changes:
+    try:
+        values = json.loads(reply.body)
+        return Changes(
+            version=int(values["version"]),
+            objects=[_change(item) for item in values["objects"]],
+            sent_at_s=reply.sent_at_s,
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise StoreError(
+            f"store sent a bad list: {error}", may_have_applied=False
+        ) from error
+
+
+def _change(item: Any) -> ObjectChange:
+    encoded = item.get("value_base64")
+    return ObjectChange(
+        key=str(item["key"]),
+        value=None if encoded is None else base64.b64decode(encoded),
+        version=int(item["version"]),
+    )
