--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_change.py
@@ -0,0 +1,106 @@
+"""Changes of configuration documents and their tagged outcomes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from xxhash import xxh64_hexdigest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentChange:
+    """Replace the body of a document at an expected revision; 0 creates it."""
+
+    name: str
+    body: bytes
+    expected_revision: int
+    change_id: str
+    author: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentEdit:
+    """Derive the new body of a document from its current one."""
+
+    name: str
+    change_id: str
+    author: str
+    reason: str
+    # Identifies the request, so that a change id cannot be used for two.
+    fingerprint: str
+    # Gets None when there is no document; raises ValueError for a change
+    # that is not possible.
+    produce: Callable[[bytes | None], bytes]
+    # None: the edit is made on any revision.
+    expected_revision: int | None = None
+
+    @classmethod
+    def of(cls, change: DocumentChange) -> DocumentEdit:
+        """Return the edit that replaces the whole body."""
+        return cls(
+            name=change.name,
+            change_id=change.change_id,
+            author=change.author,
+            reason=change.reason,
+            fingerprint=xxh64_hexdigest(change.body),
+            produce=lambda _: change.body,
+            expected_revision=change.expected_revision,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeAccepted:
+    """Report a change that the store holds."""
+
+    change_id: str
+    revision: int
+    in_force: list[str] = field(default_factory=list)
+    not_reached: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeConflict:
+    """Report a change that lost against another one."""
+
+    change_id: str
+    revision: int
+    author: str
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeUnknown:
+    """Report a change that may have been accepted.
+
+    The same change id may be asked for or submitted again.
+    """
+
+    change_id: str
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeUnavailable:
+    """Report a change that was not accepted because the store is away."""
+
+    change_id: str
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeInvalid:
+    """Report a change that breaks a rule."""
+
+    change_id: str
+    message: str
+
+
+ChangeOutcome = (
+    ChangeAccepted | ChangeConflict | ChangeUnknown | ChangeUnavailable | ChangeInvalid
+)
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_edits.py
@@ -0,0 +1,85 @@
+"""Edits of configuration documents that depend on the current body."""
+
+from __future__ import annotations
+
+from gypsumvane_core.document import MOVE_PREFIX
+from gypsumvane_core.document_models import DomainOut
+from gypsumvane_core.document_models import DomainsDocument
+from gypsumvane_core.document_models import MoveDocument
+from gypsumvane_core.document_models import MoveState
+
+
+def take_domain_out(body: bytes | None, entry: DomainOut) -> bytes:
+    """Add a failure domain; one that is out already gets the new reason."""
+    others = _others(body, entry.failure_domain)
+    return _domains([*others, entry])
+
+
+def bring_domain_in(body: bytes | None, failure_domain: str) -> bytes:
+    """Remove a failure domain; raises ValueError when it is not out."""
+    current = _parse_domains(body)
+    if failure_domain not in current.out_names():
+        raise ValueError(f"failure domain {failure_domain} is not out")
+    return _domains(_others(body, failure_domain))
+
+
+def start_move(body: bytes | None, move: MoveDocument) -> bytes:
+    """Replace a finished move; raises ValueError while one is running."""
+    if body is not None:
+        current = MoveDocument.model_validate_json(body)
+        if current.state is MoveState.RUNNING:
+            raise ValueError(f"move {current.move_id} is running")
+        if current.move_id == move.move_id:
+            raise ValueError(f"move {move.move_id} is {current.state.value} already")
+    return move.model_dump_json().encode()
+
+
+def take_back_move(body: bytes | None, *, move_id: str, reason: str) -> bytes:
+    """Record that a move is taken back; raises ValueError for another move."""
+    if body is None:
+        raise ValueError("there is no move")
+    current = MoveDocument.model_validate_json(body)
+    if move_id and current.move_id != move_id:
+        raise ValueError(f"the current move is {current.move_id}")
+    taken_back = current.model_copy(
+        update={"state": MoveState.TAKEN_BACK, "state_reason": reason}
+    )
+    return taken_back.model_dump_json().encode()
+
+
+def check_successor(name: str, old_body: bytes | None, new_body: bytes) -> None:
+    """Refuse a change that withdraws what a move has recorded.
+
+    Raises ValueError.
+    """
+    if not name.startswith(MOVE_PREFIX) or old_body is None:
+        return
+    try:
+        old = MoveDocument.model_validate_json(old_body)
+    except ValueError:
+        return
+    new = MoveDocument.model_validate_json(new_body)
+    if old.move_id != new.move_id or old.state is new.state:
+        return
+    if old.state is MoveState.TAKEN_BACK:
+        raise ValueError(f"move {old.move_id} is taken back; this is final")
+    if old.state is MoveState.DONE and new.state is MoveState.RUNNING:
+        raise ValueError(f"move {old.move_id} is done")
+
+
+def _parse_domains(body: bytes | None) -> DomainsDocument:
+    if body is None:
+        return DomainsDocument()
+    return DomainsDocument.model_validate_json(body)
+
+
+def _others(body: bytes | None, failure_domain: str) -> list[DomainOut]:
+    return [
+        entry
+        for entry in _parse_domains(body).out
+        if entry.failure_domain != failure_domain
+    ]
+
+
+def _domains(out: list[DomainOut]) -> bytes:
+    return DomainsDocument(out=out).model_dump_json().encode()
--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -130,6 +130,8 @@
 
     name: str = ""
     revision: int = 0
+    change_id: str = ""
+    in_force_since_unix_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -157,6 +159,10 @@
     """Return newer documents."""
 
     documents: list[DocumentCopy] = field(default_factory=list)
+    # The sender has loaded its documents from the store or a peer.
+    ready: bool = False
+    # Further documents did not fit; ask again with the new revisions.
+    more: bool = False
 
 
 @dataclass(slots=True)
