Add the document service

Documents are loaded from the store or a peer, applied when newer and valid, and pushed to all peers before an operator gets the answer. DocumentsReply states whether the peer itself is ready and whether more documents follow; DocumentRevision states since when a revision is in force. Kernel.find looks a service up by name, for parts that a daemon may lack.

--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/applied_documents.py
@@ -0,0 +1,129 @@
+"""The documents in force on this daemon and since when."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.document import Document
+from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.messages import DocumentCopy
+from gypsumvane_core.messages import DocumentRevision
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.metrics import MetricsService
+
+logger = logging.getLogger(__name__)
+
+NameListener = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """Record which revision is in force and since when."""
+
+    revision: int
+    change_id: str
+    since_unix_ms: int
+
+
+class AppliedDocuments:
+    """Apply newer revisions, refuse bad ones and tell listeners."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.catalogue = DocumentCatalogue()
+        self.metrics: MetricsService | None = None
+        self._clock = clock
+        self._in_force: dict[str, InForce] = {}
+        self._listeners: list[NameListener] = []
+
+    def on_change(self, listener: NameListener) -> None:
+        """Call the listener with the name of each document applied."""
+        self._listeners.append(listener)
+
+    def apply(self, document: Document, *, source: str) -> bool:
+        """Apply a document if it is newer and valid."""
+        try:
+            newer = self.catalogue.apply(document)
+        except ValueError as error:
+            self.count_malformed(document.name, source=source, problem=str(error))
+            return False
+        if not newer:
+            return False
+        self._in_force[document.name] = InForce(
+            revision=document.revision,
+            change_id=document.change_id,
+            since_unix_ms=int(self._clock.unix_s() * 1000),
+        )
+        self._count("documents_applied", source=source)
+        self._tell(document.name)
+        return True
+
+    def count_malformed(self, key: str, *, source: str, problem: str) -> None:
+        """Count a value that is no document at all."""
+        self._count("documents_refused", source=source)
+        logger.warning(
+            "document is malformed",
+            extra={"key": key, "source": source, "problem": problem},
+        )
+
+    def in_force(self, name: str) -> InForce | None:
+        """Return the revision in force here."""
+        return self._in_force.get(name)
+
+    def report(self, names: Iterable[str]) -> list[DocumentRevision]:
+        """Return the revisions in force of some documents."""
+        return [
+            DocumentRevision(
+                name=name,
+                revision=state.revision,
+                change_id=state.change_id,
+                in_force_since_unix_ms=state.since_unix_ms,
+            )
+            for name in names
+            if (state := self._in_force.get(name)) is not None
+        ]
+
+    def _tell(self, name: str) -> None:
+        for listener in self._listeners:
+            try:
+                listener(name)
+            except Exception:
+                logger.exception(
+                    "listener failed on a document", extra={"document": name}
+                )
+
+    def _count(self, counter: str, *, source: str) -> None:
+        if self.metrics is not None:
+            self.metrics.count(counter, source=source)
+
+
+def copy_of(document: Document) -> DocumentCopy:
+    """Return the message form of a document."""
+    return DocumentCopy(
+        name=document.name,
+        revision=document.revision,
+        change_id=document.change_id,
+        author=document.author,
+        reason=document.reason,
+        accepted_unix_ms=document.accepted_unix_ms,
+        body=document.body,
+    )
+
+
+def document_of(copy: DocumentCopy) -> Document:
+    """Return the document of its message form."""
+    return Document(
+        name=copy.name,
+        revision=copy.revision,
+        change_id=copy.change_id,
+        author=copy.author,
+        reason=copy.reason,
+        accepted_unix_ms=copy.accepted_unix_ms,
+        body=copy.body,
+    )
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/daemon_parts.py
@@ -0,0 +1,79 @@
+"""What this package's own listeners use of services written apart.
+
+The kernel finds a service by name; these protocols state the methods that
+the caller needs, so that a daemon runs without the services it lacks.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+
+if TYPE_CHECKING:
+    from gypsumvane_core.messages import Heartbeat
+    from gypsumvane_core.messages import Member
+    from gypsumvane_core.messages import UpstreamBrief
+
+
+class HeartbeatPart(Protocol):
+    """Fill and read fields of heartbeats."""
+
+    def contribute(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Fill the fields of a heartbeat to a VM."""
+
+    def receive(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Read the fields of a heartbeat from a VM."""
+
+
+class MembershipPart(Protocol):
+    """Tell members, homes and authority."""
+
+    @property
+    def view(self) -> Any:
+        """Return the current view, None without one."""
+
+    def live_members(self) -> list[Member]:
+        """Return the members that are not gone."""
+
+    def is_leaving(self, vm_id: str) -> bool:
+        """Return whether a member is leaving."""
+
+    def home_of(self, leaf_id: str) -> str | None:
+        """Return the home of a leaf."""
+
+    def grade(self, leaf_id: str) -> Any:
+        """Return the authority of this daemon for a leaf."""
+
+    def allowance(self, leaf_id: str, limit: int) -> int:
+        """Return the part of a limit that this daemon may use."""
+
+    def add_contributor(self, contributor: HeartbeatPart) -> None:
+        """Add a contributor to heartbeats."""
+
+
+class BriefsPart(Protocol):
+    """Hold the newest brief of every leaf."""
+
+    def get(self, leaf_id: str) -> UpstreamBrief | None:
+        """Return the newest brief of a leaf."""
+
+
+class UpstreamsPart(Protocol):
+    """Tell the state of leaves."""
+
+    @property
+    def briefs(self) -> BriefsPart:
+        """Return the board of briefs."""
+
+
+class LifecyclePart(Protocol):
+    """Tell the life-cycle state of the daemon."""
+
+    @property
+    def state(self) -> Any:
+        """Return the state."""
+
+    @property
+    def serving(self) -> bool:
+        """Return whether callers are served."""
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_service.py
@@ -0,0 +1,251 @@
+"""Configuration documents of this daemon: load, apply, spread and change."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import cast
+
+from gypsumvane_core.document_change import ChangeAccepted
+from gypsumvane_core.document_change import ChangeOutcome
+from gypsumvane_core.document_change import DocumentChange
+from gypsumvane_core.document_change import DocumentEdit
+from gypsumvane_core.stored_document import decode_stored
+from gypsumvane_daemon.applied_documents import AppliedDocuments
+from gypsumvane_daemon.backoff import Backoff
+from gypsumvane_daemon.document_spread import DocumentSpread
+from gypsumvane_daemon.document_spread import PeerRevision
+from gypsumvane_daemon.document_submission import DOCUMENTS_PREFIX
+from gypsumvane_daemon.document_submission import DocumentSubmission
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_network import PeerNetwork
+from gypsumvane_daemon.store_client import StoreClient
+from gypsumvane_daemon.store_objects import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from random import Random
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.document import Document
+    from gypsumvane_core.document import DocumentCatalogue
+    from gypsumvane_core.messages import Heartbeat
+    from gypsumvane_core.stored_document import RecentChange
+    from gypsumvane_daemon.applied_documents import InForce
+    from gypsumvane_daemon.applied_documents import NameListener
+    from gypsumvane_daemon.daemon_parts import MembershipPart
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.kernel import Kernel
+
+logger = logging.getLogger(__name__)
+
+
+class DocumentService(Service):
+    """Own the applied configuration documents."""
+
+    name = "documents"
+
+    def __init__(self, identity: DaemonIdentity, *, clock: Clock, rng: Random) -> None:
+        self._identity = identity
+        self._clock = clock
+        platform = identity.settings.platform
+        self._pauses = Backoff(
+            rng,
+            first_s=platform.store_pause_first_ms / 1000,
+            max_s=platform.store_pause_max_ms / 1000,
+        )
+        self._applied = AppliedDocuments(clock)
+        self._ready = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        # Digests of peer and own documents at the last fetch from each peer.
+        self._compared: dict[str, tuple[int, int]] = {}
+        self._fetching: set[str] = set()
+        self._membership: MembershipPart | None = None
+        self._store: StoreClient
+        self._peers: PeerNetwork
+        self._spread: DocumentSpread
+        self._submission: DocumentSubmission
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to load; requests of peers are answered from now on."""
+        self._applied.metrics = kernel.get(MetricsService)
+        self._store = kernel.get(StoreClient)
+        self._peers = kernel.get(PeerNetwork)
+        self._spread = DocumentSpread(self._applied, self._peers)
+        self._spread.is_ready = lambda: self.ready
+        self._submission = DocumentSubmission(self._store, self._applied, self._clock)
+        self._store.subscribe(DOCUMENTS_PREFIX, self._on_store_change)
+        membership = kernel.find("membership")
+        if membership is not None:
+            self._membership = cast("MembershipPart", membership)
+            self._membership.add_contributor(self)
+        self._spawn(self._load())
+
+    async def stop(self) -> None:
+        """End all work in progress."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @property
+    def catalogue(self) -> DocumentCatalogue:
+        """Return the documents in force here."""
+        return self._applied.catalogue
+
+    @property
+    def ready(self) -> bool:
+        """Return whether documents were loaded from the store or a peer."""
+        return self._ready.is_set()
+
+    async def wait_ready(self) -> None:
+        """Wait until documents were loaded."""
+        await self._ready.wait()
+
+    def on_change(self, listener: NameListener) -> None:
+        """Call the listener with the name of each document applied."""
+        self._applied.on_change(listener)
+
+    def in_force(self, name: str) -> InForce | None:
+        """Return the revision in force here and since when."""
+        return self._applied.in_force(name)
+
+    async def in_force_everywhere(self, name: str) -> list[PeerRevision]:
+        """Ask all live members which revision they have in force."""
+        own = self._applied.report([name])
+        states = [
+            PeerRevision(vm_id=self._identity.vm_id, state=own[0] if own else None)
+        ]
+        states += await self._spread.in_force(name, self._peers.peer_ids())
+        return self._with_unconnected(states)
+
+    async def submit(self, change: DocumentChange) -> ChangeOutcome:
+        """Change a document; it is pushed to all peers before this returns."""
+        return await self.edit(DocumentEdit.of(change))
+
+    async def edit(self, edit: DocumentEdit) -> ChangeOutcome:
+        """Change a document based on its current body."""
+        outcome = await self._submission.run(edit)
+        if not isinstance(outcome, ChangeAccepted):
+            return outcome
+        document = self.catalogue.get(edit.name)
+        if document is None:
+            return outcome
+        states = await self._spread.push(document, self._peers.peer_ids())
+        reached = {self._identity.vm_id} | {
+            item.vm_id
+            for item in states
+            if item.state is not None and item.state.revision >= outcome.revision
+        }
+        everyone = {item.vm_id for item in self._with_unconnected(states)}
+        return replace(
+            outcome,
+            in_force=sorted(reached),
+            not_reached=sorted(everyone - reached),
+        )
+
+    async def find_change(self, name: str, change_id: str) -> RecentChange | None:
+        """Read whether the store holds a change; raises StoreError."""
+        return await self._submission.find(name, change_id)
+
+    def contribute(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Fill the digest of the applied documents."""
+        heartbeat.document_digest = self.catalogue.digest()
+
+    def receive(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Fetch from a peer whose documents differ."""
+        digests = (heartbeat.document_digest, self.catalogue.digest())
+        if digests[0] == digests[1] or self._compared.get(vm_id) == digests:
+            return
+        if vm_id in self._fetching:
+            return
+        self._fetching.add(vm_id)
+        self._spawn(self._fetch_different(vm_id, heartbeat.document_digest))
+
+    async def _fetch_different(self, vm_id: str, peer_digest: int) -> None:
+        try:
+            result = await self._spread.fetch(vm_id)
+        finally:
+            self._fetching.discard(vm_id)
+        if result.answered:
+            # What still differs now is newer here or was refused.
+            self._compared[vm_id] = (peer_digest, self.catalogue.digest())
+        if result.peer_ready:
+            self._become_ready("peer")
+
+    async def _load(self) -> None:
+        while not self.ready:
+            if await self._load_from_store():
+                self._become_ready("store")
+            elif await self._load_from_peers():
+                self._become_ready("peer")
+            else:
+                await asyncio.sleep(self._pauses.next_s())
+
+    async def _load_from_store(self) -> bool:
+        try:
+            objects = await self._store.list(DOCUMENTS_PREFIX)
+        except StoreError:
+            return False
+        for found in objects:
+            self._apply_stored(found.key, found.value)
+        if len(self.catalogue.revisions()) < len(objects):
+            # Peers may still hold the good revision of a malformed one.
+            await self._load_from_peers()
+        return True
+
+    async def _load_from_peers(self) -> bool:
+        results = await asyncio.gather(
+            *(self._spread.fetch(peer_id) for peer_id in self._peers.peer_ids())
+        )
+        return any(result.peer_ready for result in results)
+
+    def _become_ready(self, source: str) -> None:
+        if not self.ready:
+            self._ready.set()
+            logger.info("documents are loaded", extra={"source": source})
+
+    def _on_store_change(self, key: str, value: bytes | None, version: int) -> None:
+        if value is None:
+            # Documents are never deleted; what is in force stays in force.
+            self._applied.count_malformed(key, source="store", problem="deleted")
+            return
+        document = self._apply_stored(key, value)
+        if document is not None:
+            self._spawn(self._push(document))
+
+    def _apply_stored(self, key: str, value: bytes) -> Document | None:
+        """Return the document when it was newer than the applied one."""
+        name = key.removeprefix(DOCUMENTS_PREFIX)
+        try:
+            document = decode_stored(value).document()
+        except ValueError as error:
+            self._applied.count_malformed(key, source="store", problem=str(error))
+            return None
+        if document.name != name:
+            problem = f"holds document {document.name}"
+            self._applied.count_malformed(key, source="store", problem=problem)
+            return None
+        return document if self._applied.apply(document, source="store") else None
+
+    async def _push(self, document: Document) -> None:
+        await self._spread.push(document, self._peers.peer_ids())
+
+    def _with_unconnected(self, states: list[PeerRevision]) -> list[PeerRevision]:
+        """Add the live members that are not configured as peers."""
+        if self._membership is None:
+            return states
+        asked = {item.vm_id for item in states} | {self._identity.vm_id}
+        return states + [
+            PeerRevision(vm_id=member.vm_id, state=None)
+            for member in self._membership.live_members()
+            if member.vm_id not in asked
+        ]
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_spread.py
@@ -0,0 +1,136 @@
+"""Documents between daemons: push, fetch and where they are in force."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.messages import DocumentCopy
+from gypsumvane_core.messages import DocumentPush
+from gypsumvane_core.messages import DocumentPushReply
+from gypsumvane_core.messages import DocumentRevision
+from gypsumvane_core.messages import DocumentsReply
+from gypsumvane_core.messages import DocumentsRequest
+from gypsumvane_daemon.applied_documents import copy_of
+from gypsumvane_daemon.applied_documents import document_of
+from gypsumvane_daemon.peer_codec import FrameError
+from gypsumvane_daemon.peer_network import PeerError
+from gypsumvane_daemon.peer_network import PeerNetwork
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.document import Document
+    from gypsumvane_daemon.applied_documents import AppliedDocuments
+    from gypsumvane_daemon.peer_network import PeerContext
+
+REQUEST_TIMEOUT_S = 1.0
+REPLY_BYTES_MAX = 256 << 10
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRevision:
+    """Tell the revision in force on a VM; None when it was not reached."""
+
+    vm_id: str
+    state: DocumentRevision | None
+
+
+@dataclass(frozen=True, slots=True)
+class FetchResult:
+    """Tell how a fetch ended."""
+
+    answered: bool
+    peer_ready: bool
+
+
+class DocumentSpread:
+    """Exchange documents with peers."""
+
+    def __init__(self, applied: AppliedDocuments, peers: PeerNetwork) -> None:
+        self._applied = applied
+        self._peers = peers
+        self.is_ready: Callable[[], bool] = lambda: False
+        peers.register(DocumentPush, self._on_push)
+        peers.register(DocumentsRequest, self._on_request)
+
+    async def push(self, document: Document, peer_ids: list[str]) -> list[PeerRevision]:
+        """Send a document to peers and return what each has in force."""
+        return await self._ask(copy_of(document), peer_ids)
+
+    async def in_force(self, name: str, peer_ids: list[str]) -> list[PeerRevision]:
+        """Ask peers which revision they have in force."""
+        # Revision 0 is never newer, so this push only asks.
+        return await self._ask(DocumentCopy(name=name), peer_ids)
+
+    async def fetch(self, peer_id: str) -> FetchResult:
+        """Apply all documents that a peer has newer."""
+        # Includes what was refused here, so that it is not sent twice.
+        seen = self._applied.catalogue.revisions()
+        while True:
+            reply = await self._request(peer_id, seen)
+            if reply is None:
+                return FetchResult(answered=False, peer_ready=False)
+            for copy in reply.documents:
+                self._applied.apply(document_of(copy), source="peer")
+                seen[copy.name] = max(copy.revision, seen.get(copy.name, 0))
+            if not reply.more or not reply.documents:
+                return FetchResult(answered=True, peer_ready=reply.ready)
+
+    async def _request(
+        self, peer_id: str, seen: dict[str, int]
+    ) -> DocumentsReply | None:
+        known = [
+            DocumentRevision(name=name, revision=revision)
+            for name, revision in seen.items()
+        ]
+        try:
+            reply = await self._peers.request(
+                peer_id, DocumentsRequest(known=known), timeout_s=REQUEST_TIMEOUT_S
+            )
+        except (PeerError, FrameError):
+            return None
+        return reply if isinstance(reply, DocumentsReply) else None
+
+    async def _ask(self, copy: DocumentCopy, peer_ids: list[str]) -> list[PeerRevision]:
+        return await asyncio.gather(*(self._ask_one(copy, p) for p in peer_ids))
+
+    async def _ask_one(self, copy: DocumentCopy, peer_id: str) -> PeerRevision:
+        hello = self._peers.hello_of(peer_id)
+        vm_id = peer_id if hello is None else hello.vm_id
+        push = DocumentPush(documents=[copy])
+        try:
+            reply = await self._peers.request(
+                peer_id, push, timeout_s=REQUEST_TIMEOUT_S
+            )
+        except (PeerError, FrameError):
+            return PeerRevision(vm_id=vm_id, state=None)
+        known = reply.known if isinstance(reply, DocumentPushReply) else []
+        for state in known:
+            if state.name == copy.name:
+                return PeerRevision(vm_id=vm_id, state=state)
+        return PeerRevision(vm_id=vm_id, state=DocumentRevision(name=copy.name))
+
+    async def _on_push(
+        self, push: DocumentPush, context: PeerContext
+    ) -> DocumentPushReply:
+        for copy in push.documents:
+            if copy.revision > 0:
+                self._applied.apply(document_of(copy), source="peer")
+        names = [copy.name for copy in push.documents]
+        return DocumentPushReply(known=self._applied.report(names))
+
+    async def _on_request(
+        self, request: DocumentsRequest, context: PeerContext
+    ) -> DocumentsReply:
+        known = {item.name: item.revision for item in request.known}
+        reply = DocumentsReply(ready=self.is_ready())
+        size_bytes = 0
+        for document in self._applied.catalogue.newer_than(known):
+            size_bytes += len(document.body)
+            if reply.documents and size_bytes > REPLY_BYTES_MAX:
+                reply.more = True
+                break
+            reply.documents.append(copy_of(document))
+        return reply
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
@@ -51,6 +51,10 @@
             raise LookupError(f"no service named {service_class.name}")
         return service
 
+    def find(self, name: str) -> Service | None:
+        """Return the service of this name, None when there is none."""
+        return self._services.get(name)
+
     async def start(self) -> None:
         """Start all services; stop the started ones when one fails."""
         for service in self._services.values():
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -87,6 +87,8 @@
 struct DocumentRevision {
   name @0 :Text;
   revision @1 :Int64;
+  changeId @2 :Text;
+  inForceSinceUnixMs @3 :Int64;
 }
 
 struct DocumentCopy {
@@ -105,6 +107,8 @@
 
 struct DocumentsReply {
   documents @0 :List(DocumentCopy);
+  ready @1 :Bool;
+  more @2 :Bool;
 }
 
 struct DocumentPush {
