--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_answers.py
@@ -0,0 +1,63 @@
+"""JSON answers of the operators' interface."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp.web import Response
+from aiohttp.web import json_response
+
+from gypsumvane_core.document_change import ChangeAccepted
+from gypsumvane_core.document_change import ChangeConflict
+from gypsumvane_core.document_change import ChangeInvalid
+from gypsumvane_core.document_change import ChangeOutcome
+from gypsumvane_core.document_change import ChangeUnavailable
+from gypsumvane_core.document_change import ChangeUnknown
+
+if TYPE_CHECKING:
+    from gypsumvane_core.document import Document
+    from gypsumvane_daemon.applied_documents import InForce
+    from gypsumvane_daemon.document_spread import PeerRevision
+
+_OUTCOMES: dict[type, tuple[int, str]] = {
+    ChangeAccepted: (200, "accepted"),
+    ChangeConflict: (409, "conflict"),
+    ChangeUnknown: (504, "unknown"),
+    ChangeUnavailable: (503, "unavailable"),
+    ChangeInvalid: (400, "invalid"),
+}
+
+
+def change_response(outcome: ChangeOutcome) -> Response:
+    """Return the outcome of a change."""
+    status, kind = _OUTCOMES[type(outcome)]
+    return json_response({"outcome": kind, **asdict(outcome)}, status=status)
+
+
+def document_head(document: Document, in_force: InForce | None) -> dict[str, Any]:
+    """Return a document without its body."""
+    return {
+        "name": document.name,
+        "revision": document.revision,
+        "change_id": document.change_id,
+        "author": document.author,
+        "reason": document.reason,
+        "accepted_unix_ms": document.accepted_unix_ms,
+        "in_force_since_unix_ms": 0 if in_force is None else in_force.since_unix_ms,
+    }
+
+
+def revision_json(item: PeerRevision) -> dict[str, Any]:
+    """Return where a revision is in force."""
+    state = item.state
+    if state is None:
+        return {"vm_id": item.vm_id, "reached": False}
+    return {
+        "vm_id": item.vm_id,
+        "reached": True,
+        "revision": state.revision,
+        "change_id": state.change_id,
+        "in_force_since_unix_ms": state.in_force_since_unix_ms,
+    }
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
@@ -0,0 +1,92 @@
+"""The operators' HTTP listener."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING
+
+from aiohttp.web import Application
+from aiohttp.web import AppRunner
+from aiohttp.web import StreamResponse
+from aiohttp.web import TCPSite
+from aiohttp.web import middleware
+
+from gypsumvane_daemon.document_service import DocumentService
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.operator_documents import DocumentRoutes
+from gypsumvane_daemon.operator_errors import answer_errors
+from gypsumvane_daemon.operator_errors import error_response
+from gypsumvane_daemon.operator_errors import missing_part
+from gypsumvane_daemon.operator_moves import MoveRoutes
+from gypsumvane_daemon.operator_status import StatusRoutes
+from gypsumvane_daemon.settings import split_address
+from gypsumvane_daemon.tls import server_context
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from aiohttp.web import Request
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.kernel import Kernel
+
+BODY_BYTES_MAX = 2 << 20
+STOP_TIMEOUT_S = 5.0
+
+
+class OperatorApi(Service):
+    """Serve operators who know the token."""
+
+    name = "operators"
+
+    def __init__(self, identity: DaemonIdentity, *, clock: Clock) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._expected = f"Bearer {identity.settings.operators.token}".encode()
+        self._runner: AppRunner | None = None
+        self._kernel: Kernel
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for operators."""
+        self._kernel = kernel
+        app = Application(
+            middlewares=[answer_errors, self._require_token],
+            client_max_size=BODY_BYTES_MAX,
+        )
+        DocumentRoutes(self._documents, self._clock).add_to(app.router)
+        MoveRoutes(self._documents).add_to(app.router)
+        StatusRoutes(self._identity, kernel).add_to(app.router)
+        self._runner = AppRunner(app, access_log=None, shutdown_timeout=STOP_TIMEOUT_S)
+        await self._runner.setup()
+        settings = self._identity.settings.operators
+        host, port = split_address(settings.address)
+        site = TCPSite(
+            self._runner, host, port, ssl_context=server_context(settings.tls)
+        )
+        await site.start()
+        bound_port = self._runner.addresses[0][1]
+        bound = f"{host}:{bound_port}"
+        self._identity.operator_address = settings.advertised_address or bound
+
+    async def stop(self) -> None:
+        """Finish the requests in progress and close the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @middleware
+    async def _require_token(
+        self, request: Request, handler: Callable[[Request], Awaitable[StreamResponse]]
+    ) -> StreamResponse:
+        header = request.headers.get("Authorization", "")
+        offered = header.encode("utf-8", "surrogateescape")
+        if not hmac.compare_digest(offered, self._expected):
+            return error_response(401, "unauthorized", "the bearer token is wrong")
+        return await handler(request)
+
+    def _documents(self) -> DocumentService:
+        try:
+            return self._kernel.get(DocumentService)
+        except LookupError as error:
+            raise missing_part(DocumentService.name) from error
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_errors.py
@@ -0,0 +1,73 @@
+"""Typed errors of the operators' interface."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from aiohttp.web import HTTPException
+from aiohttp.web import Response
+from aiohttp.web import StreamResponse
+from aiohttp.web import json_response
+from aiohttp.web import middleware
+from pydantic import BaseModel
+from pydantic import ValidationError
+
+from gypsumvane_daemon.document_submission import plain_error
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from aiohttp.web import Request
+
+logger = logging.getLogger(__name__)
+
+ModelType = TypeVar("ModelType", bound=BaseModel)
+
+
+class OperatorError(Exception):
+    """Report a request that was not carried out."""
+
+    def __init__(self, status: int, outcome: str, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.outcome = outcome
+
+
+def missing_part(name: str) -> OperatorError:
+    """Return the error for a service that this daemon does not run."""
+    return OperatorError(
+        503, "part_unavailable", f"this daemon runs no service named {name}"
+    )
+
+
+def error_response(status: int, outcome: str, message: str) -> Response:
+    """Return an error as JSON."""
+    return json_response({"outcome": outcome, "message": message}, status=status)
+
+
+@middleware
+async def answer_errors(
+    request: Request, handler: Callable[[Request], Awaitable[StreamResponse]]
+) -> StreamResponse:
+    """Turn exceptions into typed JSON."""
+    try:
+        return await handler(request)
+    except OperatorError as error:
+        return error_response(error.status, error.outcome, str(error))
+    except HTTPException as error:
+        outcome = "not_found" if error.status == 404 else "bad_request"
+        return error_response(error.status, outcome, error.reason)
+    except Exception:
+        logger.exception("operator request failed", extra={"path": request.path})
+        return error_response(500, "internal_error", "the daemon has a fault")
+
+
+async def read_model(request: Request, model: type[ModelType]) -> ModelType:
+    """Return the validated JSON body."""
+    try:
+        return model.model_validate_json(await request.read())
+    except ValidationError as error:
+        raise OperatorError(400, "invalid", plain_error(error)) from error
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_models.py
@@ -0,0 +1,50 @@
+"""Bodies of requests of the operators' interface."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import Any
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+
+from gypsumvane_core.document_models import Name
+from gypsumvane_core.document_models import WrittenReason
+
+ChangeId = Annotated[str, Field(min_length=1, max_length=128)]
+
+
+class ReasonedChange(BaseModel):
+    """Name who changes something and why."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    change_id: ChangeId
+    author: Annotated[str, Field(min_length=1, max_length=128)] = "operator"
+    reason: WrittenReason
+
+
+class DocumentPut(ReasonedChange):
+    """Replace a document at an expected revision; 0 creates it."""
+
+    expected_revision: Annotated[int, Field(ge=0)]
+    body: dict[str, Any]
+
+
+class MoveStart(ReasonedChange):
+    """Schedule a version move."""
+
+    move_id: Name
+    from_version: Name
+    to_version: Name
+    start_unix_s: float
+    complete_by_unix_s: float
+    canary_share: Annotated[float, Field(gt=0, le=0.5)] | None = None
+
+
+class MoveTakeBack(ReasonedChange):
+    """Take a version move back."""
+
+    # Empty: whichever move is current.
+    move_id: str = ""
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
@@ -0,0 +1,124 @@
+"""Operators' requests about version moves."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp.web import Response
+from aiohttp.web import json_response
+from xxhash import xxh64_hexdigest
+
+from gypsumvane_core.document import MOVE_PREFIX
+from gypsumvane_core.document_change import DocumentEdit
+from gypsumvane_core.document_edits import start_move
+from gypsumvane_core.document_edits import take_back_move
+from gypsumvane_core.document_models import MoveDocument
+from gypsumvane_daemon.document_submission import plain_error
+from gypsumvane_daemon.operator_answers import change_response
+from gypsumvane_daemon.operator_answers import document_head
+from gypsumvane_daemon.operator_answers import revision_json
+from gypsumvane_daemon.operator_errors import OperatorError
+from gypsumvane_daemon.operator_errors import read_model
+from gypsumvane_daemon.operator_models import MoveStart
+from gypsumvane_daemon.operator_models import MoveTakeBack
+from gypsumvane_daemon.operator_models import ReasonedChange
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp.web import Request
+    from aiohttp.web import UrlDispatcher
+
+    from gypsumvane_daemon.document_service import DocumentService
+
+
+class MoveRoutes:
+    """Start, show and take back version moves."""
+
+    def __init__(self, documents: Callable[[], DocumentService]) -> None:
+        self._documents = documents
+
+    def add_to(self, router: UrlDispatcher) -> None:
+        """Add the routes."""
+        router.add_get("/v1/moves", self._list)
+        router.add_get("/v1/moves/{index}", self._show)
+        router.add_post("/v1/moves/{index}/start", self._start)
+        router.add_post("/v1/moves/{index}/take-back", self._take_back)
+
+    async def _list(self, request: Request) -> Response:
+        moves = self._documents().catalogue.moves()
+        return json_response(
+            {"moves": [move.model_dump(mode="json") for move in moves]}
+        )
+
+    async def _show(self, request: Request) -> Response:
+        name = MOVE_PREFIX + request.match_info["index"]
+        documents = self._documents()
+        document = documents.catalogue.get(name)
+        if document is None:
+            raise OperatorError(404, "not_found", f"there is no document {name}")
+        move = MoveDocument.model_validate_json(document.body)
+        states = await documents.in_force_everywhere(name)
+        answer: dict[str, Any] = {
+            "document": document_head(document, documents.in_force(name)),
+            "move": move.model_dump(mode="json"),
+            "vms": [revision_json(item) for item in states],
+        }
+        return json_response(answer)
+
+    async def _start(self, request: Request) -> Response:
+        index = request.match_info["index"]
+        start = await read_model(request, MoveStart)
+        documents = self._documents()
+        share = start.canary_share
+        if share is None:
+            share = documents.catalogue.fleet().policy(index=index).canary_share
+        try:
+            move = MoveDocument(
+                move_id=start.move_id,
+                index=index,
+                from_version=start.from_version,
+                to_version=start.to_version,
+                start_unix_s=start.start_unix_s,
+                complete_by_unix_s=start.complete_by_unix_s,
+                canary_share=share,
+            )
+        except ValueError as error:
+            raise OperatorError(400, "invalid", plain_error(error)) from error
+        return await self._edit(
+            index,
+            start,
+            request_text=start.model_dump_json(),
+            produce=partial(start_move, move=move),
+        )
+
+    async def _take_back(self, request: Request) -> Response:
+        take_back = await read_model(request, MoveTakeBack)
+        return await self._edit(
+            request.match_info["index"],
+            take_back,
+            request_text=take_back.model_dump_json(),
+            produce=partial(
+                take_back_move, move_id=take_back.move_id, reason=take_back.reason
+            ),
+        )
+
+    async def _edit(
+        self,
+        index: str,
+        change: ReasonedChange,
+        *,
+        request_text: str,
+        produce: Callable[[bytes | None], bytes],
+    ) -> Response:
+        edit = DocumentEdit(
+            name=MOVE_PREFIX + index,
+            change_id=change.change_id,
+            author=change.author,
+            reason=change.reason,
+            fingerprint=xxh64_hexdigest(request_text.encode()),
+            produce=produce,
+        )
+        return change_response(await self._documents().edit(edit))
