--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/change_flags.py
@@ -0,0 +1,64 @@
+"""Flags and output that all commands that change something share."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+from typing import Any
+
+from absl import flags
+
+from gypsumvane_cli.command import require_success
+from gypsumvane_cli.errors import invalid
+
+if TYPE_CHECKING:
+    from absl.flags import FlagValues
+
+    from gypsumvane_cli.command import CommandContext
+    from gypsumvane_cli.operator_client import Answer
+    from gypsumvane_cli.operator_client import ChangeRequest
+
+REASON_LENGTH_MIN = 3
+
+
+def define_change_flags(values: FlagValues) -> None:
+    """Define the flags of a change."""
+    flags.DEFINE_string("reason", "", "why the change is made", flag_values=values)
+    flags.DEFINE_string(
+        "change_id",
+        "",
+        "identifier of the change; give the one of an earlier attempt to make "
+        "sure that the change is made once",
+        flag_values=values,
+    )
+
+
+def change_fields(context: CommandContext) -> dict[str, Any]:
+    """Return the fields of a change; raises CommandError without a reason."""
+    reason = context.flag("reason").strip()
+    if len(reason) < REASON_LENGTH_MIN:
+        raise invalid("--reason is missing or too short")
+    return {
+        "change_id": context.flag("change_id") or secrets.token_hex(12),
+        "author": context.author,
+        "reason": reason,
+    }
+
+
+async def send_change(request: ChangeRequest, context: CommandContext) -> None:
+    """Send a change and print where it is in force."""
+    answer = await context.client.change(request)
+    require_success(answer)
+    context.output.show(answer.body, *_lines(request, answer))
+
+
+def _lines(request: ChangeRequest, answer: Answer) -> list[str]:
+    body = answer.body
+    lines = [
+        f"{request.document}: revision {body.get('revision')} accepted "
+        f"(change {request.change_id})"
+    ]
+    if "in_force" in body:
+        lines.append(f"in force: {' '.join(body['in_force']) or '-'}")
+        lines.append(f"not reached: {' '.join(body['not_reached']) or '-'}")
+    return lines
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/command.py
@@ -0,0 +1,81 @@
+"""The base class of all commands."""
+
+from __future__ import annotations
+
+from abc import ABC
+from abc import abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+
+from gypsumvane_cli.errors import CommandError
+from gypsumvane_cli.errors import invalid
+from gypsumvane_cli.exit_code import ExitCode
+
+if TYPE_CHECKING:
+    from absl.flags import FlagValues
+
+    from gypsumvane_cli.operator_client import Answer
+    from gypsumvane_cli.operator_client import OperatorClient
+    from gypsumvane_cli.output import Output
+
+_CODES = {
+    "conflict": ExitCode.CONFLICT,
+    "invalid": ExitCode.INVALID,
+    "bad_request": ExitCode.INVALID,
+    "unknown": ExitCode.MAY_BE_ACCEPTED,
+}
+
+
+@dataclass(slots=True)
+class CommandContext:
+    """Carry what a command works with."""
+
+    client: OperatorClient
+    output: Output
+    flags: FlagValues
+    author: str
+
+    def flag(self, name: str) -> Any:
+        """Return the value of a flag."""
+        return self.flags[name].value
+
+
+class Command(ABC):
+    """Carry out one command."""
+
+    # Words of the command, for example "config set".
+    words: ClassVar[str]
+    # Names of the positional arguments.
+    arguments: ClassVar[tuple[str, ...]] = ()
+    summary: ClassVar[str]
+
+    def define_flags(self, values: FlagValues) -> None:
+        """Define the flags of this command."""
+        return
+
+    @abstractmethod
+    async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
+        """Carry the command out and return its exit code."""
+
+    def check_arguments(self, arguments: list[str]) -> None:
+        """Raise CommandError when the number of arguments is wrong."""
+        if len(arguments) != len(self.arguments):
+            raise invalid(f"usage: gypsumvane {self.usage()}")
+
+    def usage(self) -> str:
+        """Return the words and arguments."""
+        return " ".join([self.words, *self.arguments])
+
+
+def require_success(answer: Answer) -> None:
+    """Raise CommandError unless the answer is a success."""
+    if answer.status < 400:
+        return
+    code = _CODES.get(answer.outcome, ExitCode.NOT_ACCEPTED)
+    if answer.outcome == "conflict":
+        author = answer.body.get("author") or "another operator"
+        revision = answer.body.get("revision")
+        raise CommandError(code, f"conflict: {author} made revision {revision}")
+    raise CommandError(code, f"{answer.outcome}: {answer.message}")
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Commands, one class per file."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/config_show.py
@@ -0,0 +1,62 @@
+"""Show configuration documents."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from gypsumvane_cli.command import Command
+from gypsumvane_cli.command import require_success
+from gypsumvane_cli.errors import invalid
+from gypsumvane_cli.exit_code import ExitCode
+
+if TYPE_CHECKING:
+    from gypsumvane_cli.command import CommandContext
+
+COLUMNS = ("name", "revision", "author", "reason", "change_id")
+
+
+class ConfigShow(Command):
+    """Show all documents, or one with its body and where it is in force."""
+
+    words = "config show"
+    arguments = ("[NAME]",)
+    summary = "show documents, or one with its body and where it is in force"
+
+    def check_arguments(self, arguments: list[str]) -> None:
+        """Accept no or one name."""
+        if len(arguments) > 1:
+            raise invalid(f"usage: gypsumvane {self.usage()}")
+
+    async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
+        """Print the documents."""
+        if not arguments:
+            answer = await context.client.read("/v1/documents")
+            require_success(answer)
+            rows = answer.body["documents"]
+            context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
+            return ExitCode.DONE
+        await self._show_one(arguments[0], context)
+        return ExitCode.DONE
+
+    async def _show_one(self, name: str, context: CommandContext) -> None:
+        path = quote(name)
+        answer = await context.client.read(f"/v1/documents/{path}")
+        require_success(answer)
+        in_force = await context.client.read(f"/v1/in-force/{path}")
+        require_success(in_force)
+        body = answer.body
+        context.output.show(
+            {**body, "vms": in_force.body["vms"]},
+            f"{name}: revision {body['revision']} by {body['author']} "
+            f"({body['reason']}), change {body['change_id']}",
+            json.dumps(body["body"], indent=2),
+            *(_vm_line(item) for item in in_force.body["vms"]),
+        )
+
+
+def _vm_line(item: dict[str, object]) -> str:
+    if not item["reached"]:
+        return f"{item['vm_id']}: not reached"
+    return f"{item['vm_id']}: revision {item['revision']} in force"
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/document_file.py
@@ -0,0 +1,44 @@
+"""Documents in local files."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from pydantic import ValidationError
+
+from gypsumvane_cli.errors import invalid
+from gypsumvane_core.document import parse_body
+
+
+def read_document_file(name: str, file: str) -> dict[str, Any]:
+    """Return the body in a JSON or TOML file.
+
+    Raises CommandError when it is not a valid document of this name.
+    """
+    path = Path(file)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise invalid(f"{file}: cannot read: {error}") from error
+    try:
+        body = tomllib.loads(text) if path.suffix == ".toml" else json.loads(text)
+    except ValueError as error:
+        raise invalid(f"{file}: not valid {path.suffix or 'JSON'}: {error}") from error
+    if not isinstance(body, dict):
+        raise invalid(f"{file}: not a JSON object")
+    try:
+        parse_body(name, json.dumps(body).encode())
+    except ValidationError as error:
+        raise invalid(f"{file}: {_first_problem(error)}") from error
+    except (TypeError, ValueError) as error:
+        raise invalid(f"{file}: {error}") from error
+    return body
+
+
+def _first_problem(error: ValidationError) -> str:
+    first = error.errors()[0]
+    key = ".".join(str(part) for part in first["loc"]) or "document"
+    return f"key {key}: {first['msg']}"
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/errors.py
@@ -0,0 +1,18 @@
+"""Errors that end a command."""
+
+from __future__ import annotations
+
+from gypsumvane_cli.exit_code import ExitCode
+
+
+class CommandError(Exception):
+    """End a command with a message and an exit code."""
+
+    def __init__(self, code: ExitCode, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+def invalid(message: str) -> CommandError:
+    """Return the error for a usage mistake or invalid input."""
+    return CommandError(ExitCode.INVALID, message)
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/options.py
@@ -0,0 +1,105 @@
+"""Flags that every command has."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from absl import flags
+
+from gypsumvane_cli.errors import invalid
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from absl.flags import FlagValues
+
+TOKEN_VARIABLE = "GYPSUMVANE_TOKEN"
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Tell where and how to reach the daemons."""
+
+    addresses: list[str]
+    token: str
+    output: str
+    timeout_s: float
+    tls_authority_file: str = ""
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
+
+
+def define_options(values: FlagValues) -> None:
+    """Define the flags that every command has."""
+    flags.DEFINE_multi_string(
+        "operator_address",
+        [],
+        "host:port of a daemon's operators' listener; repeat for several, "
+        "which are tried in order",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "token_file",
+        "",
+        f"file with the token; the variable {TOKEN_VARIABLE} is used without it",
+        flag_values=values,
+    )
+    flags.DEFINE_enum(
+        "output", "table", ["table", "json"], "form of the output", flag_values=values
+    )
+    flags.DEFINE_float(
+        "timeout_s",
+        10.0,
+        "time to wait for each answer",
+        lower_bound=0.1,
+        flag_values=values,
+    )
+    for name, text in (
+        ("tls_authority_file", "trusted authority; switches to HTTPS"),
+        ("tls_certificate_file", "certificate of the operator"),
+        ("tls_key_file", "key of the operator's certificate"),
+    ):
+        flags.DEFINE_string(name, "", text, flag_values=values)
+
+
+def read_options(values: FlagValues, environment: Mapping[str, str]) -> Options:
+    """Return the options; raises CommandError when one is missing."""
+    chosen: dict[str, Any] = values.flag_values_dict()
+    addresses = [
+        address
+        for item in chosen["operator_address"]
+        for address in item.split(",")
+        if address
+    ]
+    if not addresses:
+        raise invalid("--operator_address is missing")
+    return Options(
+        addresses=addresses,
+        token=_read_token(chosen["token_file"], environment),
+        output=chosen["output"],
+        timeout_s=chosen["timeout_s"],
+        tls_authority_file=chosen["tls_authority_file"],
+        tls_certificate_file=chosen["tls_certificate_file"],
+        tls_key_file=chosen["tls_key_file"],
+    )
+
+
+def _read_token(path: str, environment: Mapping[str, str]) -> str:
+    if not path:
+        token = environment.get(TOKEN_VARIABLE, "")
+        if not token:
+            raise invalid(f"neither --token_file nor {TOKEN_VARIABLE} is set")
+        return token
+    try:
+        return Path(path).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise invalid(f"{path}: cannot read the token: {error}") from error
+
+
+def current_user() -> str:
+    """Return the author that is recorded with a change."""
+    return os.environ.get("USER") or os.environ.get("LOGNAME") or "operator"
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/output.py
@@ -0,0 +1,62 @@
+"""Output as tables or JSON."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TextIO
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+class Output:
+    """Print values in the form that the operator chose."""
+
+    def __init__(self, stream: TextIO, *, form: str) -> None:
+        self._stream = stream
+        self._form = form
+
+    def show(self, value: dict[str, Any], *lines: str) -> None:
+        """Print a value as JSON, or the lines."""
+        if self._form == "json":
+            self._print(json.dumps(value, indent=2, sort_keys=True))
+            return
+        for line in lines:
+            self._print(line)
+
+    def show_table(
+        self,
+        value: dict[str, Any],
+        *,
+        columns: Sequence[str],
+        rows: Sequence[dict[str, Any]],
+    ) -> None:
+        """Print a value as JSON, or some of its rows as a table."""
+        self.show(value, *_table(columns, rows))
+
+    def _print(self, line: str) -> None:
+        print(line, file=self._stream)
+
+
+def _table(columns: Sequence[str], rows: Sequence[dict[str, Any]]) -> list[str]:
+    cells = [list(columns)]
+    cells += [[_cell(row.get(column)) for column in columns] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
+    return [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in cells
+    ]
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, dict | list):
+        return json.dumps(value)
+    return str(value)
