Report documents in force by live member

Peers of the network may be seeds or former members. Outcomes name live members when there is a view, and a fetch finds the seed that a VM answers for. The fingerprint of a move names the move only, so that a repeated start with another start time is the same change. The client is tested against the real listener.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/daemon_parts.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/daemon_parts.py
@@ -11,9 +11,21 @@
 from typing import Protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from gypsumvane_core.messages import Heartbeat
     from gypsumvane_core.messages import Member
     from gypsumvane_core.messages import UpstreamBrief
+    from gypsumvane_daemon.kernel import Kernel
+    from gypsumvane_daemon.kernel import Service
+
+
+def find_part(kernel: Kernel, name: str) -> Service | None:
+    """Return a service by name, None when this daemon runs none."""
+    try:
+        return kernel.find(name)
+    except LookupError:
+        return None
 
 
 class HeartbeatPart(Protocol):
@@ -26,11 +38,23 @@
         """Read the fields of a heartbeat from a VM."""
 
 
+class ViewPart(Protocol):
+    """Hold one epoch of the membership."""
+
+    @property
+    def epoch(self) -> int:
+        """Return the number of the view."""
+
+    @property
+    def members(self) -> Sequence[Member]:
+        """Return all members."""
+
+
 class MembershipPart(Protocol):
     """Tell members, homes and authority."""
 
     @property
-    def view(self) -> Any:
+    def view(self) -> ViewPart | None:
         """Return the current view, None without one."""
 
     def live_members(self) -> list[Member]:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_service.py
@@ -15,6 +15,7 @@
 from gypsumvane_core.stored_document import decode_stored
 from gypsumvane_daemon.applied_documents import AppliedDocuments
 from gypsumvane_daemon.backoff import Backoff
+from gypsumvane_daemon.daemon_parts import find_part
 from gypsumvane_daemon.document_spread import DocumentSpread
 from gypsumvane_daemon.document_spread import PeerRevision
 from gypsumvane_daemon.document_submission import DOCUMENTS_PREFIX
@@ -78,7 +79,7 @@
         self._spread.is_ready = lambda: self.ready
         self._submission = DocumentSubmission(self._store, self._applied, self._clock)
         self._store.subscribe(DOCUMENTS_PREFIX, self._on_store_change)
-        membership = kernel.find("membership")
+        membership = find_part(kernel, "membership")
         if membership is not None:
             self._membership = cast("MembershipPart", membership)
             self._membership.add_contributor(self)
@@ -120,7 +121,7 @@
             PeerRevision(vm_id=self._identity.vm_id, state=own[0] if own else None)
         ]
         states += await self._spread.in_force(name, self._peers.peer_ids())
-        return self._with_unconnected(states)
+        return self._of_live_members(states)
 
     async def submit(self, change: DocumentChange) -> ChangeOutcome:
         """Change a document; it is pushed to all peers before this returns."""
@@ -140,11 +141,11 @@
             for item in states
             if item.state is not None and item.state.revision >= outcome.revision
         }
-        everyone = {item.vm_id for item in self._with_unconnected(states)}
+        expected = {item.vm_id for item in self._of_live_members(states)}
         return replace(
             outcome,
             in_force=sorted(reached),
-            not_reached=sorted(everyone - reached),
+            not_reached=sorted(expected - reached),
         )
 
     async def find_change(self, name: str, change_id: str) -> RecentChange | None:
@@ -167,7 +168,7 @@
 
     async def _fetch_different(self, vm_id: str, peer_digest: int) -> None:
         try:
-            result = await self._spread.fetch(vm_id)
+            result = await self._spread.fetch(self._spread.peer_of(vm_id))
         finally:
             self._fetching.discard(vm_id)
         if result.answered:
@@ -234,15 +235,16 @@
     async def _push(self, document: Document) -> None:
         await self._spread.push(document, self._peers.peer_ids())
 
-    def _with_unconnected(self, states: list[PeerRevision]) -> list[PeerRevision]:
-        """Add the live members that are not configured as peers."""
-        if self._membership is None:
-            return states
-        asked = {item.vm_id for item in states} | {self._identity.vm_id}
-        return states + [
-            PeerRevision(vm_id=member.vm_id, state=None)
-            for member in self._membership.live_members()
-            if member.vm_id not in asked
+    def _of_live_members(self, states: list[PeerRevision]) -> list[PeerRevision]:
+        """Return one state for each live member, without a view for each peer."""
+        by_vm = {item.vm_id: item for item in states}
+        members = [] if self._membership is None else self._membership.live_members()
+        if not members:
+            return list(by_vm.values())
+        vm_ids = {member.vm_id for member in members} | {self._identity.vm_id}
+        return [
+            by_vm.get(vm_id, PeerRevision(vm_id=vm_id, state=None))
+            for vm_id in sorted(vm_ids)
         ]
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_spread.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_spread.py
@@ -78,6 +78,14 @@
             if not reply.more or not reply.documents:
                 return FetchResult(answered=True, peer_ready=reply.ready)
 
+    def peer_of(self, vm_id: str) -> str:
+        """Return the peer identifier of a VM, which may be a seed."""
+        for peer_id in self._peers.peer_ids():
+            hello = self._peers.hello_of(peer_id)
+            if hello is not None and hello.vm_id == vm_id:
+                return peer_id
+        return vm_id
+
     async def _request(
         self, peer_id: str, seen: dict[str, int]
     ) -> DocumentsReply | None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
@@ -51,9 +51,15 @@
             raise LookupError(f"no service named {service_class.name}")
         return service
 
-    def find(self, name: str) -> Service | None:
-        """Return the service of this name, None when there is none."""
-        return self._services.get(name)
+    def find(self, name: str) -> Service:
+        """Return the service of this name, for use through a protocol.
+
+        Raises LookupError when there is none.
+        """
+        service = self._services.get(name)
+        if service is None:
+            raise LookupError(f"no service named {name}")
+        return service
 
     async def start(self) -> None:
         """Start all services; stop the started ones when one fails."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
@@ -90,7 +90,7 @@
         return await self._edit(
             index,
             start,
-            request_text=start.model_dump_json(),
+            action=f"start:{start.move_id}",
             produce=partial(start_move, move=move),
         )
 
@@ -99,7 +99,7 @@
         return await self._edit(
             request.match_info["index"],
             take_back,
-            request_text=take_back.model_dump_json(),
+            action=f"take-back:{take_back.move_id}",
             produce=partial(
                 take_back_move, move_id=take_back.move_id, reason=take_back.reason
             ),
@@ -110,7 +110,7 @@
         index: str,
         change: ReasonedChange,
         *,
-        request_text: str,
+        action: str,
         produce: Callable[[bytes | None], bytes],
     ) -> Response:
         edit = DocumentEdit(
@@ -118,7 +118,7 @@
             change_id=change.change_id,
             author=change.author,
             reason=change.reason,
-            fingerprint=xxh64_hexdigest(request_text.encode()),
+            fingerprint=xxh64_hexdigest(action.encode()),
             produce=produce,
         )
         return change_response(await self._documents().edit(edit))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_status.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_status.py
@@ -10,6 +10,7 @@
 from aiohttp.web import Response
 from aiohttp.web import json_response
 
+from gypsumvane_daemon.daemon_parts import find_part
 from gypsumvane_daemon.metrics import CONTENT_TYPE
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.operator_errors import OperatorError
@@ -104,13 +105,13 @@
         return Response(body=metrics.render(), headers={"Content-Type": CONTENT_TYPE})
 
     def _lifecycle_state(self) -> str | None:
-        lifecycle = self._kernel.find("lifecycle")
+        lifecycle = find_part(self._kernel, "lifecycle")
         if lifecycle is None:
             return None
         return _plain(cast("LifecyclePart", lifecycle).state)
 
     def _part(self, name: str) -> object:
-        service = self._kernel.find(name)
+        service = find_part(self._kernel, name)
         if service is None:
             raise missing_part(name)
         return service
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
@@ -0,0 +1,180 @@
+"""Tests of the operators' client against the real listener."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import tempfile
+import unittest
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import Any
+
+from daemon_fixture import TOKEN
+from daemon_fixture import TestDaemon
+from fake_store import FakeStore
+from fake_store import PutFault
+from gypsumvane_cli.exit_code import ExitCode
+from gypsumvane_cli.main import main
+from gypsumvane_core.messages import Member
+from gypsumvane_core.messages import UpstreamBrief
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.kernel import Service
+
+
+@dataclass
+class FakeView:
+    """Hold a view."""
+
+    epoch: int
+    members: tuple[Member, ...]
+
+
+class FakeMembership(Service):
+    """Tell a fixed view."""
+
+    name = "membership"
+
+    def __init__(self, *vm_ids: str) -> None:
+        members = tuple(Member(vm_id=vm_id) for vm_id in vm_ids)
+        self.view = FakeView(epoch=3, members=members)
+        self.contributors: list[object] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def live_members(self) -> list[Member]:
+        """Return all members."""
+        return list(self.view.members)
+
+    def is_leaving(self, vm_id: str) -> bool:
+        """Return that nobody is leaving."""
+        return False
+
+    def home_of(self, leaf_id: str) -> str:
+        """Return a fixed home."""
+        return "vm-1"
+
+    def grade(self, leaf_id: str) -> str:
+        """Return full authority."""
+        return "full"
+
+    def allowance(self, leaf_id: str, limit: int) -> int:
+        """Return the whole limit."""
+        return limit
+
+    def add_contributor(self, contributor: object) -> None:
+        """Keep the contributor."""
+        self.contributors.append(contributor)
+
+
+@dataclass
+class FakeUpstreams(Service):
+    """Tell the brief of one leaf."""
+
+    name = "upstreams"
+    briefs: dict[str, UpstreamBrief] = field(default_factory=dict)
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+class OperatorCliTest(unittest.IsolatedAsyncioTestCase):
+    """Check that client and listener agree on every command."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.fake = FakeStore()
+        await self.fake.start()
+        self.addAsyncCleanup(self.fake.stop)
+        self.upstreams = FakeUpstreams()
+        self.membership = FakeMembership("vm-1", "vm-2")
+        self.daemon = TestDaemon(
+            "vm-1", self.fake.address, self.membership, self.upstreams
+        )
+        await self.daemon.start()
+        self.addAsyncCleanup(self.daemon.stop)
+        await self.daemon.documents.wait_ready()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "document.json"
+
+    async def run_client(self, *arguments: str) -> Any:
+        """Run a command that succeeds and return its JSON output."""
+        out = io.StringIO()
+        address = self.daemon.identity.operator_address
+        code = await asyncio.to_thread(
+            main,
+            [*arguments, "--output=json", f"--operator_address={address}"],
+            environment={"GYPSUMVANE_TOKEN": TOKEN},
+            out=out,
+        )
+        self.assertEqual(code, ExitCode.DONE)
+        return json.loads(out.getvalue())
+
+    async def set_document(self, name: str, body: dict[str, Any]) -> Any:
+        """Run ``config set``."""
+        self.file.write_text(json.dumps(body), encoding="utf-8")
+        return await self.run_client(
+            *("config", "set", name, str(self.file), "--reason=a test")
+        )
+
+    async def test_commands(self) -> None:
+        """Guard against a client that its daemon does not understand."""
+        self.fake.put_faults = [PutFault.LOST_AFTER_WRITE]
+        answer = await self.set_document("fleet", {"defaults": {"page_size_max": 9}})
+        self.assertEqual((answer["revision"], answer["in_force"]), (1, ["vm-1"]))
+        self.assertEqual(answer["not_reached"], ["vm-2"])
+        shown = await self.run_client("config", "show", "fleet")
+        self.assertEqual(shown["body"], {"defaults": {"page_size_max": 9}})
+        self.assertEqual([vm["reached"] for vm in shown["vms"]], [True, False])
+        await self.run_client("domain", "out", "a", "--reason=power work")
+        listed = await self.run_client("domain", "list")
+        self.assertEqual(listed["out"][0]["failure_domain"], "a")
+        await self.run_client("domain", "in", "a", "--reason=power is back")
+        start = (
+            *("move", "start", "stock", "--move_id=m1", "--from_version=v1"),
+            *("--to_version=v2", "--complete_by=9999999999", "--reason=new version"),
+            "--change-id=c1",
+        )
+        for _ in range(2):
+            self.assertEqual((await self.run_client(*start))["revision"], 1)
+        await self.run_client("move", "take-back", "stock", "--reason=bad answers")
+        move = await self.run_client("move", "show", "stock")
+        self.assertEqual(move["move"]["state_reason"], "bad answers")
+
+    async def test_vms_and_leaf(self) -> None:
+        """Guard against state that operators cannot see."""
+        vms = await self.run_client("vm", "list")
+        self.assertEqual([vm["vm_id"] for vm in vms["vms"]], ["vm-1", "vm-2"])
+        self.assertEqual(vms["epoch"], 3)
+        leaf = {
+            "leaf_id": "stock-1a",
+            "service": "stock-1",
+            "failure_domain": "a",
+            "address": "127.0.0.1:80",
+        }
+        index = {
+            "name": "stock",
+            "kind": "search",
+            "leaves": [leaf],
+            "partition_maps": {"7": ["stock-1"]},
+        }
+        await self.set_document("index/stock", index)
+        brief = UpstreamBrief(leaf_id="stock-1a", state="warm", limit=2, queued=1)
+        self.upstreams.briefs["stock-1a"] = brief
+        explained = await self.run_client("leaf", "explain", "stock-1a")
+        self.assertEqual(explained["home"], "vm-1")
+        self.assertEqual(explained["slots_at_asked_vm"], 2)
+        self.assertEqual((explained["state"], explained["queued"]), ("warm", 1))
+
+    async def test_digest_is_contributed_to_heartbeats(self) -> None:
+        """Guard against daemons that never compare their documents."""
+        self.assertEqual(self.membership.contributors, [self.daemon.documents])
