--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/domain_list.py
@@ -0,0 +1,29 @@
+"""List the failure domains that are out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gypsumvane_cli.command import Command
+from gypsumvane_cli.command import require_success
+from gypsumvane_cli.exit_code import ExitCode
+
+if TYPE_CHECKING:
+    from gypsumvane_cli.command import CommandContext
+
+COLUMNS = ("failure_domain", "reason", "author", "since_unix_s")
+
+
+class DomainList(Command):
+    """Show which failure domains are out and why."""
+
+    words = "domain list"
+    summary = "list the failure domains that are out, with reasons"
+
+    async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
+        """Print the failure domains."""
+        answer = await context.client.read("/v1/domains")
+        require_success(answer)
+        rows = answer.body["out"]
+        context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
+        return ExitCode.DONE
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_show.py
@@ -0,0 +1,30 @@
+"""Show a version move."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gypsumvane_cli.command import Command
+from gypsumvane_cli.command import require_success
+from gypsumvane_cli.exit_code import ExitCode
+from gypsumvane_cli.local_check import check_name
+from gypsumvane_cli.move_lines import move_lines
+
+if TYPE_CHECKING:
+    from gypsumvane_cli.command import CommandContext
+
+
+class MoveShow(Command):
+    """Show the state of a move and where it is in force."""
+
+    words = "move show"
+    arguments = ("INDEX",)
+    summary = "show a version move and where it is in force"
+
+    async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
+        """Print the move."""
+        index = check_name(arguments[0])
+        answer = await context.client.read(f"/v1/moves/{index}")
+        require_success(answer)
+        context.output.show(answer.body, *move_lines(answer.body))
+        return ExitCode.DONE
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_start.py
@@ -0,0 +1,86 @@
+"""Start a version move."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import flags
+from pydantic import ValidationError
+
+from gypsumvane_cli.change_flags import change_fields
+from gypsumvane_cli.change_flags import define_change_flags
+from gypsumvane_cli.change_flags import send_change
+from gypsumvane_cli.command import Command
+from gypsumvane_cli.document_file import first_problem
+from gypsumvane_cli.errors import invalid
+from gypsumvane_cli.exit_code import ExitCode
+from gypsumvane_cli.local_check import check_name
+from gypsumvane_cli.local_check import parse_time
+from gypsumvane_cli.operator_client import ChangeRequest
+from gypsumvane_core.document_models import MoveDocument
+
+if TYPE_CHECKING:
+    from absl.flags import FlagValues
+
+    from gypsumvane_cli.command import CommandContext
+
+
+class MoveStart(Command):
+    """Schedule the move of an index to another version."""
+
+    words = "move start"
+    arguments = ("INDEX",)
+    summary = "move an index to another version by a set time"
+
+    def define_flags(self, values: FlagValues) -> None:
+        """Define the flags of this command."""
+        define_change_flags(values)
+        for name, text in (
+            ("move_id", "identifier of the move, never used before"),
+            ("from_version", "version that is left"),
+            ("to_version", "version that is moved to"),
+            ("complete_by", "Unix time or ISO 8601 time at which the move is done"),
+        ):
+            flags.DEFINE_string(name, "", text, flag_values=values)
+        flags.DEFINE_string(
+            "start", "now", "when traffic begins to move", flag_values=values
+        )
+        flags.DEFINE_float(
+            "canary_share",
+            None,
+            "share of traffic before the evidence suffices; default by policy",
+            flag_values=values,
+        )
+
+    async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
+        """Send the move and print where it is in force."""
+        index = check_name(arguments[0])
+        move = self._move(index, context)
+        fields = change_fields(context)
+        body = {**fields, **move.model_dump(exclude={"index", "state", "state_reason"})}
+        if context.flag("canary_share") is None:
+            del body["canary_share"]
+        request = ChangeRequest(
+            method="POST",
+            path=f"/v1/moves/{index}/start",
+            document=f"move/{index}",
+            change_id=fields["change_id"],
+            body=body,
+        )
+        await send_change(request, context)
+        return ExitCode.DONE
+
+    def _move(self, index: str, context: CommandContext) -> MoveDocument:
+        share = context.flag("canary_share")
+        try:
+            return MoveDocument(
+                move_id=context.flag("move_id"),
+                index=index,
+                from_version=context.flag("from_version"),
+                to_version=context.flag("to_version"),
+                start_unix_s=parse_time(context.flag("start")),
+                complete_by_unix_s=parse_time(context.flag("complete_by")),
+                **({} if share is None else {"canary_share": share}),
+            )
+        except ValidationError as error:
+            raise invalid(first_problem(error)) from error
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/vm_list.py
@@ -0,0 +1,37 @@
+"""List the VMs of the view."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gypsumvane_cli.command import Command
+from gypsumvane_cli.command import require_success
+from gypsumvane_cli.exit_code import ExitCode
+
+if TYPE_CHECKING:
+    from gypsumvane_cli.command import CommandContext
+
+COLUMNS = (
+    "vm_id",
+    "failure_domain",
+    "live",
+    "leaving",
+    "peer_address",
+    "caller_address",
+    "operator_address",
+)
+
+
+class VmList(Command):
+    """Show the members of the view and whether they are live or leaving."""
+
+    words = "vm list"
+    summary = "list the VMs of the view: live, leaving, addresses"
+
+    async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
+        """Print the VMs."""
+        answer = await context.client.read("/v1/vms")
+        require_success(answer)
+        rows = answer.body["vms"]
+        context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
+        return ExitCode.DONE
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/document_file.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/document_file.py
@@ -32,13 +32,14 @@
     try:
         parse_body(name, json.dumps(body).encode())
     except ValidationError as error:
-        raise invalid(f"{file}: {_first_problem(error)}") from error
+        raise invalid(f"{file}: {first_problem(error)}") from error
     except (TypeError, ValueError) as error:
         raise invalid(f"{file}: {error}") from error
     return body
 
 
-def _first_problem(error: ValidationError) -> str:
+def first_problem(error: ValidationError) -> str:
+    """Return key and rule of the first problem."""
     first = error.errors()[0]
     key = ".".join(str(part) for part in first["loc"]) or "document"
     return f"key {key}: {first['msg']}"
--- /dev/null
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/domain_change.py
@@ -0,0 +1,46 @@
+"""The base class of commands that take failure domains out and in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+from urllib.parse import quote
+
+from gypsumvane_cli.change_flags import change_fields
+from gypsumvane_cli.change_flags import define_change_flags
+from gypsumvane_cli.change_flags import send_change
+from gypsumvane_cli.command import Command
+from gypsumvane_cli.exit_code import ExitCode
+from gypsumvane_cli.local_check import check_name
+from gypsumvane_cli.operator_client import ChangeRequest
+
+if TYPE_CHECKING:
+    from absl.flags import FlagValues
+
+    from gypsumvane_cli.command import CommandContext
+
+
+class DomainChange(Command):
+    """Change whether a failure domain is out."""
+
+    arguments = ("NAME",)
+    # Last part of the request's path.
+    action: ClassVar[str]
+
+    def define_flags(self, values: FlagValues) -> None:
+        """Define the flags of a change."""
+        define_change_flags(values)
+
+    async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
+        """Send the change and print where it is in force."""
+        domain = check_name(arguments[0])
+        fields = change_fields(context)
+        request = ChangeRequest(
+            method="POST",
+            path=f"/v1/domains/{quote(domain, safe='')}/{self.action}",
+            document="domains",
+            change_id=fields["change_id"],
+            body=fields,
+        )
+        await send_change(request, context)
+        return ExitCode.DONE
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/main.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/main.py
@@ -13,6 +13,15 @@
 from gypsumvane_cli.command import CommandContext
 from gypsumvane_cli.commands.config_set import ConfigSet
 from gypsumvane_cli.commands.config_show import ConfigShow
+from gypsumvane_cli.commands.domain_in import DomainBringIn
+from gypsumvane_cli.commands.domain_list import DomainList
+from gypsumvane_cli.commands.domain_out import DomainTakeOut
+from gypsumvane_cli.commands.leaf_explain import LeafExplain
+from gypsumvane_cli.commands.move_show import MoveShow
+from gypsumvane_cli.commands.move_start import MoveStart
+from gypsumvane_cli.commands.move_take_back import MoveTakeBack
+from gypsumvane_cli.commands.move_watch import MoveWatch
+from gypsumvane_cli.commands.vm_list import VmList
 from gypsumvane_cli.errors import CommandError
 from gypsumvane_cli.errors import invalid
 from gypsumvane_cli.exit_code import ExitCode
@@ -28,7 +37,19 @@
 
     from gypsumvane_cli.command import Command
 
-COMMANDS: tuple[type[Command], ...] = (ConfigShow, ConfigSet)
+COMMANDS: tuple[type[Command], ...] = (
+    ConfigShow,
+    ConfigSet,
+    DomainTakeOut,
+    DomainBringIn,
+    DomainList,
+    MoveStart,
+    MoveWatch,
+    MoveTakeBack,
+    MoveShow,
+    VmList,
+    LeafExplain,
+)
 PROGRAM = "gypsumvane"
 
 
