--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -92,6 +92,8 @@
 struct DocumentRevision {
   name @0 :Text;
   revision @1 :Int64;
+  changeId @2 :Text;
+  inForceSinceUnixMs @3 :Int64;
 }
 
 struct DocumentCopy {
@@ -110,6 +112,8 @@
 
 struct DocumentsReply {
   documents @0 :List(DocumentCopy);
+  ready @1 :Bool;
+  more @2 :Bool;
 }
 
 struct DocumentPush {
