--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/cold_state.py
@@ -0,0 +1,59 @@
+"""What a simulated leaf bears while it is cold."""
+
+from __future__ import annotations
+
+import math
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from gypsumvane_devtools.rate_limit import TokenBucket
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.leaf_settings import ColdSettings
+
+
+class Burden(StrEnum):
+    """Tell whether the leaf bears one more request."""
+
+    BORNE = "borne"
+    EXCESS_UNWARNED = "excess_unwarned"
+    EXCESS = "excess"
+
+
+class ColdState:
+    """Follow a leaf from cold to warm."""
+
+    def __init__(self, settings: ColdSettings, *, now_s: float) -> None:
+        self._good = 0
+        self._since_s = now_s
+        self._sign_s = now_s
+        self._bucket = TokenBucket(settings.rate_per_s, settings.rate_burst)
+
+    def turn_without_warning(self) -> None:
+        """Expect the first sign only from a later answer."""
+        self._sign_s = math.inf
+
+    def is_cold(self, settings: ColdSettings, now_s: float) -> bool:
+        """Tell whether the leaf is still cold."""
+        if self._good >= settings.good_answers:
+            return False
+        if settings.warm_after_s <= 0:
+            return True
+        return now_s - self._since_s < settings.warm_after_s
+
+    def judge(self, settings: ColdSettings, in_progress: int, now_s: float) -> Burden:
+        """Judge a request that arrives while others are in progress."""
+        borne = in_progress < settings.bears and self._bucket.take(now_s)
+        if borne:
+            return Burden.BORNE
+        if now_s < self._sign_s + settings.sign_grace_s:
+            return Burden.EXCESS_UNWARNED
+        return Burden.EXCESS
+
+    def note_sign(self, now_s: float) -> None:
+        """Note that an answer showed the sender that the leaf is cold."""
+        self._sign_s = min(self._sign_s, now_s)
+
+    def note_good_answer(self) -> None:
+        """Count an answer that warms the leaf."""
+        self._good += 1
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf.py
@@ -0,0 +1,443 @@
+"""The behaviour of one simulated leaf."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import random
+import secrets
+from dataclasses import dataclass
+from dataclasses import field
+from functools import lru_cache
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_devtools.cold_state import Burden
+from gypsumvane_devtools.cold_state import ColdState
+from gypsumvane_devtools.leaf_counters import LeafCounters
+from gypsumvane_devtools.leaf_settings import FaultMode
+from gypsumvane_devtools.listing import Listing
+from gypsumvane_devtools.run_ledger import LedgerRun
+from gypsumvane_devtools.slot_gate import QueueFull
+from gypsumvane_devtools.slot_gate import SlotGate
+from gypsumvane_devtools.work_ticket import AbortCause
+from gypsumvane_devtools.work_ticket import WorkAborted
+from gypsumvane_devtools.work_ticket import WorkTicket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_devtools.leaf_settings import LeafSettings
+    from gypsumvane_devtools.run_ledger import RunLedger
+
+RETRY_AFTER_MS = 50
+
+
+class ProcessDown(Exception):  # noqa: N818
+    """Report that the simulated process ended; its connections close."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkRequest:
+    """Carry a search, lookup or run to a leaf."""
+
+    kind: str
+    request_id: str
+    # Time left when the request arrived; None when the header was missing.
+    deadline_ms: float | None
+    snapshot: int | None
+    idempotency_key: str
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class WorkAnswer:
+    """Carry the status, body and special headers of an answer."""
+
+    status: int
+    body: bytes
+    not_run: bool = False
+    retry_after_ms: int | None = None
+    snapshot: int | None = None
+    label: str = "ok"
+
+
+@dataclass(slots=True)
+class OutMark:
+    """Remember since when a leaf should get no work."""
+
+    since_s: float = math.inf
+
+    def age_s(self, now_s: float) -> float:
+        """Return the time since the mark, negative when there is none."""
+        return now_s - self.since_s if self.since_s < math.inf else -1.0
+
+
+@dataclass(slots=True)
+class CachedReport:
+    """Keep a load report so that it can lag."""
+
+    taken_s: float = -math.inf
+    values: dict[str, Any] = field(default_factory=dict)
+
+
+class Leaf:
+    """Serve requests with limited slots, cold starts and switchable faults."""
+
+    def __init__(self, settings: LeafSettings, ledger: RunLedger) -> None:
+        self.settings = settings
+        self.ledger = ledger
+        self.counters = LeafCounters()
+        self.boot_id = secrets.token_hex(6)
+        self.draining = False
+        self.down_until_s = 0.0
+        # Called when the simulated process ends, to close its connections.
+        self.on_process_end: Callable[[], None] = lambda: None
+        self._loop = asyncio.get_running_loop()
+        self._draw = random.Random(f"{settings.leaf_id}/{settings.seed}")
+        self._gate = SlotGate()
+        self._tickets: dict[str, WorkTicket] = {}
+        self._in_progress = 0
+        self._started_s = self._loop.time()
+        self._cold = ColdState(settings.cold, now_s=self._started_s)
+        self._drain_mark = OutMark()
+        self._out_mark = OutMark()
+        self._report = CachedReport()
+
+    @property
+    def down(self) -> bool:
+        """Tell whether the simulated process is down."""
+        return self._loop.time() < self.down_until_s
+
+    @property
+    def cold(self) -> bool:
+        """Tell whether the leaf is cold."""
+        return self._cold.is_cold(self.settings.cold, self._loop.time())
+
+    # Control
+
+    def start_draining(self) -> None:
+        """Refuse new work and say so."""
+        self.draining = True
+        self._drain_mark.since_s = self._loop.time()
+
+    def stop_draining(self) -> None:
+        """Accept work again."""
+        self.draining = False
+        self._drain_mark = OutMark()
+
+    def mark_out(self) -> None:
+        """Start counting work that arrives although it should not."""
+        self._out_mark.since_s = self._loop.time()
+
+    def mark_in(self) -> None:
+        """Stop counting work that arrives although it should not."""
+        self._out_mark = OutMark()
+
+    def restart(self, *, outage_s: float = 0.0) -> None:
+        """End the simulated process and start it cold after an outage."""
+        now_s = self._loop.time()
+        self.boot_id = secrets.token_hex(6)
+        self.down_until_s = now_s + outage_s
+        self._started_s = self.down_until_s
+        self._cold = ColdState(self.settings.cold, now_s=self.down_until_s)
+        self._report = CachedReport()
+        self.stop_draining()
+        for ticket in list(self._tickets.values()):
+            ticket.abort(AbortCause.FELL_OVER)
+        self.on_process_end()
+
+    def turn_cold(self, *, new_boot_id: bool) -> None:
+        """Turn cold without warning; the process keeps running."""
+        self._cold = ColdState(self.settings.cold, now_s=self._loop.time())
+        self._cold.turn_without_warning()
+        if new_boot_id:
+            self.boot_id = secrets.token_hex(6)
+
+    def cancel(self, request_id: str) -> None:
+        """Cancel a waiting or running request; unknown ones are ignored."""
+        ticket = self._tickets.get(request_id)
+        if ticket is not None:
+            self.counters.cancelled += 1
+            ticket.abort(AbortCause.CANCELLED)
+
+    def status(self) -> dict[str, Any]:
+        """Return the load report, which may lag and mislead."""
+        now_s = self._loop.time()
+        if now_s - self._report.taken_s >= self.settings.report.lag_s:
+            self._report = CachedReport(now_s, self._true_status())
+        return self._report.values
+
+    def _true_status(self) -> dict[str, Any]:
+        report = self.settings.report
+        load = (self._gate.running + self._gate.queued) / self.settings.slots
+        return {
+            "boot_id": self.boot_id,
+            "version": self.settings.version,
+            "draining": self.draining,
+            "cold": self.cold and not report.hides_cold,
+            "running": round(self._gate.running * report.load_factor),
+            "queued": round(self._gate.queued * report.load_factor),
+            "load": round(load * report.load_factor, 3),
+            "snapshots": self.settings.snapshots,
+        }
+
+    # Work
+
+    async def work(self, request: WorkRequest) -> WorkAnswer:
+        """Answer one request.
+
+        Raises ProcessDown when the connection ends without an answer.
+        """
+        self._count_arrival(request)
+        refusal = self._refuse(request)
+        if refusal is not None:
+            return self._finish(refusal)
+        ticket = self._open_ticket(request)
+        try:
+            answer = await self._run_in_slot(request, ticket)
+        except QueueFull:
+            answer = shed_answer()
+        except WorkAborted as aborted:
+            answer = self._abort_answer(aborted.cause, ticket)
+        finally:
+            self._close_ticket(request, ticket)
+        return self._finish(answer)
+
+    def _count_arrival(self, request: WorkRequest) -> None:
+        counters = self.counters
+        counters.count_received(request.kind)
+        if request.deadline_ms is None:
+            counters.without_deadline += 1
+        elif request.deadline_ms <= 0:
+            counters.received_past_deadline += 1
+        now_s = self._loop.time()
+        drain_s = self._drain_mark.age_s(now_s)
+        if drain_s >= 0:
+            counters.received_while_draining += 1
+            counters.last_after_drain_s = max(counters.last_after_drain_s, drain_s)
+        out_s = self._out_mark.age_s(now_s)
+        if out_s >= 0:
+            counters.received_while_out += 1
+            counters.last_after_out_s = max(counters.last_after_out_s, out_s)
+
+    def _refuse(self, request: WorkRequest) -> WorkAnswer | None:
+        if self.down:
+            return self._down_answer()
+        if self.draining:
+            return error_answer(503, "draining", not_run=True)
+        if request.deadline_ms is not None and request.deadline_ms <= 0:
+            return error_answer(504, "deadline", not_run=True)
+        if request.kind == "search" and not self._holds(request.snapshot):
+            return error_answer(409, "snapshot_gone", not_run=True)
+        return self._refuse_cold_excess()
+
+    def _holds(self, snapshot: int | None) -> bool:
+        return snapshot is None or snapshot in self.settings.snapshots
+
+    def _refuse_cold_excess(self) -> WorkAnswer | None:
+        if not self.cold:
+            return None
+        self.counters.received_cold += 1
+        now_s = self._loop.time()
+        burden = self._cold.judge(self.settings.cold, self._in_progress, now_s)
+        if burden is Burden.BORNE:
+            return None
+        if burden is Burden.EXCESS_UNWARNED:
+            self.counters.cold_excess_unwarned += 1
+            self._cold.note_sign(now_s)
+            return shed_answer()
+        self.counters.cold_excess += 1
+        self.counters.falls += 1
+        self.restart(outage_s=self.settings.cold.outage_s)
+        return self._down_answer()
+
+    def _open_ticket(self, request: WorkRequest) -> WorkTicket:
+        deadline_s = None
+        if request.deadline_ms is not None:
+            deadline_s = self._loop.time() + request.deadline_ms / 1000
+        ticket = WorkTicket(request_id=request.request_id, deadline_s=deadline_s)
+        if self.settings.keeps_deadlines:
+            ticket.end_at_deadline()
+        self._tickets[request.request_id] = ticket
+        self._in_progress += 1
+        counters = self.counters
+        counters.in_progress_max = max(counters.in_progress_max, self._in_progress)
+        return ticket
+
+    def _close_ticket(self, request: WorkRequest, ticket: WorkTicket) -> None:
+        ticket.close()
+        self._in_progress -= 1
+        if self._tickets.get(request.request_id) is ticket:
+            del self._tickets[request.request_id]
+
+    async def _run_in_slot(
+        self, request: WorkRequest, ticket: WorkTicket
+    ) -> WorkAnswer:
+        settings = self.settings
+        await self._gate.enter(
+            ticket, slots=settings.slots, queue_max=settings.queue_max
+        )
+        try:
+            return await self._run(request, ticket)
+        finally:
+            self._gate.leave()
+
+    async def _run(self, request: WorkRequest, ticket: WorkTicket) -> WorkAnswer:
+        ticket.begun = True
+        self.counters.begun += 1
+        running = self._gate.running
+        self.counters.running_max = max(self.counters.running_max, running)
+        faulty = self._fault_shows(request.kind)
+        work_s = self._work_time_s(slow=faulty)
+        # A run takes effect in the middle, so that it can fail on either side.
+        await ticket.sleep(work_s / 2)
+        if faulty and self.settings.fault.mode is FaultMode.FAIL:
+            return error_answer(500, "failed")
+        answer = self._perform(request)
+        await ticket.sleep(work_s / 2)
+        self._check_lateness(ticket)
+        return answer
+
+    def _check_lateness(self, ticket: WorkTicket) -> None:
+        if ticket.deadline_s is None:
+            return
+        late_s = self._loop.time() - ticket.deadline_s
+        if late_s > 0:
+            self.counters.count_past_deadline(late_s)
+
+    def _fault_shows(self, kind: str) -> bool:
+        fault = self.settings.fault
+        if fault.mode is FaultMode.NONE or fault.route not in ("", kind):
+            return False
+        if self._loop.time() - self._started_s < fault.after_s:
+            return False
+        if self._in_progress <= fault.above_in_progress:
+            return False
+        return self._draw.random() < fault.share
+
+    def _work_time_s(self, *, slow: bool) -> float:
+        settings = self.settings
+        time = settings.service_time
+        mean_ms = time.mean_ms
+        if time.straggler_share > 0 and self._draw.random() < time.straggler_share:
+            mean_ms *= time.straggler_factor
+        if self.cold:
+            mean_ms *= settings.cold.slow_factor
+        if slow and settings.fault.mode is FaultMode.SLOW:
+            mean_ms *= settings.fault.slow_factor
+        # The shift keeps the mean of the log-normal factor at 1.
+        factor = self._draw.lognormvariate(-(time.sigma**2) / 2, time.sigma)
+        return mean_ms * factor / 1000
+
+    def _perform(self, request: WorkRequest) -> WorkAnswer:
+        if request.kind == "search":
+            return self._search(request)
+        if request.kind == "lookup":
+            return self._lookup(request)
+        return self._run_once(request)
+
+    def _search(self, request: WorkRequest) -> WorkAnswer:
+        snapshot = request.snapshot
+        if snapshot is None:
+            snapshot = max(self.settings.snapshots)
+        elif not self._holds(snapshot):
+            return error_answer(409, "snapshot_gone", not_run=True)
+        services = self.settings.partition_maps.get(snapshot, [])
+        body = search_body(
+            self.listing(),
+            str(request.body.get("query", "")),
+            snapshot,
+            int(request.body.get("limit", 10)),
+            self.settings.service,
+            tuple(services),
+        )
+        return WorkAnswer(200, body, snapshot=snapshot)
+
+    def listing(self) -> Listing:
+        """Return the listing of the leaf's index."""
+        settings = self.settings
+        return Listing(
+            settings.index, settings.listing, settings.records, settings.seed
+        )
+
+    def _lookup(self, request: WorkRequest) -> WorkAnswer:
+        key = str(request.body.get("key", ""))
+        run = self.ledger.find(key)
+        if run is not None:
+            return json_answer({"found": True, "record": run.record})
+        found = self.listing().find(key)
+        if found is None:
+            return json_answer({"found": False, "record": None})
+        record = {"key": found.record_id, "title": found.title}
+        return json_answer({"found": True, "record": record})
+
+    def _run_once(self, request: WorkRequest) -> WorkAnswer:
+        record = {**request.body, "run_id": secrets.token_hex(6)}
+        self.ledger.add(
+            LedgerRun(
+                request.idempotency_key,
+                self.settings.leaf_id,
+                request.request_id,
+                record,
+            )
+        )
+        return json_answer(record)
+
+    # Answers
+
+    def _finish(self, answer: WorkAnswer) -> WorkAnswer:
+        self.counters.count_answer(answer.label)
+        if answer.status == 200 and self.cold:
+            self._cold.note_good_answer()
+            self._cold.note_sign(self._loop.time())
+        return answer
+
+    def _down_answer(self) -> WorkAnswer:
+        if self.settings.cold.fall_mode == "error":
+            return error_answer(500, "failed")
+        self.counters.count_answer("closed")
+        raise ProcessDown
+
+    def _abort_answer(self, cause: AbortCause, ticket: WorkTicket) -> WorkAnswer:
+        if cause is AbortCause.FELL_OVER:
+            return self._down_answer()
+        return error_answer(504, cause.value, not_run=not ticket.begun)
+
+
+@lru_cache(maxsize=16384)
+def search_body(
+    listing: Listing,
+    query: str,
+    snapshot: int,
+    limit: int,
+    service: str,
+    services: tuple[str, ...],
+) -> bytes:
+    """Search a part of a listing and encode the answer once."""
+    page = listing.search_part(
+        query, snapshot=snapshot, limit=limit, service=service, services=services
+    )
+    hits = [
+        {"id": hit.id, "score": hit.score, "title": hit.title, "snapshot": hit.snapshot}
+        for hit in page.hits
+    ]
+    return json.dumps({"hits": hits, "total": page.total}).encode()
+
+
+def json_answer(value: dict[str, Any]) -> WorkAnswer:
+    """Return a successful answer."""
+    return WorkAnswer(200, json.dumps(value).encode())
+
+
+def error_answer(status: int, error: str, *, not_run: bool = False) -> WorkAnswer:
+    """Return an error with its reason."""
+    body = json.dumps({"error": error}).encode()
+    return WorkAnswer(status, body, not_run=not_run, label=error)
+
+
+def shed_answer() -> WorkAnswer:
+    """Return the refusal of a leaf that has too much work."""
+    body = b'{"error": "shed"}'
+    return WorkAnswer(503, body, True, RETRY_AFTER_MS, label="shed")
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf_server.py
@@ -0,0 +1,194 @@
+"""HTTP listener of one simulated leaf."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp import web
+
+from gypsumvane_devtools import stand_in
+from gypsumvane_devtools.leaf import ProcessDown
+from gypsumvane_devtools.leaf import WorkRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp.web_protocol import RequestHandler
+
+    from gypsumvane_devtools.leaf import Leaf
+    from gypsumvane_devtools.leaf import WorkAnswer
+
+WORK_PATHS = {"/v1/search": "search", "/v1/lookup": "lookup", "/v1/run": "run"}
+CANCEL_PREFIX = "/v1/requests/"
+
+
+class BoundedServer(web.Server):
+    """Accept a bounded number of connections, each at a cost."""
+
+    def __init__(self, leaf: Leaf, handler: Callable[..., Any]) -> None:
+        super().__init__(handler, access_log=None, keepalive_timeout=3600.0)
+        self._leaf = leaf
+        self._open: dict[RequestHandler, asyncio.Transport] = {}
+        self._ready_s: dict[RequestHandler, float] = {}
+        self._accept_busy_until_s = 0.0
+
+    def connection_made(
+        self, handler: RequestHandler, transport: asyncio.Transport
+    ) -> None:
+        """Count a connection, or refuse it above the limit."""
+        super().connection_made(handler, transport)
+        counters = self._leaf.counters
+        limit = self._leaf.settings.connections_max
+        if self._leaf.down or len(self._open) >= limit:
+            counters.connections_refused += 1
+            # aiohttp must begin to handle the connection before it is lost.
+            asyncio.get_running_loop().call_soon(transport.abort)
+            return
+        self._open[handler] = transport
+        self._ready_s[handler] = self._accept_cost_end_s()
+        counters.connections_opened += 1
+        counters.connections_max = max(counters.connections_max, len(self._open))
+
+    def connection_lost(
+        self, handler: RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Forget a connection."""
+        super().connection_lost(handler, exc)
+        self._open.pop(handler, None)
+        self._ready_s.pop(handler, None)
+
+    def abort_connections(self) -> None:
+        """Close all connections without an answer."""
+        for transport in list(self._open.values()):
+            transport.abort()
+
+    async def wait_until_ready(self, handler: RequestHandler | None) -> None:
+        """Wait until the cost of opening this connection is paid."""
+        if handler is None:
+            return
+        wait_s = self._ready_s.pop(handler, 0.0) - asyncio.get_running_loop().time()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+
+    def _accept_cost_end_s(self) -> float:
+        # New connections are set up one after the other.
+        now_s = asyncio.get_running_loop().time()
+        begin_s = max(now_s, self._accept_busy_until_s)
+        self._accept_busy_until_s = begin_s + self._leaf.settings.connect_ms / 1000
+        return self._accept_busy_until_s
+
+
+class LeafServer:
+    """Listen for one leaf; it can stop and start on the same port."""
+
+    def __init__(self, leaf: Leaf) -> None:
+        self.leaf = leaf
+        self.address = leaf.settings.address
+        self._server = BoundedServer(leaf, self._handle)
+        self._listener: asyncio.Server | None = None
+        leaf.on_process_end = self._server.abort_connections
+
+    async def start(self) -> None:
+        """Listen, on the earlier port after a stop."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host, int(port), backlog=stand_in.BACKLOG
+        )
+        self.address = stand_in.format_address(self._listener.sockets[0].getsockname())
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        self._server.abort_connections()
+        await asyncio.sleep(0)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        await self._server.wait_until_ready(request.protocol)
+        if request.method == "GET" and request.path == "/v1/status":
+            return self._status(request)
+        if request.method == "DELETE" and request.path.startswith(CANCEL_PREFIX):
+            return self._cancel(request)
+        kind = WORK_PATHS.get(request.path)
+        if request.method == "POST" and kind is not None:
+            return await self._work(kind, request)
+        return web.json_response({"error": "not_found"}, status=404)
+
+    def _status(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self.leaf.down:
+            return abort(request)
+        body = json.dumps(self.leaf.status()).encode()
+        return web.Response(body=body, headers=self._headers(request))
+
+    def _cancel(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.leaf.cancel(request.path.removeprefix(CANCEL_PREFIX))
+        return web.Response(status=204, headers=self._headers(request))
+
+    async def _work(self, kind: str, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        try:
+            work = parse_work(kind, request, body)
+        except ValueError:
+            return web.json_response({"error": "bad_request"}, status=400)
+        try:
+            answer = await self.leaf.work(work)
+        except ProcessDown:
+            return abort(request)
+        return self._response(request, answer)
+
+    def _response(
+        self, request: web.BaseRequest, answer: WorkAnswer
+    ) -> web.StreamResponse:
+        headers = self._headers(request)
+        if answer.not_run:
+            headers["Verdict"] = "not-run"
+        if answer.snapshot is not None:
+            headers["Snapshot"] = str(answer.snapshot)
+        if answer.retry_after_ms is not None:
+            headers["Retry-After-Ms"] = str(answer.retry_after_ms)
+        return web.Response(status=answer.status, body=answer.body, headers=headers)
+
+    def _headers(self, request: web.BaseRequest) -> dict[str, str]:
+        leaf = self.leaf
+        headers = {
+            "Content-Type": "application/json",
+            "Boot-Id": leaf.boot_id,
+            "Upstream-Version": leaf.settings.version,
+            "Request-Id": request.headers.get("Request-Id", ""),
+        }
+        if leaf.draining:
+            headers["Draining"] = "1"
+        return headers
+
+
+def parse_work(kind: str, request: web.BaseRequest, body: bytes) -> WorkRequest:
+    """Read the headers and body of a request.
+
+    Raises ValueError when one of them is malformed.
+    """
+    values = json.loads(body)
+    if not isinstance(values, dict):
+        raise ValueError("body is not a JSON object")
+    headers = request.headers
+    deadline = headers.get("Deadline-Ms")
+    snapshot = headers.get("Snapshot")
+    return WorkRequest(
+        kind=kind,
+        request_id=headers.get("Request-Id", ""),
+        deadline_ms=None if deadline is None else float(deadline),
+        snapshot=None if snapshot is None else int(snapshot),
+        idempotency_key=headers.get("Idempotency-Key", ""),
+        body=values,
+    )
+
+
+def abort(request: web.BaseRequest) -> web.StreamResponse:
+    """Close the connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/polling.py
@@ -0,0 +1,36 @@
+"""Wait for conditions of other processes by polling."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Condition = Callable[[], bool | Awaitable[bool]]
+
+LIMIT_S = 30.0
+
+
+async def wait_until(
+    condition: Condition, what: str, *, limit_s: float = LIMIT_S, interval_s: float = 0
+) -> None:
+    """Return when the condition holds.
+
+    Raises TimeoutError, naming what was awaited, after the limit in seconds.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + limit_s
+    while not await holds(condition):
+        if loop.time() > end_s:
+            raise TimeoutError(f"not within {limit_s:g} s: {what}")
+        await asyncio.sleep(interval_s)
+
+
+async def holds(condition: Condition) -> bool:
+    """Evaluate a condition that may be asynchronous."""
+    value = condition()
+    return bool(await value) if inspect.isawaitable(value) else bool(value)
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/slot_gate.py
@@ -0,0 +1,60 @@
+"""The slots of a simulated leaf and the queue before them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.work_ticket import WorkTicket
+
+
+class QueueFull(Exception):  # noqa: N818
+    """Report that neither a slot nor a place in the queue is free."""
+
+
+class SlotGate:
+    """Let a bounded number of requests run, in the order of arrival."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
+
+    @property
+    def queued(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._waiting)
+
+    async def enter(self, ticket: WorkTicket, *, slots: int, queue_max: int) -> None:
+        """Take a slot, waiting for it in the queue.
+
+        Raises QueueFull, or WorkAborted when the request ends while waiting.
+        """
+        if self.running < slots and not self._waiting:
+            self.running += 1
+            return
+        if len(self._waiting) >= queue_max:
+            raise QueueFull
+        await self._wait(ticket)
+
+    def leave(self) -> None:
+        """Give the slot to the next waiting request or free it."""
+        while self._waiting:
+            waiter = self._waiting.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+        self.running -= 1
+
+    async def _wait(self, ticket: WorkTicket) -> None:
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(waiter)
+        try:
+            await ticket.wait_for(waiter)
+        except BaseException:
+            if waiter.done():
+                self.leave()
+            else:
+                self._waiting.remove(waiter)
+            raise
