--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/proxy_link.py
@@ -0,0 +1,241 @@
+"""One proxied address and its connections."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_devtools import stand_in
+from gypsumvane_devtools.proxy_rules import RuleKind
+from gypsumvane_devtools.proxy_rules import RuleTable
+
+if TYPE_CHECKING:
+    from asyncio import StreamReader
+    from asyncio import StreamWriter
+
+    from gypsumvane_devtools.proxy_rules import Rule
+
+READ_BYTES = 65536
+SLOW_CHUNK_BYTES = 16
+FRAME_HEADER_BYTES = 4
+CUT_KINDS = (RuleKind.CUT_BEFORE, RuleKind.CUT_AFTER, RuleKind.LOSE_ANSWER)
+
+
+class Framing(StrEnum):
+    """Tell what one unit of traffic is."""
+
+    RAW = "raw"
+    # A 4-byte little-endian length and a body, as between daemons.
+    FRAMES = "frames"
+
+
+@dataclass(slots=True)
+class Held:
+    """Keep an answer that is released later."""
+
+    connection: ProxyConnection
+    data: bytes
+
+
+class ProxyConnection:
+    """Forward one connection and apply the rules of its link."""
+
+    def __init__(
+        self, link: ProxyLink, number: int, reader: StreamReader, writer: StreamWriter
+    ) -> None:
+        self.number = number
+        self.request_bytes = 0
+        self.answer_bytes = 0
+        self._link = link
+        self._client_reader = reader
+        self._client_writer = writer
+        self._target_writer: StreamWriter | None = None
+        self._first = b""
+        self._lose_next_answer = False
+
+    async def run(self) -> None:
+        """Forward until one side closes or a rule cuts."""
+        host, _, port = self._link.target.rpartition(":")
+        try:
+            reader, self._target_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            self.cut()
+            return
+        pumps = {
+            asyncio.create_task(self._pump_requests(self._target_writer)),
+            asyncio.create_task(self._pump_answers(reader)),
+        }
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            await asyncio.gather(*pumps, return_exceptions=True)
+            self._close()
+
+    def cut(self) -> None:
+        """Close both sides at once, losing what is on its way."""
+        for writer in (self._client_writer, self._target_writer):
+            if writer is not None:
+                writer.transport.abort()
+
+    async def write_answer(self, data: bytes) -> None:
+        """Send bytes to the client."""
+        self.answer_bytes += len(data)
+        self._client_writer.write(data)
+        await self._client_writer.drain()
+
+    async def _pump_requests(self, writer: StreamWriter) -> None:
+        while True:
+            data = await self._read_unit(self._client_reader)
+            if not data:
+                return
+            self._first = self._first or data
+            if self._swallows(data):
+                continue
+            await self._delay(data)
+            if not await self._forward_request(writer, data):
+                return
+
+    async def _forward_request(self, writer: StreamWriter, data: bytes) -> bool:
+        rule = self._take(*CUT_KINDS, data=data)
+        if rule is not None and rule.kind is RuleKind.CUT_BEFORE:
+            self.cut()
+            return False
+        if rule is not None and rule.kind is RuleKind.LOSE_ANSWER:
+            self._lose_next_answer = True
+        self.request_bytes += len(data)
+        await self._write(writer, data)
+        if rule is not None and rule.kind is RuleKind.CUT_AFTER:
+            # The pause lets the request reach the other side before the cut.
+            await asyncio.sleep(rule.delay_ms / 1000)
+            self.cut()
+            return False
+        return True
+
+    async def _pump_answers(self, reader: StreamReader) -> None:
+        while True:
+            data = await self._read_unit(reader)
+            if not data:
+                return
+            if self._lose_next_answer:
+                self.cut()
+                return
+            if self._swallows(data):
+                continue
+            await self._delay(data)
+            if self._take(RuleKind.HOLD_ANSWERS, data=data) is not None:
+                self._link.held.append(Held(self, data))
+                continue
+            self.answer_bytes += len(data)
+            await self._write(self._client_writer, data)
+
+    async def _read_unit(self, reader: StreamReader) -> bytes:
+        try:
+            if self._link.framing is Framing.RAW:
+                return await reader.read(READ_BYTES)
+            header = await reader.readexactly(FRAME_HEADER_BYTES)
+            size = int.from_bytes(header, "little")
+            return header + await reader.readexactly(size)
+        except (OSError, asyncio.IncompleteReadError):
+            return b""
+
+    async def _write(self, writer: StreamWriter, data: bytes) -> None:
+        rule = self._take(RuleKind.SLOW_BYTES, data=data)
+        if rule is None:
+            writer.write(data)
+            await writer.drain()
+            return
+        for start in range(0, len(data), SLOW_CHUNK_BYTES):
+            chunk = data[start : start + SLOW_CHUNK_BYTES]
+            writer.write(chunk)
+            await writer.drain()
+            await asyncio.sleep(len(chunk) / rule.bytes_per_s)
+
+    def _swallows(self, data: bytes) -> bool:
+        return self._take(RuleKind.HALF_OPEN, data=data) is not None
+
+    async def _delay(self, data: bytes) -> None:
+        rule = self._take(RuleKind.DELAY, data=data)
+        if rule is not None:
+            await asyncio.sleep(rule.delay_ms / 1000)
+
+    def _take(self, *kinds: RuleKind, data: bytes) -> Rule | None:
+        return self._link.rules.take(
+            kinds, connection=self.number, first=self._first, data=data
+        )
+
+    def _close(self) -> None:
+        for writer in (self._client_writer, self._target_writer):
+            if writer is not None:
+                with suppress(OSError, RuntimeError):
+                    writer.close()
+
+
+class ProxyLink:
+    """Listen on one address and forward to a target."""
+
+    def __init__(self, name: str, target: str, framing: Framing) -> None:
+        self.name = name
+        self.target = target
+        self.framing = framing
+        self.address = ""
+        self.rules = RuleTable()
+        self.held: list[Held] = []
+        self.connections: dict[int, ProxyConnection] = {}
+        self.accepted = 0
+        self._listener: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def start(self, address: str) -> None:
+        """Listen on an address; port 0 picks a free one."""
+        host, _, port = address.rpartition(":")
+        self._listener = await asyncio.start_server(self._accept, host, int(port))
+        self.address = stand_in.format_address(self._listener.sockets[0].getsockname())
+
+    async def stop(self) -> None:
+        """Stop listening and cut all connections."""
+        if self._listener is not None:
+            self._listener.close()
+        self.cut()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cut(self, connection: int = 0) -> int:
+        """Cut one connection, or all, and return how many."""
+        chosen = [
+            entry
+            for entry in self.connections.values()
+            if connection in (0, entry.number)
+        ]
+        for entry in chosen:
+            entry.cut()
+        return len(chosen)
+
+    async def release(self, *, crossed: bool) -> int:
+        """Send the held answers; crossed means in reverse order."""
+        held = self.held
+        self.held = []
+        for entry in reversed(held) if crossed else held:
+            with suppress(OSError):
+                await entry.connection.write_answer(entry.data)
+        return len(held)
+
+    async def _accept(self, reader: StreamReader, writer: StreamWriter) -> None:
+        if self.rules.take((RuleKind.REFUSE,)) is not None:
+            writer.transport.abort()
+            return
+        self.accepted += 1
+        connection = ProxyConnection(self, self.accepted, reader, writer)
+        self.connections[connection.number] = connection
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await connection.run()
+        finally:
+            del self.connections[connection.number]
+            self._tasks.discard(task)
