Add the load tool

Cause: targets are measured under open-loop load. Signals go to processes directly, because asyncio's send_signal can collect the exit status first. Conclusion: the tool counts every arrival once.

--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/address_book.py
@@ -0,0 +1,63 @@
+"""The list of entry addresses that a caller keeps."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# A caller that got no list asks again after this time.
+RETRY_S = 0.2
+ASK_TIMEOUT_S = 1.0
+
+
+class AddressBook:
+    """Ask for entry addresses and keep the answer as long as it says."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        *,
+        first_addresses: list[str],
+        failure_domain: str,
+        clock: Callable[[], float],
+    ) -> None:
+        self._session = session
+        self._first = first_addresses
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._addresses = list(first_addresses)
+        self._expires_s = 0.0
+
+    async def addresses(self) -> list[str]:
+        """Return the addresses in the order in which to try them."""
+        if self._clock() >= self._expires_s:
+            # Other requests use the old list while the new one is fetched.
+            self._expires_s = self._clock() + RETRY_S
+            await self._refresh()
+        return self._addresses
+
+    async def _refresh(self) -> None:
+        for address in dict.fromkeys([*self._addresses, *self._first]):
+            values = await self._ask(address)
+            if values is not None and values.get("addresses"):
+                self._addresses = list(values["addresses"])
+                self._expires_s = self._clock() + float(values["keep_s"])
+                return
+
+    async def _ask(self, address: str) -> dict[str, Any] | None:
+        url = f"http://{address}/v1/entry-addresses"
+        query = {"failure_domain": self._failure_domain}
+        timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
+        try:
+            async with self._session.get(url, params=query, timeout=timeout) as answer:
+                if answer.status != 200:
+                    return None
+                return dict(json.loads(await answer.read()))
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return None
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/answer_check.py
@@ -0,0 +1,35 @@
+"""Checks of answers against what callers may rely on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.load_result import LoadResult
+
+
+def check_answer(values: dict[str, Any], request_id: str, result: LoadResult) -> None:
+    """Count an answer for another request, mixed snapshots and untrue coverage."""
+    if values.get("request_id") != request_id:
+        result.foreign_answers += 1
+    if "coverage" in values:
+        check_search(values, result)
+
+
+def check_search(values: dict[str, Any], result: LoadResult) -> None:
+    """Check the snapshot of each hit and the sums of the coverage."""
+    snapshots = {hit["snapshot"] for hit in values["hits"]}
+    if not snapshots <= {values["snapshot"]}:
+        result.mixed_snapshots += 1
+    if not is_consistent(values):
+        result.untrue_coverage += 1
+
+
+def is_consistent(values: dict[str, Any]) -> bool:
+    """Tell whether coverage adds up and agrees with the outcome."""
+    coverage = values["coverage"]
+    left_out = len(coverage["left_out"])
+    if coverage["asked"] != coverage["answered"] + left_out:
+        return False
+    return (values["outcome"] == "complete") == (left_out == 0)
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/load.py
@@ -0,0 +1,216 @@
+"""Open-loop load on the callers' interface."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import sys
+from dataclasses import asdict
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+import uvloop
+from absl import app as absl_app
+from absl import flags
+
+from gypsumvane_devtools.address_book import AddressBook
+from gypsumvane_devtools.answer_check import check_answer
+from gypsumvane_devtools.load_plan import LoadKind
+from gypsumvane_devtools.load_plan import LoadPlan
+from gypsumvane_devtools.load_result import UNCOUNTED_OUTCOME
+from gypsumvane_devtools.load_result import LoadResult
+from gypsumvane_devtools.load_result import Observation
+from gypsumvane_devtools.load_result import RunRecord
+from gypsumvane_devtools.load_result import new_histogram
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+FLAGS = flags.FLAGS
+# A caller waits a little longer than its deadline, to see late answers.
+PATIENCE_S = 2.0
+CONNECT_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Describe one request that is due at a time of the run."""
+
+    number: int
+    due_s: float
+    caller: int
+    body: bytes
+    idempotency_key: str = ""
+
+
+def arrivals(plan: LoadPlan) -> Iterator[Arrival]:
+    """Generate Poisson arrivals; equal plans give equal arrivals."""
+    draw = random.Random(plan.seed)
+    due_s = 0.0
+    number = 0
+    while True:
+        due_s += draw.expovariate(plan.rate_per_s)
+        if due_s >= plan.duration_s:
+            return
+        number += 1
+        key = f"{plan.key_prefix}-{plan.seed}-{number}"
+        body = json.dumps(request_body(plan, draw, key)).encode()
+        caller = draw.randrange(plan.callers)
+        is_run = plan.kind is LoadKind.RUN
+        yield Arrival(number, due_s, caller, body, key if is_run else "")
+
+
+def request_body(plan: LoadPlan, draw: random.Random, key: str) -> dict[str, Any]:
+    """Return the body of one request."""
+    if plan.kind is LoadKind.SEARCH:
+        return {"query": draw.choice(plan.queries), "limit": plan.limit}
+    if plan.kind is LoadKind.LOOKUP:
+        return {"key": draw.choice(plan.record_keys or ["unknown"])}
+    return {"key": f"record-{key}", "items": draw.randint(1, 9)}
+
+
+class LoadRunner:
+    """Send the arrivals of a plan on time and record their ends."""
+
+    def __init__(self, plan: LoadPlan, session: aiohttp.ClientSession) -> None:
+        self.result = LoadResult()
+        self._plan = plan
+        self._session = session
+        self._loop = asyncio.get_running_loop()
+        self._histogram = new_histogram()
+        self._start_s = 0.0
+        self._books = [self._new_book(number) for number in range(plan.callers)]
+        self._path = f"/v1/indexes/{plan.index}/{plan.kind}"
+
+    async def run(self) -> LoadResult:
+        """Send everything, wait for the ends and return the result."""
+        self._start_s = self._loop.time()
+        async with asyncio.TaskGroup() as group:
+            for arrival in arrivals(self._plan):
+                await self._sleep_until(self._start_s + arrival.due_s)
+                group.create_task(self._request(arrival))
+        self.result.finish(self._histogram)
+        return self.result
+
+    def _new_book(self, number: int) -> AddressBook:
+        plan = self._plan
+        turn = number % len(plan.addresses)
+        return AddressBook(
+            self._session,
+            first_addresses=plan.addresses[turn:] + plan.addresses[:turn],
+            failure_domain=plan.failure_domains[number % len(plan.failure_domains)],
+            clock=self._loop.time,
+        )
+
+    async def _sleep_until(self, due_s: float) -> None:
+        wait_s = due_s - self._loop.time()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        else:
+            lag_ms = -wait_s * 1000
+            self.result.send_lag_max_ms = max(self.result.send_lag_max_ms, lag_ms)
+
+    async def _request(self, arrival: Arrival) -> None:
+        request_id = f"{self._plan.key_prefix}-{self._plan.seed}-{arrival.number}"
+        try:
+            values = await self._exchange(arrival, request_id)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            values = {"outcome": UNCOUNTED_OUTCOME, "reason": type(error).__name__}
+        latency_s = self._loop.time() - self._start_s - arrival.due_s
+        self._record(arrival, values, latency_s)
+
+    def _record(
+        self, arrival: Arrival, values: dict[str, Any], latency_s: float
+    ) -> None:
+        outcome = str(values.get("outcome", "unknown"))
+        if outcome in ("complete", "partial"):
+            self._histogram.record_value(max(1, int(latency_s * 1e6)))
+        self.result.record(
+            Observation(
+                intended_s=arrival.due_s,
+                latency_s=latency_s,
+                outcome=outcome,
+                verdict=str(values.get("verdict", "")),
+                reason=str(values.get("reason", "")),
+                in_time=latency_s * 1000 <= self._plan.deadline_ms,
+            )
+        )
+        if arrival.idempotency_key:
+            verdict = str(values.get("verdict", "none"))
+            key = str(values.get("used_key", arrival.idempotency_key))
+            self.result.runs.append(RunRecord(key, outcome, verdict))
+
+    async def _exchange(self, arrival: Arrival, request_id: str) -> dict[str, Any]:
+        headers = {
+            "Request-Id": request_id,
+            "Caller-Id": f"caller-{arrival.caller}",
+            "Deadline-Ms": str(self._plan.deadline_ms),
+            "Content-Type": "application/json",
+        }
+        addresses = await self._addresses(arrival)
+        if arrival.idempotency_key:
+            key = await self._idempotency_key(arrival, addresses)
+            headers["Idempotency-Key"] = key
+        values = await self._send(addresses, arrival.body, headers)
+        check_answer(values, request_id, self.result)
+        if arrival.idempotency_key:
+            values["used_key"] = headers["Idempotency-Key"]
+        return values
+
+    async def _addresses(self, arrival: Arrival) -> list[str]:
+        if self._plan.asks_entry_addresses:
+            return await self._books[arrival.caller].addresses()
+        addresses = self._plan.addresses
+        turn = arrival.number % len(addresses)
+        return addresses[turn:] + addresses[:turn]
+
+    async def _idempotency_key(self, arrival: Arrival, addresses: list[str]) -> str:
+        if not self._plan.reserves_keys:
+            return arrival.idempotency_key
+        url = f"http://{addresses[0]}/v1/idempotency-keys"
+        async with self._session.post(url, json={"count": 1}) as answer:
+            values = json.loads(await answer.read())
+        return str(values["keys"][0])
+
+    async def _send(
+        self, addresses: list[str], body: bytes, headers: dict[str, str]
+    ) -> dict[str, Any]:
+        # Only an address that accepts no connection is skipped; everything else
+        # may have run and is not repeated by the tool.
+        for address in addresses[: CONNECT_ATTEMPTS - 1]:
+            try:
+                return await self._post(address, body, headers)
+            except aiohttp.ClientConnectorError:
+                continue
+        return await self._post(addresses[-1], body, headers)
+
+    async def _post(
+        self, address: str, body: bytes, headers: dict[str, str]
+    ) -> dict[str, Any]:
+        url = f"http://{address}{self._path}"
+        async with self._session.post(url, data=body, headers=headers) as answer:
+            return dict(json.loads(await answer.read()))
+
+
+async def run_load(plan: LoadPlan) -> LoadResult:
+    """Run a plan in this process."""
+    timeout = aiohttp.ClientTimeout(total=plan.deadline_ms / 1000 + PATIENCE_S)
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        return await LoadRunner(plan, session).run()
+
+
+def main(argv: list[str]) -> None:
+    """Run the plan of a file and print the result as one JSON line."""
+    plan = LoadPlan.model_validate_json(Path(FLAGS.plan).read_text(encoding="utf-8"))
+    result = uvloop.run(run_load(plan))
+    json.dump(asdict(result), sys.stdout)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("plan", None, "File with the load plan.", required=True)
+    absl_app.run(main)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/managed_process.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/managed_process.py
@@ -5,8 +5,10 @@
 import asyncio
 import ctypes
 import json
+import os
 import signal
 import sys
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -91,7 +93,10 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to a process that runs."""
         if self.running:
-            self._started().send_signal(number)
+            # send_signal of asyncio may collect the exit status before the child
+            # watcher does, which then reports a wrong one.
+            with suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     def pause(self) -> None:
         """Stop the process until `resume`."""
