--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf_settings.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf_settings.py
@@ -133,4 +133,6 @@
     """List the leaves that one process serves."""
 
     control_address: Address = "127.0.0.1:0"
+    # File that the processes of one ledger share; empty keeps runs in memory.
+    ledger_path: str = ""
     leaves: list[LeafSettings]
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/run_ledger.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/run_ledger.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import json
+import os
+from dataclasses import asdict
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Any
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 
 @dataclass(frozen=True, slots=True)
 class LedgerRun:
@@ -19,26 +26,60 @@
 
 @dataclass(slots=True)
 class RunLedger:
-    """Keep the runs of all leaves of one process; it does not deduplicate."""
+    """Keep the runs of all leaves of one process; it does not deduplicate.
+
+    A shared file stands for the replication between the leaves of a ledger, so
+    that each leaf finds the records that any of them has made.
+    """
 
+    shared_path: Path | None = None
     runs: list[LedgerRun] = field(default_factory=list)
     _newest: dict[str, LedgerRun] = field(default_factory=dict)
+    _read_bytes: int = 0
 
     def add(self, run: LedgerRun) -> None:
         """Record a run that took effect."""
         self.runs.append(run)
-        record_key = run.record.get("key")
-        if isinstance(record_key, str):
-            self._newest[record_key] = run
+        if self.shared_path is None:
+            self._index(run)
+        else:
+            append_line(self.shared_path, json.dumps(asdict(run)))
 
     def find(self, record_key: str) -> LedgerRun | None:
         """Return the newest run for a record."""
+        self._read_shared()
         return self._newest.get(record_key)
 
     def counts(self, leaf_id: str = "") -> dict[str, int]:
-        """Return the number of runs by idempotency key."""
+        """Return the number of runs of this process by idempotency key."""
         totals: dict[str, int] = {}
         for run in self.runs:
             if leaf_id in ("", run.leaf_id):
                 totals[run.idempotency_key] = totals.get(run.idempotency_key, 0) + 1
         return totals
+
+    def _index(self, run: LedgerRun) -> None:
+        record_key = run.record.get("key")
+        if isinstance(record_key, str):
+            self._newest[record_key] = run
+
+    def _read_shared(self) -> None:
+        if self.shared_path is None or not self.shared_path.exists():
+            return
+        with self.shared_path.open("rb") as lines:
+            lines.seek(self._read_bytes)
+            for line in lines:
+                if not line.endswith(b"\n"):
+                    return
+                self._read_bytes += len(line)
+                self._index(LedgerRun(**json.loads(line)))
+
+
+def append_line(path: Path, line: str) -> None:
+    """Append one line with one write, so that processes do not mix lines."""
+    flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT
+    descriptor = os.open(path, flags, 0o600)
+    try:
+        os.write(descriptor, line.encode() + b"\n")
+    finally:
+        os.close(descriptor)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/upstream.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/upstream.py
@@ -37,7 +37,8 @@
 async def serve() -> None:
     """Serve the leaves until the stop signal."""
     topology = read_topology()
-    ledger = RunLedger()
+    path = topology.ledger_path
+    ledger = RunLedger(Path(path) if path else None)
     servers = [LeafServer(Leaf(settings, ledger)) for settings in topology.leaves]
     for server in servers:
         await server.start()
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/upstream_fleet.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/upstream_fleet.py
@@ -36,7 +36,9 @@
     async def _start_domain(self, domain: str) -> dict[str, str]:
         leaves = [leaf for leaf in self.leaves if leaf.failure_domain == domain]
         path = self._directory / f"topology-{domain}.json"
-        path.write_text(Topology(leaves=leaves).model_dump_json(), encoding="utf-8")
+        ledger_path = str(self._directory / "ledger.jsonl")
+        topology = Topology(ledger_path=ledger_path, leaves=leaves)
+        path.write_text(topology.model_dump_json(), encoding="utf-8")
         process = StandInProcess(f"upstream-{domain}", self._directory, self._client)
         self.processes[domain] = process
         await process.start("upstream", "--topology", str(path))
--- a/packages/gypsumvane-devtools/tests/test_devtools_cluster.py
+++ b/packages/gypsumvane-devtools/tests/test_devtools_cluster.py
@@ -37,6 +37,24 @@
             self.assertEqual(sorted(counters), ["stock-00-0", "stock-00-1"])
             self.assertEqual({c["begun"] for c in counters.values()}, {1})
 
+    async def test_leaves_share_the_records_of_a_ledger(self) -> None:
+        """Guard against a booking that another leaf does not find."""
+        async with Cluster(ClusterPlan(indexes=[STOCK], daemons=0)) as cluster:
+            processes = cluster.upstreams.processes
+            leaves = [
+                address
+                for entry in processes.values()
+                for address in entry.announcement["leaves"].values()
+            ]
+            self.assertGreater(len(processes), 1)
+            call = cluster.client.call
+            for address in leaves[:2]:
+                await call("POST", address, "/v1/run", {"key": f"r-{address}"})
+            for written, asked in zip(leaves[:2], leaves[-2:], strict=True):
+                body = {"key": f"r-{written}"}
+                reply = await call("POST", asked, "/v1/lookup", body)
+                self.assertTrue(reply.values["found"])
+
     async def test_processes_end_with_the_cluster(self) -> None:
         """Guard against processes that outlive a failed test."""
         with self.assertRaises(RuntimeError):
