--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/booking_machine.py
@@ -0,0 +1,68 @@
+"""The states of one try to run a non-idempotent request."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from transitions import Machine
+
+from gypsumvane_core.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class BookingState(StrEnum):
+    """Name the states of a try."""
+
+    NEW = "new"
+    CLAIMED = "claimed"
+    SENT = "sent"
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNRESOLVED = "unresolved"
+
+
+_TRANSITIONS: list[Any] = [
+    {"trigger": "claim", "source": "new", "dest": "claimed"},
+    {"trigger": "send", "source": "claimed", "dest": "sent"},
+    # A leaf that certainly did not run the request gives the try back.
+    {"trigger": "turn_away", "source": "sent", "dest": "claimed"},
+    {"trigger": "complete", "source": "sent", "dest": "ran"},
+    {"trigger": "lose", "source": "sent", "dest": "unresolved"},
+    {"trigger": "abandon", "source": ["new", "claimed"], "dest": "not_run"},
+]
+
+
+class BookingTry:
+    """Guard the order of steps of one try.
+
+    A step out of order raises ``transitions.MachineError``.
+    """
+
+    state: str
+    claim: Callable[[], bool]
+    send: Callable[[], bool]
+    turn_away: Callable[[], bool]
+    complete: Callable[[], bool]
+    lose: Callable[[], bool]
+    abandon: Callable[[], bool]
+
+    def __init__(self) -> None:
+        Machine(
+            model=self,
+            states=[state.value for state in BookingState],
+            transitions=_TRANSITIONS,
+            initial=BookingState.NEW.value,
+            auto_transitions=False,
+        )
+
+    def verdict(self) -> Verdict:
+        """Return what is known about a run by this try."""
+        if self.state == BookingState.RAN:
+            return Verdict.RAN
+        if self.state in (BookingState.SENT, BookingState.UNRESOLVED):
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN
--- a/packages/gypsumvane-core/src/gypsumvane_core/reason.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/reason.py
@@ -36,4 +36,6 @@
     KEY_REUSED = "key_reused"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_UNRESOLVED = "key_unresolved"
+    CLAIMS_FULL = "claims_full"
+    RESULT_NOT_KEPT = "result_not_kept"
     CONFLICT = "conflict"
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
@@ -0,0 +1,252 @@
+"""Non-idempotent requests: bookings and enquiries that run at most once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_core.claim import bucket_of
+from gypsumvane_core.claim import bucket_store_key
+from gypsumvane_core.claim import fingerprint_of
+from gypsumvane_core.messages import BookingReply
+from gypsumvane_core.messages import BookingRequest
+from gypsumvane_core.outcome import Failed
+from gypsumvane_core.outcome import Outcome
+from gypsumvane_core.outcome import Refused
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.reserved_key import RESERVED_PREFIX
+from gypsumvane_core.reserved_key import ReservedKey
+from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.booking_deadline import Deadline
+from gypsumvane_daemon.booking_replies import outcome_of
+from gypsumvane_daemon.booking_replies import reply_of
+from gypsumvane_daemon.claim_ledger import ClaimTimings
+from gypsumvane_daemon.claimed_runs import ClaimedRuns
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.leaf_runner import LeafRunner
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_codec import FrameError
+from gypsumvane_daemon.peer_network import PeerError
+from gypsumvane_daemon.peer_network import PeerNetwork
+from gypsumvane_daemon.reserved_checkpoints import CheckpointTimings
+from gypsumvane_daemon.reserved_checkpoints import ReservedCheckpoints
+from gypsumvane_daemon.reserved_runs import ReservedRuns
+from gypsumvane_daemon.service_ports import DocumentsPort
+from gypsumvane_daemon.service_ports import MembershipPort
+from gypsumvane_daemon.service_ports import StorePort
+from gypsumvane_daemon.service_ports import UpstreamsPort
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.kernel import Kernel
+    from gypsumvane_daemon.peer_network import PeerContext
+
+KEY_LENGTH_MAX = 200
+RESERVE_MAX = 1000
+# Leaves room for the other fields in a frame of 1 MiB.
+BODY_BYTES_MAX = 512 * 1024
+FORWARD_TRIES = 3
+FORWARD_PAUSE_S = 0.05
+# The home answers this much before the caller's deadline.
+ANSWER_MARGIN_MS = 10
+STOP_TIMEOUT_S = 2.0
+
+
+class BookingService(Service):
+    """Run non-idempotent requests at the home of their key."""
+
+    name = "bookings"
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        *,
+        clock: Clock,
+        claim_timings: ClaimTimings | None = None,
+        checkpoint_timings: CheckpointTimings | None = None,
+    ) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._claim_timings = claim_timings or ClaimTimings()
+        self._checkpoint_timings = checkpoint_timings or CheckpointTimings()
+        self._work: set[asyncio.Task[Outcome]] = set()
+        self._metrics: MetricsService
+        self._peers: PeerNetwork
+        self._membership: MembershipPort
+        self._documents: DocumentsPort
+        self._claimed: ClaimedRuns
+        self._reserved: ReservedRuns
+        self._checkpoints: ReservedCheckpoints
+
+    async def start(self, kernel: Kernel) -> None:
+        """Find the other services and accept forwarded requests."""
+        self._metrics = kernel.get(MetricsService)
+        self._peers = kernel.get(PeerNetwork)
+        self._membership = kernel.get(MembershipPort)  # type: ignore[type-abstract]
+        self._documents = kernel.get(DocumentsPort)  # type: ignore[type-abstract]
+        store = kernel.get(StorePort)  # type: ignore[type-abstract]
+        upstreams = kernel.get(UpstreamsPort)  # type: ignore[type-abstract]
+        runner = LeafRunner(
+            self._identity,
+            clock=self._clock,
+            peers=self._peers,
+            membership=self._membership,
+            documents=self._documents,
+            upstreams=upstreams,
+        )
+        self._claimed = ClaimedRuns(
+            self._identity,
+            clock=self._clock,
+            store=store,
+            membership=self._membership,
+            documents=self._documents,
+            metrics=self._metrics,
+            runner=runner,
+            timings=self._claim_timings,
+        )
+        self._checkpoints = ReservedCheckpoints(
+            incarnation=self._identity.incarnation,
+            store=store,
+            clock=self._clock,
+            metrics=self._metrics,
+            timings=self._checkpoint_timings,
+        )
+        self._reserved = ReservedRuns(
+            self._identity, runner=runner, checkpoints=self._checkpoints
+        )
+        self._peers.register(BookingRequest, self._serve)
+
+    async def stop(self) -> None:
+        """End the runs in progress, then write their results."""
+        if self._work:
+            await asyncio.wait(self._work, timeout=STOP_TIMEOUT_S)
+        for task in list(self._work):
+            task.cancel()
+        await asyncio.gather(*self._work, return_exceptions=True)
+        await self._claimed.close()
+        await self._checkpoints.close()
+
+    def reserve(self, count: int) -> list[str]:
+        """Return keys that stay usable during a store outage.
+
+        Raises ValueError for a count out of bounds.
+        """
+        if not 1 <= count <= RESERVE_MAX:
+            raise ValueError(f"count must be between 1 and {RESERVE_MAX}")
+        return self._reserved.reserve(count)
+
+    async def run(self, request: BookingRequest) -> Outcome:
+        """Run a request of a caller, here or at the home of its key."""
+        reason = _invalid(request)
+        if reason is not None:
+            return Refused(reason=reason)
+        # The home of the key goes on when the caller's connection is cut.
+        outcome = await self._detached(self._route(self._completed(request)))
+        self._metrics.count("bookings", verdict=outcome.verdict)
+        return outcome
+
+    async def _serve(
+        self, request: BookingRequest, context: PeerContext
+    ) -> BookingReply:
+        deadline = Deadline.after(self._clock, request.deadline_left_ms / 1000)
+        return reply_of(await self._detached(self._run_here(request, deadline)))
+
+    async def _detached(self, work: Coroutine[Any, Any, Outcome]) -> Outcome:
+        task = asyncio.create_task(work)
+        self._work.add(task)
+        task.add_done_callback(self._work.discard)
+        return await asyncio.shield(task)
+
+    async def _route(self, request: BookingRequest) -> Outcome:
+        deadline = Deadline.after(self._clock, request.deadline_left_ms / 1000)
+        reason = Reason.NO_HOME
+        for turn in range(FORWARD_TRIES):
+            if turn:
+                await asyncio.sleep(FORWARD_PAUSE_S)
+            home = self._home_of(request)
+            if home == self._identity.vm_id:
+                return await self._run_here(request, deadline)
+            if home is None:
+                continue
+            answer = await self._forward(home, request, deadline)
+            if not isinstance(answer, Reason):
+                return answer
+            reason = answer
+        return await self._settle(request, reason)
+
+    def _home_of(self, request: BookingRequest) -> str | None:
+        key = ReservedKey.parse(request.key)
+        if key is None:
+            store_key = bucket_store_key(bucket_of(request.key))
+            return self._membership.home_of_key(store_key)
+        if self._reserved.owns(key):
+            return self._identity.vm_id
+        member = self._membership.member(key.vm_id)
+        if member is None or member.incarnation != key.incarnation:
+            # Only the store may know what came of the key.
+            return self._identity.vm_id
+        return key.vm_id
+
+    async def _forward(
+        self, home: str, request: BookingRequest, deadline: Deadline
+    ) -> Outcome | Reason:
+        """Return the home's answer, or why it certainly did nothing."""
+        left_s = deadline.left_s(self._clock)
+        message = replace(
+            request, deadline_left_ms=max(0, int(left_s * 1000) - ANSWER_MARGIN_MS)
+        )
+        try:
+            reply = await self._peers.request(home, message, timeout_s=left_s)
+        except FrameError:
+            return Reason.BAD_REQUEST
+        except PeerError as error:
+            if not error.sent:
+                return Reason.PEER_UNAVAILABLE
+            return Failed(reason=Reason.PEER_LOST, verdict=Verdict.MAY_HAVE_RUN)
+        if not isinstance(reply, BookingReply):
+            return Failed(reason=Reason.PEER_LOST, verdict=Verdict.MAY_HAVE_RUN)
+        outcome = outcome_of(reply)
+        if isinstance(outcome, Refused) and outcome.reason is Reason.NOT_HOME:
+            return Reason.NOT_HOME
+        return outcome
+
+    async def _run_here(self, request: BookingRequest, deadline: Deadline) -> Outcome:
+        key = ReservedKey.parse(request.key)
+        if key is not None:
+            if self._reserved.owns(key):
+                return await self._reserved.run(key, request, deadline)
+            return await self._reserved.recover(key, request)
+        if self._home_of(request) != self._identity.vm_id:
+            return Refused(reason=Reason.NOT_HOME)
+        return await self._claimed.run(request, deadline)
+
+    async def _settle(self, request: BookingRequest, reason: Reason) -> Outcome:
+        """Answer for a request that reached no home."""
+        key = ReservedKey.parse(request.key)
+        if key is not None:
+            return await self._reserved.recover(key, request)
+        return await self._claimed.settle(request, reason)
+
+    def _completed(self, request: BookingRequest) -> BookingRequest:
+        policy = self._documents.catalogue.fleet().policy(index=request.index)
+        return replace(
+            request,
+            fingerprint=fingerprint_of(request.index, request.route, request.body),
+            deadline_left_ms=request.deadline_left_ms or policy.deadline_ms,
+        )
+
+
+def _invalid(request: BookingRequest) -> Reason | None:
+    if not request.key:
+        return Reason.KEY_MISSING
+    # Such requests never run, whatever happens to other tries.
+    if len(request.key) > KEY_LENGTH_MAX or len(request.body) > BODY_BYTES_MAX:
+        return Reason.BAD_REQUEST
+    if not request.key.startswith(RESERVED_PREFIX):
+        return None
+    return None if ReservedKey.parse(request.key) else Reason.BAD_REQUEST
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claim_ledger.py
@@ -0,0 +1,312 @@
+"""Claims of one bucket: reads and grouped conditional writes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections import OrderedDict
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.claim import bucket_store_key
+from gypsumvane_core.claim_bucket import BucketOwner
+from gypsumvane_core.claim_bucket import ClaimBucket
+from gypsumvane_core.claim_change import ClaimAnswer
+from gypsumvane_core.claim_change import ClaimWriter
+from gypsumvane_core.claim_change import ReleaseClaim
+from gypsumvane_core.claim_change import TakeClaim
+from gypsumvane_core.claim_change import is_open
+from gypsumvane_daemon.store_objects import StoreError
+from gypsumvane_daemon.store_objects import Written
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.claim import Claim
+    from gypsumvane_core.claim_change import ClaimChange
+    from gypsumvane_core.claim_change import ClaimDecision
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_daemon.metrics import MetricsService
+    from gypsumvane_daemon.service_ports import StorePort
+
+logger = logging.getLogger(__name__)
+
+# Conflicts and lost answers in a row after which a write is given up.
+COMMIT_TRIES = 6
+NOTES_MAX = 10_000
+NOT_RUN_MAX = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimTimings:
+    """Set the intervals of the writes and of the ownership of a bucket."""
+
+    write_spacing_s: float = 0.05
+    # An owner answers from its copy of the bucket for this long after the
+    # store last confirmed that it is the owner.
+    lease_s: float = 2.0
+    # A new owner waits lease and margin before its first run.
+    margin_s: float = 0.5
+    retry_s: float = 0.5
+
+
+class ClaimsUnavailableError(Exception):
+    """Report that the store did not answer.
+
+    ``known_open`` is True when no attempt of the key ran or may run.
+    """
+
+    def __init__(self, *, known_open: bool) -> None:
+        super().__init__("the store does not answer")
+        self.known_open = known_open
+
+
+@dataclass(slots=True)
+class _Take:
+    change: TakeClaim
+    future: asyncio.Future[ClaimDecision]
+    # A write that contains the claim got no answer.
+    may_be_stored: bool = False
+
+
+class ClaimLedger:
+    """Own the copy of one bucket and its writes."""
+
+    def __init__(
+        self,
+        *,
+        bucket: int,
+        store: StorePort,
+        owner: BucketOwner,
+        clock: Clock,
+        metrics: MetricsService,
+        timings: ClaimTimings,
+        retention_s: Callable[[], float],
+        is_gone: Callable[[BucketOwner], bool],
+    ) -> None:
+        self.store_key = bucket_store_key(bucket)
+        self._store = store
+        self._owner = owner
+        self._clock = clock
+        self._metrics = metrics
+        self._timings = timings
+        self._retention_s = retention_s
+        self._is_gone = is_gone
+        self._bucket = ClaimBucket()
+        self._version: int | None = None
+        # The copy must be read again before the next write.
+        self._stale = True
+        self._lease_from_s = float("-inf")
+        self._send_not_before_s = float("-inf")
+        # Own attempts that were never sent or that every leaf refused.
+        self._not_run: OrderedDict[str, None] = OrderedDict()
+        self._takes: list[_Take] = []
+        self._notes: deque[ClaimChange] = deque()
+        self._wake = asyncio.Event()
+        self._last_write_s = float("-inf")
+        self._task = asyncio.create_task(self._run(), name=self.store_key)
+
+    @property
+    def send_not_before_s(self) -> float:
+        """Return the time from which claimed keys may be sent to leaves."""
+        return self._send_not_before_s
+
+    async def take(self, change: TakeClaim) -> ClaimDecision:
+        """Claim a key; raises ClaimsUnavailableError.
+
+        A take that is cancelled counts as given back.
+        """
+        future = asyncio.get_running_loop().create_future()
+        take = _Take(change, future)
+        self._takes.append(take)
+        self._wake.set()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if take in self._takes:
+                self._takes.remove(take)
+            else:
+                self.give_back(ReleaseClaim(change.key_hash, change.attempt))
+            raise
+        except ClaimsUnavailableError:
+            if take.may_be_stored:
+                self.give_back(ReleaseClaim(change.key_hash, change.attempt))
+            raise
+
+    def note(self, change: ClaimChange) -> None:
+        """Write a change with one of the next writes."""
+        self._notes.append(change)
+        if len(self._notes) > NOTES_MAX:
+            # The claim stays unresolved, which is safe.
+            self._notes.popleft()
+            self._metrics.count("booking_notes_dropped")
+        self._wake.set()
+
+    def give_back(self, change: ReleaseClaim) -> None:
+        """Let the next try of the key claim it again."""
+        self._not_run[change.attempt] = None
+        while len(self._not_run) > NOT_RUN_MAX:
+            self._not_run.popitem(last=False)
+        self.note(change)
+
+    def knows_open(self, key_hash: str) -> bool:
+        """Return whether it is certain, without the store, that no try ran."""
+        age_s = self._clock.monotonic_s() - self._lease_from_s
+        if age_s >= self._timings.lease_s:
+            return False
+        return is_open(self._bucket.get(key_hash), self._not_run.keys())
+
+    async def read(self, key_hash: str) -> Claim | None:
+        """Read the claim of a key that is not open; raises StoreError."""
+        bucket, _ = await self._fetch()
+        claim = bucket.get(key_hash)
+        return None if is_open(claim, self._not_run.keys()) else claim
+
+    async def close(self) -> None:
+        """Write what is pending once more and give up the ownership."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        if self._takes or self._notes:
+            await self._commit()
+        self._lease_from_s = float("-inf")
+        with contextlib.suppress(StoreError):
+            await self._give_up_ownership()
+
+    async def _give_up_ownership(self) -> None:
+        if self._stale or self._bucket.owner != self._owner:
+            return
+        bucket = self._bucket.copy()
+        bucket.owner = BucketOwner()
+        await self._put(bucket)
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            spaced_s = self._last_write_s + self._timings.write_spacing_s
+            await asyncio.sleep(max(0.0, spaced_s - self._clock.monotonic_s()))
+            if not self._takes and not self._notes:
+                continue
+            try:
+                await self._commit()
+            except Exception:
+                logger.exception("claims could not be written")
+
+    async def _commit(self) -> None:
+        takes, self._takes = self._takes, []
+        notes, self._notes = list(self._notes), deque()
+        settled = False
+        try:
+            for _ in range(COMMIT_TRIES):
+                settled = await self._try_commit(takes, notes)
+                if settled:
+                    return
+        except StoreError:
+            pass
+        finally:
+            if not settled:
+                self._give_up(takes, notes)
+
+    async def _try_commit(self, takes: list[_Take], notes: list[ClaimChange]) -> bool:
+        """Return whether the changes are settled; raises StoreError."""
+        loaded = self._stale
+        if self._stale:
+            await self._load()
+        live = [take for take in takes if not take.future.done()]
+        writer = ClaimWriter(self._owner, self._retention_s())
+        group = writer.group(
+            self._bucket,
+            [*notes, *(take.change for take in live)],
+            not_run=self._not_run.keys(),
+            unix_s=self._clock.unix_s(),
+        )
+        decisions = group.decisions[len(notes) :]
+        if not loaded and any(d.answer is ClaimAnswer.FULL for d in decisions):
+            # The copy may lack claims of another owner.
+            self._stale = True
+            return False
+        if group.changed and not await self._write(group.bucket, live):
+            return False
+        for take, decision in zip(live, decisions, strict=True):
+            if not take.future.done():
+                take.future.set_result(decision)
+        return True
+
+    async def _write(self, bucket: ClaimBucket, takes: list[_Take]) -> bool:
+        """Write the bucket and return whether it certainly took effect."""
+        former = self._bucket.owner
+        sent_at_s = self._clock.monotonic_s()
+        try:
+            written = await self._put(bucket)
+        except StoreError as error:
+            self._stale = True
+            if not error.may_have_applied:
+                raise
+            self._metrics.count("booking_claim_answers_lost")
+            for take in takes:
+                take.may_be_stored = True
+            # The next turn reads back.
+            return False
+        if not written:
+            self._metrics.count("booking_claim_conflicts")
+            return False
+        self._note_owner(former=former, sent_at_s=sent_at_s)
+        return True
+
+    def _note_owner(self, *, former: BucketOwner, sent_at_s: float) -> None:
+        if self._bucket.owner != self._owner:
+            self._lease_from_s = float("-inf")
+            return
+        self._lease_from_s = sent_at_s
+        if former in (self._owner, BucketOwner()) or self._is_gone(former):
+            return
+        # The former owner may answer from its copy until its lease ends.
+        wait_s = self._timings.lease_s + self._timings.margin_s
+        self._send_not_before_s = self._clock.monotonic_s() + wait_s
+
+    async def _put(self, bucket: ClaimBucket) -> bool:
+        self._last_write_s = self._clock.monotonic_s()
+        self._metrics.count("booking_claim_writes")
+        result = await self._store.put(
+            self.store_key, bucket.encode(), expected_version=self._version
+        )
+        if not isinstance(result, Written):
+            self._stale = True
+            return False
+        self._bucket = bucket
+        self._version = result.version
+        return True
+
+    async def _load(self) -> None:
+        former = self._bucket.owner
+        sent_at_s = self._clock.monotonic_s()
+        self._bucket, self._version = await self._fetch()
+        self._stale = False
+        # An own write whose answer was lost may have moved the ownership from
+        # the owner of the former copy.
+        self._note_owner(former=former, sent_at_s=sent_at_s)
+
+    async def _fetch(self) -> tuple[ClaimBucket, int | None]:
+        self._metrics.count("booking_claim_reads")
+        stored = await self._store.get(self.store_key)
+        if stored is None:
+            return ClaimBucket(), None
+        try:
+            return ClaimBucket.decode(stored.value), stored.version
+        except ValueError as error:
+            logger.error("claim bucket is damaged", extra={"key": self.store_key})
+            raise StoreError(str(error), may_have_applied=False) from error
+
+    def _give_up(self, takes: list[_Take], notes: list[ClaimChange]) -> None:
+        self._stale = True
+        for take in takes:
+            if not take.future.done():
+                known_open = self.knows_open(take.change.key_hash)
+                error = ClaimsUnavailableError(known_open=known_open)
+                take.future.set_exception(error)
+        if notes:
+            self._notes.extendleft(reversed(notes))
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._timings.retry_s, self._wake.set)
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claimed_runs.py
@@ -0,0 +1,239 @@
+"""Runs of callers' own keys at the home of their claim bucket."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.booking_machine import BookingState
+from gypsumvane_core.booking_machine import BookingTry
+from gypsumvane_core.claim import BUCKET_COUNT
+from gypsumvane_core.claim import RecordedResult
+from gypsumvane_core.claim import bucket_of
+from gypsumvane_core.claim import hash_key
+from gypsumvane_core.claim_bucket import BucketOwner
+from gypsumvane_core.claim_change import ClaimAnswer
+from gypsumvane_core.claim_change import ClaimDecision
+from gypsumvane_core.claim_change import RecordRun
+from gypsumvane_core.claim_change import ReleaseClaim
+from gypsumvane_core.claim_change import TakeClaim
+from gypsumvane_core.claim_change import decide_claimed
+from gypsumvane_core.outcome import Completed
+from gypsumvane_core.outcome import Failed
+from gypsumvane_core.outcome import Outcome
+from gypsumvane_core.outcome import Refused
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.booking_replies import replay_of
+from gypsumvane_daemon.claim_ledger import ClaimLedger
+from gypsumvane_daemon.claim_ledger import ClaimsUnavailableError
+from gypsumvane_daemon.store_objects import StoreError
+
+if TYPE_CHECKING:
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.messages import BookingRequest
+    from gypsumvane_daemon.booking_deadline import Deadline
+    from gypsumvane_daemon.claim_ledger import ClaimTimings
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.leaf_runner import BookingTarget
+    from gypsumvane_daemon.leaf_runner import LeafRunner
+    from gypsumvane_daemon.metrics import MetricsService
+    from gypsumvane_daemon.service_ports import DocumentsPort
+    from gypsumvane_daemon.service_ports import MembershipPort
+    from gypsumvane_daemon.service_ports import StorePort
+
+# Results answered from memory until their record is in the store.
+RESULTS_MAX = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Recent:
+    fingerprint: str
+    result: RecordedResult
+
+
+class ClaimedRuns:
+    """Claim a key in the store, run it and record what came of it."""
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        *,
+        clock: Clock,
+        store: StorePort,
+        membership: MembershipPort,
+        documents: DocumentsPort,
+        metrics: MetricsService,
+        runner: LeafRunner,
+        timings: ClaimTimings,
+    ) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._membership = membership
+        self._documents = documents
+        self._runner = runner
+        self._attempts = 0
+        # Keys of which a try is in progress here, with its fingerprint.
+        self._in_progress: dict[str, str] = {}
+        self._recent: OrderedDict[str, _Recent] = OrderedDict()
+        self._ledgers = [
+            ClaimLedger(
+                bucket=bucket,
+                store=store,
+                owner=BucketOwner(identity.vm_id, identity.incarnation),
+                clock=clock,
+                metrics=metrics,
+                timings=timings,
+                retention_s=self._retention_s,
+                is_gone=self._is_gone,
+            )
+            for bucket in range(BUCKET_COUNT)
+        ]
+
+    async def close(self) -> None:
+        """Write pending results and give up the buckets."""
+        await asyncio.gather(*(ledger.close() for ledger in self._ledgers))
+
+    async def run(self, request: BookingRequest, deadline: Deadline) -> Outcome:
+        """Run a key at most once; this daemon is the home of its bucket."""
+        key_hash = hash_key(request.key)
+        fingerprint = self._in_progress.get(key_hash)
+        if fingerprint is not None:
+            return _in_progress(reused=fingerprint != request.fingerprint)
+        recent = self._recent.get(key_hash)
+        if recent is not None:
+            if recent.fingerprint != request.fingerprint:
+                return Refused(reason=Reason.KEY_REUSED)
+            return replay_of(recent.result)
+        self._in_progress[key_hash] = request.fingerprint
+        try:
+            return await self._first_try(key_hash, request, deadline)
+        finally:
+            del self._in_progress[key_hash]
+
+    async def settle(self, request: BookingRequest, reason: Reason) -> Outcome:
+        """Answer for a try that was not sent because of ``reason``.
+
+        An earlier try of the key may have run, so the answer says NOT_RUN only
+        when the bucket shows that there is none.
+        """
+        ledger = self._ledgers[bucket_of(request.key)]
+        key_hash = hash_key(request.key)
+        if ledger.knows_open(key_hash):
+            return Refused(reason=reason)
+        try:
+            claim = await ledger.read(key_hash)
+        except StoreError:
+            return Failed(reason=reason, verdict=Verdict.MAY_HAVE_RUN)
+        if claim is None:
+            return Refused(reason=reason)
+        return _outcome_of(decide_claimed(claim, request.fingerprint))
+
+    async def _first_try(
+        self, key_hash: str, request: BookingRequest, deadline: Deadline
+    ) -> Outcome:
+        target = self._runner.target(request)
+        if isinstance(target, Reason):
+            return await self.settle(request, target)
+        self._attempts += 1
+        take = TakeClaim(
+            key_hash=key_hash,
+            fingerprint=request.fingerprint,
+            attempt=f"{self._identity.incarnation}-{self._attempts}",
+        )
+        ledger = self._ledgers[bucket_of(request.key)]
+        try:
+            async with asyncio.timeout(deadline.left_s(self._clock)):
+                decision = await ledger.take(take)
+        except TimeoutError:
+            return await self._without_claim(ledger, request, Reason.DEADLINE)
+        except ClaimsUnavailableError as error:
+            return _unavailable(known_open=error.known_open)
+        if decision.answer is not ClaimAnswer.GRANTED:
+            return _outcome_of(decision)
+        return await self._run_claimed(ledger, take, request, target, deadline)
+
+    async def _without_claim(
+        self, ledger: ClaimLedger, request: BookingRequest, reason: Reason
+    ) -> Outcome:
+        # There is no time left to read the bucket.
+        if ledger.knows_open(hash_key(request.key)):
+            return Refused(reason=reason)
+        return Failed(reason=reason, verdict=Verdict.MAY_HAVE_RUN)
+
+    async def _run_claimed(
+        self,
+        ledger: ClaimLedger,
+        take: TakeClaim,
+        request: BookingRequest,
+        target: BookingTarget,
+        deadline: Deadline,
+    ) -> Outcome:
+        attempt = BookingTry()
+        attempt.claim()
+        try:
+            if not await self._wait_for_lease(ledger, deadline):
+                attempt.abandon()
+                return Refused(reason=Reason.DEADLINE)
+            outcome = await self._runner.run(attempt, request, target, deadline)
+            if isinstance(outcome, Completed):
+                self._record(ledger, take, outcome)
+            return outcome
+        finally:
+            # Also when this task is cancelled before the request was sent.
+            if attempt.state in (BookingState.CLAIMED, BookingState.NOT_RUN):
+                ledger.give_back(ReleaseClaim(take.key_hash, take.attempt))
+
+    async def _wait_for_lease(self, ledger: ClaimLedger, deadline: Deadline) -> bool:
+        wait_s = ledger.send_not_before_s - self._clock.monotonic_s()
+        if wait_s <= 0:
+            return True
+        if wait_s >= deadline.left_s(self._clock):
+            return False
+        await asyncio.sleep(wait_s)
+        return True
+
+    def _record(self, ledger: ClaimLedger, take: TakeClaim, outcome: Completed) -> None:
+        result = RecordedResult.bounded(outcome.status, outcome.body)
+        self._recent[take.key_hash] = _Recent(take.fingerprint, result)
+        if len(self._recent) > RESULTS_MAX:
+            self._recent.popitem(last=False)
+        ledger.note(RecordRun(take.key_hash, take.attempt, result))
+
+    def _retention_s(self) -> float:
+        return float(self._documents.catalogue.fleet().defaults.claim_retention_s)
+
+    def _is_gone(self, owner: BucketOwner) -> bool:
+        member = self._membership.member(owner.vm_id)
+        if member is None:
+            # It may be paused; a later start on the same VM would show.
+            return False
+        if member.incarnation != owner.incarnation:
+            return True
+        live = self._membership.live_members()
+        return all(other.incarnation != owner.incarnation for other in live)
+
+
+def _in_progress(*, reused: bool) -> Outcome:
+    if reused:
+        return Refused(reason=Reason.KEY_REUSED)
+    return Failed(reason=Reason.KEY_IN_PROGRESS, verdict=Verdict.MAY_HAVE_RUN)
+
+
+def _unavailable(*, known_open: bool) -> Outcome:
+    reason = Reason.STORE_UNAVAILABLE
+    if known_open:
+        return Refused(reason=reason)
+    return Failed(reason=reason, verdict=Verdict.MAY_HAVE_RUN)
+
+
+def _outcome_of(decision: ClaimDecision) -> Outcome:
+    if decision.answer is ClaimAnswer.RAN:
+        return replay_of(decision.result)
+    if decision.answer is ClaimAnswer.REUSED:
+        return Refused(reason=Reason.KEY_REUSED)
+    if decision.answer is ClaimAnswer.FULL:
+        return Refused(reason=Reason.CLAIMS_FULL)
+    return Failed(reason=Reason.KEY_UNRESOLVED, verdict=Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
@@ -0,0 +1,162 @@
+"""Sending of one claimed request to the leaves of its service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.booking_target import LeafOrder
+from gypsumvane_core.booking_target import service_of_key
+from gypsumvane_core.messages import BookingReply
+from gypsumvane_core.messages import BookingRequest
+from gypsumvane_core.messages import LeafRunReply
+from gypsumvane_core.messages import LeafRunRequest
+from gypsumvane_core.outcome import Outcome
+from gypsumvane_core.outcome import Refused
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.booking_replies import FAILED
+from gypsumvane_daemon.booking_replies import REFUSED
+from gypsumvane_daemon.booking_replies import outcome_of
+from gypsumvane_daemon.peer_codec import FrameError
+from gypsumvane_daemon.peer_network import PeerError
+
+if TYPE_CHECKING:
+    from gypsumvane_core.booking_machine import BookingTry
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.document_models import LeafModel
+    from gypsumvane_daemon.booking_deadline import Deadline
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.peer_network import PeerNetwork
+    from gypsumvane_daemon.service_ports import DocumentsPort
+    from gypsumvane_daemon.service_ports import MembershipPort
+    from gypsumvane_daemon.service_ports import UpstreamsPort
+
+# A run that cannot end within this time is not begun.
+RUN_LEFT_MIN_S = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class BookingTarget:
+    """Name the leaves that may run a request, best first."""
+
+    service: str
+    leaves: list[LeafModel]
+
+
+class LeafRunner:
+    """Send a request to one leaf after another while none may have run it."""
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        *,
+        clock: Clock,
+        peers: PeerNetwork,
+        membership: MembershipPort,
+        documents: DocumentsPort,
+        upstreams: UpstreamsPort,
+    ) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._peers = peers
+        self._membership = membership
+        self._documents = documents
+        self._upstreams = upstreams
+
+    def target(self, request: BookingRequest) -> BookingTarget | Reason:
+        """Return where a request may run, or why it cannot."""
+        index = self._documents.catalogue.index(request.index)
+        if index is None or not index.non_idempotent:
+            return Reason.UNKNOWN_INDEX
+        service = service_of_key(index, request.key)
+        if service is None:
+            return Reason.UNKNOWN_SERVICE
+        order = LeafOrder(
+            domains_out=self._documents.catalogue.domains_out(),
+            brief_of=self._upstreams.briefs.get,
+        )
+        leaves = order.candidates(index, service, None)
+        if not leaves:
+            return Reason.UPSTREAM_UNAVAILABLE
+        return BookingTarget(service=service, leaves=leaves)
+
+    async def run(
+        self,
+        attempt: BookingTry,
+        request: BookingRequest,
+        target: BookingTarget,
+        deadline: Deadline,
+    ) -> Outcome:
+        """Run a claimed request; the attempt ends in its final state."""
+        reason = Reason.UPSTREAM_UNAVAILABLE
+        for leaf in target.leaves:
+            if deadline.left_s(self._clock) < RUN_LEFT_MIN_S:
+                reason = Reason.DEADLINE
+                break
+            outcome = await self._run_at(attempt, request, leaf, deadline)
+            if not isinstance(outcome, Refused):
+                return outcome
+            reason = outcome.reason
+        attempt.abandon()
+        return Refused(reason=reason)
+
+    async def _run_at(
+        self,
+        attempt: BookingTry,
+        request: BookingRequest,
+        leaf: LeafModel,
+        deadline: Deadline,
+    ) -> Outcome:
+        attempt.send()
+        reply = await self._call(
+            leaf,
+            LeafRunRequest(
+                key=request.key,
+                index=request.index,
+                route=request.route,
+                service=leaf.service,
+                leaf_id=leaf.leaf_id,
+                deadline_left_ms=deadline.left_ms(self._clock),
+                caller_id=request.caller_id,
+                body=request.body,
+            ),
+            deadline,
+        )
+        outcome = outcome_of(reply)
+        if outcome.verdict is Verdict.NOT_RUN:
+            attempt.turn_away()
+        elif outcome.verdict is Verdict.RAN:
+            attempt.complete()
+        else:
+            attempt.lose()
+        return outcome
+
+    async def _call(
+        self, leaf: LeafModel, request: LeafRunRequest, deadline: Deadline
+    ) -> BookingReply:
+        home = self._membership.home_of(leaf.leaf_id)
+        if home is None:
+            return _not_run(Reason.NO_HOME)
+        if home == self._identity.vm_id:
+            return await self._upstreams.run_once(request)
+        left_s = deadline.left_s(self._clock)
+        try:
+            reply = await self._peers.request(home, request, timeout_s=left_s)
+        except FrameError:
+            return _not_run(Reason.BAD_REQUEST)
+        except PeerError as error:
+            if not error.sent:
+                return _not_run(Reason.PEER_UNAVAILABLE)
+            return _lost(Reason.PEER_LOST)
+        if not isinstance(reply, LeafRunReply):
+            return _lost(Reason.PEER_LOST)
+        return reply
+
+
+def _not_run(reason: Reason) -> BookingReply:
+    return BookingReply(kind=REFUSED, verdict=Verdict.NOT_RUN, reason=reason)
+
+
+def _lost(reason: Reason) -> BookingReply:
+    return BookingReply(kind=FAILED, verdict=Verdict.MAY_HAVE_RUN, reason=reason)
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/reserved_runs.py
@@ -0,0 +1,142 @@
+"""Runs of reserved keys at the daemon that issued them."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.booking_machine import BookingState
+from gypsumvane_core.booking_machine import BookingTry
+from gypsumvane_core.claim import RecordedResult
+from gypsumvane_core.outcome import Completed
+from gypsumvane_core.outcome import Failed
+from gypsumvane_core.outcome import Outcome
+from gypsumvane_core.outcome import Refused
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.reserved_key import KeyUse
+from gypsumvane_core.reserved_key import ReservedKeyRing
+from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.booking_replies import replay_of
+from gypsumvane_daemon.store_objects import StoreError
+
+if TYPE_CHECKING:
+    from gypsumvane_core.messages import BookingRequest
+    from gypsumvane_core.reserved_key import ReservedKey
+    from gypsumvane_daemon.booking_deadline import Deadline
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.leaf_runner import LeafRunner
+    from gypsumvane_daemon.reserved_checkpoints import ReservedCheckpoints
+
+USED_MAX = 20_000
+
+
+@dataclass(slots=True)
+class _Entry:
+    fingerprint: str
+    attempt: BookingTry = field(default_factory=BookingTry)
+    result: RecordedResult | None = None
+
+
+class ReservedRuns:
+    """Decide about reserved keys from the memory of their issuer."""
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        *,
+        runner: LeafRunner,
+        checkpoints: ReservedCheckpoints,
+        used_max: int = USED_MAX,
+    ) -> None:
+        self._runner = runner
+        self._checkpoints = checkpoints
+        self._ring = ReservedKeyRing(
+            vm_id=identity.vm_id,
+            incarnation=identity.incarnation,
+            secret=secrets.token_bytes(32),
+            used_max=used_max,
+        )
+        self._entries: dict[int, _Entry] = {}
+
+    def reserve(self, count: int) -> list[str]:
+        """Return new keys that this process alone runs."""
+        return [self._ring.issue() for _ in range(count)]
+
+    def owns(self, key: ReservedKey) -> bool:
+        """Return whether this process issued the key."""
+        return self._ring.owns(key)
+
+    async def run(
+        self, key: ReservedKey, request: BookingRequest, deadline: Deadline
+    ) -> Outcome:
+        """Run a key of this process at most once."""
+        use = self._ring.use_of(key)
+        if use is KeyUse.NEVER_ISSUED:
+            return Refused(reason=Reason.BAD_REQUEST, message="unknown reserved key")
+        if use is KeyUse.USED:
+            return self._repeat(self._entries[key.sequence], request)
+        if use is KeyUse.FORGOTTEN:
+            return await self.recover(key, request)
+        return await self._first_try(key, request, deadline)
+
+    async def recover(self, key: ReservedKey, request: BookingRequest) -> Outcome:
+        """Answer for a key whose issuer is lost or has forgotten it."""
+        unresolved = Failed(reason=Reason.KEY_UNRESOLVED, verdict=Verdict.MAY_HAVE_RUN)
+        try:
+            recorded = await self._checkpoints.recover(key)
+        except StoreError:
+            return unresolved
+        if recorded is None:
+            return unresolved
+        if recorded.fingerprint != request.fingerprint:
+            return Refused(reason=Reason.KEY_REUSED)
+        return replay_of(recorded.result)
+
+    def _repeat(self, entry: _Entry, request: BookingRequest) -> Outcome:
+        if entry.fingerprint != request.fingerprint:
+            return Refused(reason=Reason.KEY_REUSED)
+        if entry.attempt.state == BookingState.RAN:
+            return replay_of(entry.result)
+        unresolved = entry.attempt.state == BookingState.UNRESOLVED
+        return Failed(
+            reason=Reason.KEY_UNRESOLVED if unresolved else Reason.KEY_IN_PROGRESS,
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+    async def _first_try(
+        self, key: ReservedKey, request: BookingRequest, deadline: Deadline
+    ) -> Outcome:
+        target = self._runner.target(request)
+        if isinstance(target, Reason):
+            return Refused(reason=target)
+        entry = _Entry(fingerprint=request.fingerprint)
+        self._remember(key, entry)
+        entry.attempt.claim()
+        try:
+            outcome = await self._runner.run(entry.attempt, request, target, deadline)
+        except BaseException:
+            # A try that was never sent leaves the key usable.
+            if entry.attempt.verdict() is Verdict.NOT_RUN:
+                self._give_back(key)
+            raise
+        if entry.attempt.state == BookingState.NOT_RUN:
+            self._give_back(key)
+        elif entry.attempt.state == BookingState.RAN:
+            self._record(key, entry, outcome)
+        return outcome
+
+    def _record(self, key: ReservedKey, entry: _Entry, outcome: Outcome) -> None:
+        if isinstance(outcome, Completed):
+            entry.result = RecordedResult.bounded(outcome.status, outcome.body)
+            self._checkpoints.record(key, entry.fingerprint, entry.result)
+
+    def _remember(self, key: ReservedKey, entry: _Entry) -> None:
+        self._entries[key.sequence] = entry
+        for sequence in self._ring.use(key):
+            self._entries.pop(sequence, None)
+
+    def _give_back(self, key: ReservedKey) -> None:
+        self._ring.give_back(key)
+        self._entries.pop(key.sequence, None)
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -0,0 +1,368 @@
+"""Daemons that run bookings against fakes; all faults are injected here."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import selectors
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_core.clock import Clock
+from gypsumvane_core.document import Document
+from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.messages import BookingReply
+from gypsumvane_core.messages import BookingRequest
+from gypsumvane_core.messages import Hello
+from gypsumvane_core.messages import LeafRunReply
+from gypsumvane_core.messages import LeafRunRequest
+from gypsumvane_core.messages import Member
+from gypsumvane_daemon.booking_service import BookingService
+from gypsumvane_daemon.claim_ledger import ClaimTimings
+from gypsumvane_daemon.identity import DaemonIdentity
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_network import PeerContext
+from gypsumvane_daemon.peer_network import PeerError
+from gypsumvane_daemon.peer_network import PeerNetwork
+from gypsumvane_daemon.reserved_checkpoints import CheckpointTimings
+from gypsumvane_daemon.settings import Settings
+from gypsumvane_daemon.store_objects import Conflict
+from gypsumvane_daemon.store_objects import PutResult
+from gypsumvane_daemon.store_objects import StoredObject
+from gypsumvane_daemon.store_objects import StoreError
+from gypsumvane_daemon.store_objects import Written
+
+if TYPE_CHECKING:
+    from gypsumvane_core.outcome import Outcome
+
+LEAVES = ("leaf-a", "leaf-b")
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Advance a virtual time instead of waiting."""
+
+    now_s = 1000.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        if timeout is None:
+            raise AssertionError("the event loop waits for nothing")
+        self.now_s += max(0.0, timeout)
+        return super().select(0)
+
+
+def virtual_loop() -> asyncio.AbstractEventLoop:
+    """Return an event loop whose timers fire without waiting."""
+    selector = VirtualSelector()
+    loop = asyncio.SelectorEventLoop(selector)
+    loop.time = lambda: selector.now_s  # type: ignore[method-assign]
+    return loop
+
+
+class LoopClock(Clock):
+    """Tell the time of the running event loop."""
+
+    def monotonic_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def unix_s(self) -> float:
+        return 1.7e9 + self.monotonic_s()
+
+
+@dataclass
+class World:
+    """Hold what the daemons share: store, leaves, view and faults."""
+
+    objects: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+    versions: Any = field(default_factory=lambda: itertools.count(1))
+    runs: Counter[str] = field(default_factory=Counter)
+    bodies: dict[str, bytes] = field(default_factory=dict)
+    members: dict[str, Member] = field(default_factory=dict)
+    homes: dict[str, str] = field(default_factory=dict)
+    # Faults for the next calls, by operation: put, get, leaf, peer.
+    faults: dict[str, list[str]] = field(default_factory=dict)
+    # Virtual machines whose store calls fail.
+    cut_off: set[str] = field(default_factory=set)
+    paused: dict[str, asyncio.Event] = field(default_factory=dict)
+    puts: int = 0
+    delays: Any = field(default_factory=lambda: itertools.repeat(0.001))
+
+    def fault(self, operation: str) -> str:
+        """Return the next fault of an operation."""
+        queue = self.faults.get(operation)
+        return queue.pop(0) if queue else ""
+
+    async def step(self, vm_id: str) -> None:
+        """Take some time; a paused daemon waits here."""
+        await asyncio.sleep(next(self.delays))
+        if vm_id in self.paused:
+            await self.paused[vm_id].wait()
+
+
+class FakeService(Service):
+    """Know the world and the own VM."""
+
+    def __init__(self, world: World, vm_id: str) -> None:
+        self.world = world
+        self.vm_id = vm_id
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+class FakeStore(FakeService):
+    """Keep objects with versions; answers may be lost."""
+
+    name = "store"
+
+    async def get(self, key: str) -> StoredObject | None:
+        await self.world.step(self.vm_id)
+        self._check(self.world.fault("get") == "down", may_have_applied=False)
+        found = self.world.objects.get(key)
+        await self.world.step(self.vm_id)
+        return None if found is None else StoredObject(key, *found)
+
+    async def put(
+        self, key: str, value: bytes, *, expected_version: int | None
+    ) -> PutResult:
+        await self.world.step(self.vm_id)
+        fault = self.world.fault("put")
+        self._check(fault == "down", may_have_applied=False)
+        self._check(fault == "lost_before", may_have_applied=True)
+        known = self.world.objects.get(key)
+        if (known[1] if known else None) != expected_version:
+            return Conflict()
+        assert len(value) <= 1_000_000
+        version = next(self.world.versions)
+        self.world.objects[key] = (value, version)
+        self.world.puts += 1
+        await self.world.step(self.vm_id)
+        self._check(fault == "lost_after", may_have_applied=True)
+        return Written(version)
+
+    def _check(self, failed: bool, *, may_have_applied: bool) -> None:
+        if failed or self.vm_id in self.world.cut_off:
+            raise StoreError("fault", may_have_applied=may_have_applied)
+
+
+class FakeMembership(FakeService):
+    """Tell the shared view, or an own older one."""
+
+    name = "membership"
+    own_homes: dict[str, str] | None = None
+
+    def live_members(self) -> list[Member]:
+        return list(self.world.members.values())
+
+    def member(self, vm_id: str) -> Member | None:
+        return self.world.members.get(vm_id)
+
+    def home_of(self, leaf_id: str) -> str | None:
+        return self.home_of_key(leaf_id)
+
+    def home_of_key(self, key: str) -> str | None:
+        homes = self.world.homes if self.own_homes is None else self.own_homes
+        return homes.get(key, homes.get("*"))
+
+    def add_contributor(self, contributor: Any) -> None:
+        """Ignore the contributor."""
+
+    def on_change(self, listener: Any) -> None:
+        """Ignore the listener."""
+
+
+class FakeUpstreams(FakeService):
+    """Count runs per key and answer as the faults say."""
+
+    name = "upstreams"
+
+    def __init__(self, world: World, vm_id: str) -> None:
+        super().__init__(world, vm_id)
+        self.briefs: dict[str, Any] = {}
+
+    async def start(self, kernel: Kernel) -> None:
+        kernel.get(PeerNetwork).register(LeafRunRequest, self._serve)
+
+    async def _serve(self, request: LeafRunRequest, _: PeerContext) -> LeafRunReply:
+        return await self.run_once(request)
+
+    async def run_once(self, request: LeafRunRequest) -> LeafRunReply:
+        await self.world.step(self.vm_id)
+        fault = self.world.fault("leaf")
+        if fault == "not_run":
+            return LeafRunReply("refused", "not_run", "upstream_shed")
+        self.world.runs[request.key] += 1
+        body = f"run {self.world.runs[request.key]} of {request.key}".encode()
+        self.world.bodies[request.key] = body
+        await self.world.step(self.vm_id)
+        if fault == "lost":
+            return LeafRunReply("failed", "may_have_run", "connection_lost")
+        return LeafRunReply("completed", "ran", status=200, body=body)
+
+
+class FakePeers(PeerNetwork):
+    """Call the handlers of other daemons in the same process."""
+
+    def __init__(self, identity: DaemonIdentity, fleet: Fleet) -> None:
+        super().__init__(identity)
+        self.fleet = fleet
+
+    async def start(self, kernel: Kernel) -> None:
+        self.metrics = kernel.get(MetricsService)
+
+    async def request(self, vm_id: str, message: Any, *, timeout_s: float) -> Any:
+        world, own = self.fleet.world, self.identity.vm_id
+        await world.step(own)
+        fault = world.fault("peer")
+        target = self.fleet.daemons.get(vm_id)
+        if fault == "unsent" or target is None:
+            raise PeerError("fault", sent=False)
+        handler = target.peers._handlers[type(message)]
+        context = PeerContext(Hello(own), None, 0)  # type: ignore[arg-type]
+        task: Any = asyncio.ensure_future(handler(message, context))
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await asyncio.shield(task)
+        except (TimeoutError, asyncio.CancelledError) as error:
+            raise PeerError("no reply", sent=True) from error
+        if fault == "lost" or self.fleet.daemons.get(vm_id) is not target:
+            raise PeerError("fault", sent=True)
+        if isinstance(message, LeafRunRequest):
+            assert isinstance(reply, BookingReply)
+        return reply
+
+
+def settings_of(vm_id: str) -> Settings:
+    """Return settings that listen on free ports."""
+    listener = {"address": "127.0.0.1:0"}
+    return Settings.model_validate(
+        {
+            "vm": {"vm_id": vm_id, "failure_domain": "a"},
+            "callers": listener,
+            "peers": listener,
+            "operators": {**listener, "token": "not-a-secret"},
+            "platform": {
+                "store_address": "127.0.0.1:1",
+                "live_list_address": "127.0.0.1:1",
+            },
+        }
+    )
+
+
+class FakeDocuments(FakeService):
+    """Hold one index with two leaves."""
+
+    name = "documents"
+
+    def __init__(self, world: World, vm_id: str) -> None:
+        super().__init__(world, vm_id)
+        leaves = [
+            {
+                "leaf_id": leaf,
+                "service": "s",
+                "failure_domain": "a",
+                "address": "127.0.0.1:1",
+            }
+            for leaf in LEAVES
+        ]
+        body = {"name": "ledger", "kind": "lookup", "non_idempotent": True}
+        body |= {"leaves": leaves, "partition_maps": {"1": ["s"]}}
+        self.catalogue = DocumentCatalogue()
+        raw = json.dumps(body).encode()
+        self.catalogue.apply(Document("index/ledger", 1, "c", "o", "test", 0, raw))
+
+    def on_change(self, listener: Any) -> None:
+        """Ignore the listener."""
+
+
+class Daemon:
+    """Run one booking service with its fakes."""
+
+    def __init__(self, fleet: Fleet, vm_id: str, incarnation: str) -> None:
+        self.identity = DaemonIdentity(settings_of(vm_id), incarnation)
+        world = fleet.world
+        self.peers = fleet.make_peers(self.identity)
+        self.membership = FakeMembership(world, vm_id)
+        self.bookings = BookingService(
+            self.identity,
+            clock=LoopClock(),
+            claim_timings=fleet.claim_timings,
+            checkpoint_timings=fleet.checkpoint_timings,
+        )
+        self.kernel = Kernel()
+        for service in (
+            MetricsService(),
+            self.peers,
+            FakeStore(world, vm_id),
+            FakeDocuments(world, vm_id),
+            self.membership,
+            FakeUpstreams(world, vm_id),
+            self.bookings,
+        ):
+            self.kernel.register(service)
+
+
+class Fleet:
+    """Start, kill and replace daemons."""
+
+    def __init__(self, *, real_peers: bool = False) -> None:
+        self.world = World()
+        self.daemons: dict[str, Daemon] = {}
+        self.real_peers = real_peers
+        self.claim_timings = ClaimTimings()
+        self.checkpoint_timings = CheckpointTimings()
+        self._starts = itertools.count(1)
+
+    def make_peers(self, identity: DaemonIdentity) -> PeerNetwork:
+        """Return the peer network of a daemon."""
+        if self.real_peers:
+            return PeerNetwork(identity)
+        return FakePeers(identity, self)
+
+    async def start(self, *vm_ids: str) -> None:
+        """Start daemons; the first is home of everything."""
+        for vm_id in vm_ids:
+            incarnation = f"i{next(self._starts)}"
+            daemon = Daemon(self, vm_id, incarnation)
+            await daemon.kernel.start()
+            self.daemons[vm_id] = daemon
+            self.world.members[vm_id] = Member(vm_id, incarnation)
+            self.world.homes.setdefault("*", vm_id)
+        if self.real_peers:
+            addresses = {v: d.identity.peer_address for v, d in self.daemons.items()}
+            for daemon in self.daemons.values():
+                await daemon.peers.set_peers(addresses)
+                for peer in daemon.peers.peer_ids():
+                    await self._connected(daemon.peers, peer)
+
+    async def _connected(self, peers: PeerNetwork, vm_id: str) -> None:
+        for _ in range(500):
+            if peers.hello_of(vm_id) is not None:
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"no connection to {vm_id}")
+
+    async def kill(self, vm_id: str) -> None:
+        """End a daemon without its last writes."""
+        daemon = self.daemons.pop(vm_id)
+        self.world.cut_off.add(vm_id)
+        await daemon.kernel.stop()
+        self.world.cut_off.discard(vm_id)
+
+    async def stop(self) -> None:
+        """Stop all daemons."""
+        for daemon in self.daemons.values():
+            await daemon.kernel.stop()
+
+    async def book(self, vm_id: str, key: str, *, body: bytes = b"{}") -> Outcome:
+        """Send one booking to a daemon."""
+        request = BookingRequest(key=key, index="ledger", route="run", body=body)
+        return await self.daemons[vm_id].bookings.run(request)
