Send members of enumerations as plain values

Cause: pycapnp refuses a Priority where the schema has an integer, so no batch left a root and every search failed. Change: the codec converts scalars to the declared type.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_codec.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_codec.py
@@ -42,6 +42,8 @@
     is_list: bool
     # The dataclass of a nested message, None for scalars.
     nested: type | None
+    # The type of a scalar or of the items of a list.
+    scalar: type
 
 
 def _camel(name: str) -> str:
@@ -63,6 +65,7 @@
                 wire_name=_camel(field.name),
                 is_list=is_list,
                 nested=typing.cast("type | None", nested),
+                scalar=inner,
             )
         )
     return tuple(plans)
@@ -94,6 +97,9 @@
         elif plan.nested is not None:
             _fill(builder.init(plan.wire_name), value)
         else:
+            # pycapnp refuses subclasses such as members of an enumeration.
+            if type(value) is not plan.scalar:
+                value = plan.scalar(value)
             setattr(builder, plan.wire_name, value)
 
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_peer_codec.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_peer_codec.py
@@ -6,8 +6,11 @@
 import unittest
 
 from gypsumvane_core.messages import Message
+from gypsumvane_core.messages import PartialBatch
 from gypsumvane_core.messages import PartialResult
 from gypsumvane_core.messages import PartialResults
+from gypsumvane_core.priority import Priority
+from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.peer_codec import FRAME_BYTES_MAX
 from gypsumvane_daemon.peer_codec import LENGTH_BYTES
 from gypsumvane_daemon.peer_codec import Frame
@@ -26,6 +29,12 @@
             decoded = decode_frame(encode_frame(frame)[LENGTH_BYTES:])
             self.assertEqual(decoded, frame)
 
+    def test_enumeration_members_are_sent_as_plain_values(self) -> None:
+        """Guard against a batch that cannot be sent because of its priority."""
+        batch = PartialBatch(priority=Priority.LOOKUP, route=Verdict.RAN)
+        decoded = decode_frame(encode_frame(Frame(body=batch))[LENGTH_BYTES:])
+        self.assertEqual(decoded.body, batch)
+
     def test_truncated_frames_are_refused(self) -> None:
         """Guard against a crash on a frame that was cut."""
         results = [PartialResult(body=b"x" * 64, service="s") for _ in range(3)]
