--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf.py
@@ -92,8 +92,8 @@
         self.boot_id = secrets.token_hex(6)
         self.draining = False
         self.down_until_s = 0.0
-        # Called when the simulated process ends, to close its connections.
-        self.on_process_end: Callable[[], None] = lambda: None
+        # Called with the length of the outage when the simulated process ends.
+        self.on_process_end: Callable[[float], None] = lambda outage_s: None
         self._loop = asyncio.get_running_loop()
         self._draw = random.Random(f"{settings.leaf_id}/{settings.seed}")
         self._gate = SlotGate()
@@ -146,7 +146,7 @@
         self.stop_draining()
         for ticket in list(self._tickets.values()):
             ticket.abort(AbortCause.FELL_OVER)
-        self.on_process_end()
+        self.on_process_end(outage_s)
 
     def turn_cold(self, *, new_boot_id: bool) -> None:
         """Turn cold without warning; the process keeps running."""
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf_server.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf_server.py
@@ -23,6 +23,7 @@
 
 WORK_PATHS = {"/v1/search": "search", "/v1/lookup": "lookup", "/v1/run": "run"}
 CANCEL_PREFIX = "/v1/requests/"
+REOPEN_PAUSE_S = 0.02
 
 
 class BoundedServer(web.Server):
@@ -89,7 +90,8 @@
         self.address = leaf.settings.address
         self._server = BoundedServer(leaf, self._handle)
         self._listener: asyncio.Server | None = None
-        leaf.on_process_end = self._server.abort_connections
+        self._reopening: asyncio.Task[None] | None = None
+        leaf.on_process_end = self._on_process_end
 
     async def start(self) -> None:
         """Listen, on the earlier port after a stop."""
@@ -102,11 +104,33 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        if self._reopening is not None:
+            self._reopening.cancel()
+        self._close_listener()
+        self._server.abort_connections()
+        await asyncio.sleep(0)
+
+    def _close_listener(self) -> None:
         if self._listener is not None:
             self._listener.close()
             self._listener = None
+
+    def _on_process_end(self, outage_s: float) -> None:
         self._server.abort_connections()
-        await asyncio.sleep(0)
+        if outage_s <= 0 or self._listener is None:
+            return
+        # Connections are refused during the outage, as by a lost process.
+        self._close_listener()
+        self._reopening = asyncio.create_task(self._reopen(outage_s))
+
+    async def _reopen(self, outage_s: float) -> None:
+        await asyncio.sleep(outage_s)
+        while self._listener is None:
+            try:
+                await self.start()
+            except OSError:
+                # Another connection may use the port for a moment.
+                await asyncio.sleep(REOPEN_PAUSE_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         await self._server.wait_until_ready(request.protocol)
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/__init__.py
@@ -0,0 +1,3 @@
+"""Experiments that measure each target against a baseline."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/cold_start.py
@@ -0,0 +1,95 @@
+"""Work that cold leaves receive."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.load_process import run_load_process
+from gypsumvane_devtools.measure.experiment import Experiment
+from gypsumvane_devtools.measure.figures import BASELINE
+from gypsumvane_devtools.measure.figures import CURRENT
+from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import counter_sum
+from gypsumvane_devtools.measure.load_helpers import highest_counter
+from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import search_plan
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.measure.figures import Check
+    from gypsumvane_devtools.measure.figures import FigureTable
+
+SERVICES = 8
+SLOTS = 2
+RATE_PER_S = 60.0
+PHASE_S = 8.0
+FIXED_LIMIT = {"cold_concurrency": SLOTS, "cold_spacing_ms": 0, "warm_good_answers": 1}
+
+
+class ColdStartExperiment(Experiment):
+    """Compare the cold allowance with a fixed limit."""
+
+    name: ClassVar[str] = "cold_start"
+    target: ClassVar[str] = (
+        "work above what the upstream can bear: 0; without warning, only what was in "
+        "progress at the first sign"
+    )
+    baseline: ClassVar[str] = "fixed limit (slots, no spacing)"
+    set_up: ClassVar[str] = (
+        f"{SERVICES} services x 2 leaves with {SLOTS} slots; a cold leaf bears 1 call "
+        f"and 30/s; {RATE_PER_S:g} searches/s over 4 daemons; all leaves start cold, "
+        "those of one domain restart, those of another turn cold without warning"
+    )
+
+    async def measure(self, variant: str, number: int) -> dict[str, float]:
+        """Run one variant once."""
+        policy = FIXED_LIMIT if variant == BASELINE else {}
+        index = {"services": SERVICES, "slots": SLOTS}
+        async with Cluster(search_plan(policy, index=index)) as cluster:
+            plan = load_plan(
+                cluster, rate_per_s=RATE_PER_S, duration_s=3 * PHASE_S, seed=number + 1
+            )
+            load = asyncio.create_task(run_load_process(plan))
+            await asyncio.sleep(PHASE_S)
+            values = await self._phase_values(cluster, "start")
+            await cluster.upstreams.act("restart", 1.0, failure_domain="b")
+            await asyncio.sleep(PHASE_S)
+            values |= await self._phase_values(cluster, "restart")
+            await cluster.upstreams.act("turn_cold", False, failure_domain="c")
+            result = await load
+            values |= await self._phase_values(cluster, "unwarned")
+        values["complete_share"] = result.share_complete_in_time()
+        return values
+
+    async def _phase_values(self, cluster: Cluster, phase: str) -> dict[str, float]:
+        values = {
+            f"excess_{phase}": await counter_sum(cluster, "cold_excess"),
+            f"falls_{phase}": await counter_sum(cluster, "falls"),
+            f"before_sign_{phase}": await highest_counter(
+                cluster, "cold_excess_unwarned"
+            ),
+            f"cold_calls_{phase}": await counter_sum(cluster, "received_cold"),
+        }
+        await cluster.upstreams.act("reset_counters")
+        return values
+
+    def verdict(self, table: FigureTable) -> list[Check]:
+        """Compare with the target."""
+        phases = ("start", "restart", "unwarned")
+        checks = [
+            at_most(
+                f"calls above what cold leaves bear ({phase})",
+                table.highest(CURRENT, f"excess_{phase}"),
+                0,
+            )
+            for phase in phases
+        ]
+        before_sign = table.highest(CURRENT, "before_sign_unwarned")
+        checks.append(
+            at_most(
+                "calls above it before the first sign, per leaf", before_sign, SLOTS
+            )
+        )
+        return checks
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/experiment.py
@@ -0,0 +1,102 @@
+"""Base class of all experiments."""
+
+from __future__ import annotations
+
+import logging
+import os
+import subprocess
+import time
+from abc import ABC
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from gypsumvane_devtools.measure.figures import BASELINE
+from gypsumvane_devtools.measure.figures import CURRENT
+from gypsumvane_devtools.measure.figures import ExperimentResult
+from gypsumvane_devtools.measure.figures import Figure
+from gypsumvane_devtools.measure.figures import FigureTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_devtools.measure.figures import Check
+
+    FigureListener = Callable[[Figure], None]
+
+logger = logging.getLogger(__name__)
+
+
+def ignore(figure: Figure) -> None:
+    """Do nothing with a figure."""
+
+
+class Experiment(ABC):
+    """Measure one target; baseline and current code alternate."""
+
+    name: ClassVar[str]
+    target: ClassVar[str]
+    baseline: ClassVar[str] = ""
+    set_up: ClassVar[str]
+    rounds: ClassVar[int] = 3
+
+    @abstractmethod
+    async def measure(self, variant: str, number: int) -> dict[str, float]:
+        """Run one variant once and return its values."""
+
+    @abstractmethod
+    def verdict(self, table: FigureTable) -> list[Check]:
+        """Compare the values with the bounds of the target."""
+
+    def variants(self) -> list[str]:
+        """Return the variants to compare."""
+        return [CURRENT, BASELINE] if self.baseline else [CURRENT]
+
+    async def run(self, on_figure: FigureListener = ignore) -> ExperimentResult:
+        """Run all rounds and judge them; each figure is passed on at once."""
+        load_before = os.getloadavg()[0]
+        table = FigureTable()
+        error = ""
+        checks: list[Check] = []
+        try:
+            for number in range(self.rounds):
+                await self._run_round(table, number, on_figure)
+            checks = self.verdict(table)
+        except Exception as failure:
+            # A failed round is a result too; it is reported as such.
+            logger.exception("experiment failed", extra={"experiment": self.name})
+            error = f"{type(failure).__name__}: {failure}"[:1000]
+        return ExperimentResult(
+            name=self.name,
+            target=self.target,
+            baseline=self.baseline,
+            set_up=self.set_up,
+            finished_unix_s=int(time.time()),
+            commit=current_commit(),
+            cores=os.cpu_count() or 0,
+            load_before=round(load_before, 2),
+            figures=table.figures,
+            checks=checks,
+            error=error,
+        )
+
+    async def _run_round(
+        self, table: FigureTable, number: int, on_figure: FigureListener
+    ) -> None:
+        variants = self.variants()
+        # Every second round runs in the other order, so that a drift of the
+        # machine does not favour one variant.
+        ordered = variants if number % 2 == 0 else variants[::-1]
+        for variant in ordered:
+            values = await self.measure(variant, number)
+            rounded = {key: round(value, 4) for key, value in values.items()}
+            figure = Figure(variant, number, rounded)
+            table.figures.append(figure)
+            on_figure(figure)
+
+
+def current_commit() -> str:
+    """Return the commit that is measured, marked when files differ from it."""
+    command = ["git", "describe", "--always", "--dirty"]
+    found = subprocess.run(command, capture_output=True, text=True, check=False)
+    return found.stdout.strip() or "unknown"
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
@@ -0,0 +1,63 @@
+"""Clusters and load that several experiments use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_core.document_models import FleetDocument
+from gypsumvane_core.document_models import Policy
+from gypsumvane_devtools.cluster_plan import ClusterPlan
+from gypsumvane_devtools.cluster_plan import IndexPlan
+from gypsumvane_devtools.load_plan import LoadPlan
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.cluster import Cluster
+
+INDEX = "stock"
+
+
+def search_plan(
+    policy: dict[str, Any] | None = None,
+    *,
+    daemons: int = 4,
+    index: dict[str, Any] | None = None,
+    **cluster: Any,
+) -> ClusterPlan:
+    """Return a cluster with a search index sized like the Trust's stock."""
+    stock = {"name": INDEX, "services": 20, **(index or {})}
+    return ClusterPlan(
+        indexes=[IndexPlan.model_validate(stock)],
+        daemons=daemons,
+        fleet=FleetDocument(defaults=Policy.model_validate(policy or {})),
+        **cluster,
+    )
+
+
+def load_plan(cluster: Cluster, **values: Any) -> LoadPlan:
+    """Return load on the cluster's entry addresses."""
+    defaults = {
+        "index": INDEX,
+        "addresses": cluster.caller_addresses(),
+        "failure_domains": cluster.plan.domains,
+        "deadline_ms": 1000,
+    }
+    return LoadPlan.model_validate({**defaults, **values})
+
+
+async def searches_received(cluster: Cluster) -> int:
+    """Return the partial searches that all leaves received."""
+    counters = await cluster.upstreams.counters()
+    return sum(values["received"].get("search", 0) for values in counters.values())
+
+
+async def highest_counter(cluster: Cluster, name: str, **select: str) -> float:
+    """Return the highest value of a counter over the selected leaves."""
+    counters = await cluster.upstreams.counters(**select)
+    return max((float(values[name]) for values in counters.values()), default=0.0)
+
+
+async def counter_sum(cluster: Cluster, name: str, **select: str) -> float:
+    """Return the sum of a counter over the selected leaves."""
+    counters = await cluster.upstreams.counters(**select)
+    return float(sum(values[name] for values in counters.values()))
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/main.py
@@ -0,0 +1,55 @@
+"""Run experiments by name and write their results."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from absl import app as absl_app
+from absl import flags
+
+from gypsumvane_devtools.measure.registry import EXPERIMENTS
+from gypsumvane_devtools.measure.report import store_result
+from gypsumvane_devtools.measure.report import write_page
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.measure.figures import Figure
+
+FLAGS = flags.FLAGS
+
+
+def show(figure: Figure) -> None:
+    """Print a figure as soon as it is measured."""
+    print(f"round {figure.round + 1} {figure.variant}: {figure.values}", flush=True)
+
+
+async def run_all(names: list[str], root: Path) -> bool:
+    """Run experiments one after the other; tell whether all targets are met."""
+    all_met = True
+    for name in names:
+        result = await EXPERIMENTS[name]().run(show)
+        store_result(result, root / "measurements")
+        write_page(root / "measurements", root / "docs" / "measurements.md")
+        all_met = all_met and result.met
+        print(f"{name}: target {'met' if result.met else 'not met'} {result.error}")
+        for check in result.checks:
+            mark = "ok" if check.met else "MISSED"
+            print(f"  {mark}: {check.text}: {check.value:g} (bound {check.bound:g})")
+    return all_met
+
+
+def main(argv: list[str]) -> None:
+    """Run the experiments named on the command line."""
+    names = list(EXPERIMENTS) if argv[1:] == ["all"] else argv[1:]
+    unknown = [name for name in names if name not in EXPERIMENTS]
+    if not names or unknown:
+        sys.exit(f"usage: measure all | NAME...; names: {', '.join(EXPERIMENTS)}")
+    met = asyncio.run(run_all(names, Path(FLAGS.root)))
+    sys.exit(0 if met else 1)
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("root", ".", "Directory of the work tree.")
+    absl_app.run(main)
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/straggler.py
@@ -0,0 +1,77 @@
+"""Latency with one straggling leaf."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.load_process import run_load_process
+from gypsumvane_devtools.measure.experiment import Experiment
+from gypsumvane_devtools.measure.figures import BASELINE
+from gypsumvane_devtools.measure.figures import CURRENT
+from gypsumvane_devtools.measure.figures import at_least
+from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.measure.load_helpers import searches_received
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.measure.figures import Check
+    from gypsumvane_devtools.measure.figures import FigureTable
+
+SERVICES = 20
+RATE_PER_S = 30.0
+DURATION_S = 20.0
+STRAGGLER = {"straggler_share": 0.1, "straggler_factor": 10.0}
+
+
+class StragglerExperiment(Experiment):
+    """Compare hedging with no hedging."""
+
+    name: ClassVar[str] = "straggler"
+    target: ClassVar[str] = (
+        "one leaf 10 times slow in a tenth of its answers: p99 at most half, extra "
+        "calls at most 5%, complete answers at least 99.9%"
+    )
+    baseline: ClassVar[str] = "no hedging (hedge_budget_share 0)"
+    set_up: ClassVar[str] = (
+        f"{SERVICES} services x 2 leaves with 2 slots, 4 ms mean; 4 daemons; "
+        f"{RATE_PER_S:g} searches/s for {DURATION_S:g} s"
+    )
+
+    async def measure(self, variant: str, number: int) -> dict[str, float]:
+        """Run one variant once."""
+        policy = {"hedge_budget_share": 0.0} if variant == BASELINE else {}
+        async with Cluster(search_plan(policy)) as cluster:
+            await cluster.warm_up(INDEX)
+            await cluster.upstreams.set(
+                {"service_time": STRAGGLER}, leaf_id=f"{INDEX}-00-0"
+            )
+            before = await searches_received(cluster)
+            plan = load_plan(
+                cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
+            )
+            result = await run_load_process(plan)
+            received = await searches_received(cluster) - before
+        return {
+            "offered": result.offered,
+            "p50_ms": result.latency_ms["p50"],
+            "p99_ms": result.latency_ms["p99"],
+            "extra_share": received / (result.offered * SERVICES) - 1,
+            "complete_share": result.share_complete_in_time(),
+        }
+
+    def verdict(self, table: FigureTable) -> list[Check]:
+        """Compare with the target."""
+        ratio = table.median(CURRENT, "p99_ms") / table.median(BASELINE, "p99_ms")
+        return [
+            at_most("p99 relative to the baseline, medians", ratio, 0.5),
+            at_most("extra calls", table.highest(CURRENT, "extra_share"), 0.05),
+            at_least(
+                "complete answers in time",
+                table.lowest(CURRENT, "complete_share"),
+                0.999,
+            ),
+        ]
--- a/packages/gypsumvane-devtools/tests/test_devtools_leaf.py
+++ b/packages/gypsumvane-devtools/tests/test_devtools_leaf.py
@@ -133,6 +133,24 @@
         self.assertNotEqual(server.leaf.boot_id, boot_id)
         self.assertTrue(server.leaf.down)
 
+    async def test_restarted_leaf_refuses_connections_until_it_is_back(self) -> None:
+        """Guard against an outage that looks like lost answers."""
+        server = await self.start_leaf(cold={"good_answers": 3})
+        server.leaf.restart(outage_s=0.05)
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            await self.call()
+        await wait_until(lambda: not server.leaf.down, "outage is over")
+        await wait_until(self.accepts_connections, "leaf listens")
+        self.assertTrue(server.leaf.cold)
+
+    async def accepts_connections(self) -> bool:
+        """Tell whether the leaf answers its status call."""
+        try:
+            async with self.client.get("/v1/status") as answer:
+                return answer.status == 200
+        except aiohttp.ClientConnectorError:
+            return False
+
     async def test_good_answers_warm_a_leaf(self) -> None:
         """Guard against a leaf that stays cold under light load."""
         server = await self.start_leaf(cold={"good_answers": 3, "rate_per_s": 0})
