--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/failure_domain.py
@@ -0,0 +1,102 @@
+"""Service while a failure domain is taken out and comes back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.load_process import run_load_process
+from gypsumvane_devtools.measure.experiment import Experiment
+from gypsumvane_devtools.measure.figures import CURRENT
+from gypsumvane_devtools.measure.figures import at_least
+from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import highest_counter
+from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import search_plan
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.measure.figures import Check
+    from gypsumvane_devtools.measure.figures import FigureTable
+
+DOMAIN = "b"
+SERVICES = 8
+RATE_PER_S = 40.0
+OUT_AFTER_S = 5.0
+OUT_S = 10.0
+DURATION_S = 25.0
+
+
+class FailureDomainExperiment(Experiment):
+    """Take one of four failure domains out under load and bring it back."""
+
+    name: ClassVar[str] = "failure_domain"
+    target: ClassVar[str] = (
+        "new work after 3 s: 0; complete on-time answers at least 99.9% throughout, "
+        "where the other domains hold the data"
+    )
+    set_up: ClassVar[str] = (
+        f"{SERVICES} services x 2 leaves in 4 domains; 8 daemons; domain {DOMAIN} out "
+        f"after {OUT_AFTER_S:g} s for {OUT_S:g} s; {RATE_PER_S:g} searches/s for "
+        f"{DURATION_S:g} s"
+    )
+
+    async def measure(self, variant: str, number: int) -> dict[str, float]:
+        """Run once."""
+        plan = search_plan(daemons=8, index={"services": SERVICES})
+        async with Cluster(plan) as cluster:
+            await cluster.warm_up(INDEX)
+            load = load_plan(
+                cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
+            )
+            running = asyncio.create_task(run_load_process(load))
+            await asyncio.sleep(OUT_AFTER_S)
+            accepted_s = await change_domain(cluster, "out")
+            await cluster.upstreams.act("mark_out", failure_domain=DOMAIN)
+            await asyncio.sleep(OUT_S)
+            last_s = await highest_counter(
+                cluster, "last_after_out_s", failure_domain=DOMAIN
+            )
+            await cluster.upstreams.act("mark_in", failure_domain=DOMAIN)
+            await change_domain(cluster, "in")
+            result = await running
+            excess = await highest_counter(cluster, "cold_excess")
+        return {
+            "accepted_ms": accepted_s * 1000,
+            "last_work_after_s": last_s,
+            "complete_share": result.share_complete_in_time(),
+            "p99_ms": result.latency_ms["p99"],
+            "cold_excess": excess,
+        }
+
+    def verdict(self, table: FigureTable) -> list[Check]:
+        """Compare with the target."""
+        share = table.lowest(CURRENT, "complete_share")
+        last_s = table.highest(CURRENT, "last_work_after_s")
+        return [
+            at_most("seconds until the last new work", last_s, 3.0),
+            at_least("complete answers in time", share, 0.999),
+            at_most(
+                "calls above what cold leaves bear",
+                table.highest(CURRENT, "cold_excess"),
+                0,
+            ),
+        ]
+
+
+async def change_domain(cluster: Cluster, direction: str) -> float:
+    """Take the domain out or in and return how long the acceptance took.
+
+    Raises RuntimeError when the daemon refuses the change.
+    """
+    began_s = time.monotonic()
+    body = {"change_id": uuid.uuid4().hex, "reason": "measurement of a domain outage"}
+    path = f"/v1/domains/{DOMAIN}/{direction}"
+    reply = await cluster.operate("POST", path, body)
+    if reply.status >= 300:
+        raise RuntimeError(f"{path}: {reply.status} {reply.values}")
+    return time.monotonic() - began_s
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/overload.py
@@ -0,0 +1,150 @@
+"""Answers on time while twice the capacity is offered."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+
+from gypsumvane_core.document_models import FleetDocument
+from gypsumvane_core.document_models import Policy
+from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.cluster_plan import ClusterPlan
+from gypsumvane_devtools.cluster_plan import IndexPlan
+from gypsumvane_devtools.leaf_settings import ServiceTime
+from gypsumvane_devtools.load_plan import LoadKind
+from gypsumvane_devtools.load_process import run_load_process
+from gypsumvane_devtools.measure.experiment import Experiment
+from gypsumvane_devtools.measure.figures import BASELINE
+from gypsumvane_devtools.measure.figures import CURRENT
+from gypsumvane_devtools.measure.figures import at_least
+from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import counter_sum
+from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.sample_plans import lookup_index
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.load_result import LoadResult
+    from gypsumvane_devtools.measure.figures import Check
+    from gypsumvane_devtools.measure.figures import FigureTable
+
+SERVICES = 4
+# Two leaves with 2 slots and 40 ms mean carry 100 searches/s.
+MEAN_MS = 40.0
+CAPACITY_PER_S = 100.0
+RUNS_PER_S = 5.0
+DURATION_S = 12.0
+DEADLINE_MS = 500
+NO_ADMISSION: dict[str, Any] = {
+    "root_in_flight_max": 100_000,
+    "root_queue_max": 100_000,
+    "leaf_queue_max": 10_000,
+}
+
+
+class OverloadExperiment(Experiment):
+    """Offer the capacity, then twice the capacity, with and without admission."""
+
+    name: ClassVar[str] = "overload"
+    target: ClassVar[str] = (
+        "twice the capacity offered: full answers on time at least 90% of those at "
+        "capacity; nothing run past its deadline; bookings refused last"
+    )
+    baseline: ClassVar[str] = "no admission (limits and queues practically unbounded)"
+    set_up: ClassVar[str] = (
+        f"{SERVICES} services x 2 leaves, {MEAN_MS:g} ms; 4 daemons; "
+        f"{CAPACITY_PER_S:g} and {2 * CAPACITY_PER_S:g} searches/s with "
+        f"{RUNS_PER_S:g} bookings/s, each {DURATION_S:g} s; deadline {DEADLINE_MS} ms"
+    )
+
+    async def measure(self, variant: str, number: int) -> dict[str, float]:
+        """Run one variant once."""
+        policy = NO_ADMISSION if variant == BASELINE else {}
+        async with Cluster(overload_plan(policy)) as cluster:
+            await cluster.warm_up(INDEX)
+            at_capacity, _ = await self._offer(cluster, 1.0, number)
+            overloaded, runs = await self._offer(cluster, 2.0, number + 100)
+            late_s = await counter_sum(cluster, "finished_past_deadline")
+            late_s += await counter_sum(cluster, "received_past_deadline")
+        return {
+            "full_at_capacity": at_capacity.complete_in_time,
+            "full_at_double": overloaded.complete_in_time,
+            "refused_share": share(overloaded, "refused"),
+            "runs_refused_share": share(runs, "refused"),
+            "past_deadline": late_s,
+            "p99_ms": overloaded.latency_ms["p99"],
+        }
+
+    async def _offer(
+        self, cluster: Cluster, factor: float, seed: int
+    ) -> tuple[LoadResult, LoadResult]:
+        searches = load_plan(
+            cluster,
+            rate_per_s=CAPACITY_PER_S * factor,
+            duration_s=DURATION_S,
+            deadline_ms=DEADLINE_MS,
+            seed=seed + 1,
+        )
+        runs = load_plan(
+            cluster,
+            index="bookings",
+            kind=LoadKind.RUN,
+            rate_per_s=RUNS_PER_S,
+            duration_s=DURATION_S,
+            seed=seed + 1,
+        )
+        first, second = await asyncio.gather(
+            run_load_process(searches), run_load_process(runs)
+        )
+        return first, second
+
+    def verdict(self, table: FigureTable) -> list[Check]:
+        """Compare with the target."""
+        ratios = [
+            double / single
+            for single, double in zip(
+                table.values(CURRENT, "full_at_capacity"),
+                table.values(CURRENT, "full_at_double"),
+                strict=True,
+            )
+        ]
+        runs_refused = table.highest(CURRENT, "runs_refused_share")
+        return [
+            at_least("full answers relative to capacity", min(ratios), 0.9),
+            at_most(
+                "run past the deadline", table.highest(CURRENT, "past_deadline"), 0
+            ),
+            at_most(
+                "share of bookings refused, bound: share of searches refused",
+                runs_refused,
+                table.lowest(CURRENT, "refused_share"),
+            ),
+        ]
+
+
+def overload_plan(policy: dict[str, Any]) -> ClusterPlan:
+    """Return a cluster whose leaves limit the throughput."""
+    searches = IndexPlan(
+        name=INDEX,
+        services=SERVICES,
+        service_time=ServiceTime(mean_ms=MEAN_MS),
+    )
+    bookings = lookup_index(
+        "bookings",
+        services=3,
+        replicas=2,
+        slots=3,
+        connections_max=100,
+        non_idempotent=True,
+    )
+    return ClusterPlan(
+        indexes=[searches, bookings],
+        fleet=FleetDocument(defaults=Policy.model_validate(policy)),
+    )
+
+
+def share(result: LoadResult, outcome: str) -> float:
+    """Return the share of an outcome."""
+    return result.outcomes.get(outcome, 0) / max(1, result.offered)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
@@ -4,7 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from gypsumvane_devtools.measure.bookings import BookingsExperiment
 from gypsumvane_devtools.measure.cold_start import ColdStartExperiment
+from gypsumvane_devtools.measure.configuration_change import (
+    ConfigurationChangeExperiment,
+)
+from gypsumvane_devtools.measure.daemon_killed import DaemonKilledExperiment
+from gypsumvane_devtools.measure.failure_domain import FailureDomainExperiment
+from gypsumvane_devtools.measure.overload import OverloadExperiment
+from gypsumvane_devtools.measure.retries import RetriesExperiment
+from gypsumvane_devtools.measure.store_calls import StoreCallsExperiment
 from gypsumvane_devtools.measure.straggler import StragglerExperiment
 
 if TYPE_CHECKING:
@@ -13,5 +22,12 @@
 EXPERIMENT_CLASSES: list[type[Experiment]] = [
     StragglerExperiment,
     ColdStartExperiment,
+    DaemonKilledExperiment,
+    FailureDomainExperiment,
+    ConfigurationChangeExperiment,
+    OverloadExperiment,
+    RetriesExperiment,
+    BookingsExperiment,
+    StoreCallsExperiment,
 ]
 EXPERIMENTS = {experiment.name: experiment for experiment in EXPERIMENT_CLASSES}
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/retries.py
@@ -0,0 +1,73 @@
+"""Extra calls while a third of the leaves fail."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.load_process import run_load_process
+from gypsumvane_devtools.measure.experiment import Experiment
+from gypsumvane_devtools.measure.figures import BASELINE
+from gypsumvane_devtools.measure.figures import CURRENT
+from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.measure.load_helpers import searches_received
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.measure.figures import Check
+    from gypsumvane_devtools.measure.figures import FigureTable
+
+SERVICES = 9
+REPLICAS = 3
+RATE_PER_S = 30.0
+DURATION_S = 15.0
+
+
+class RetriesExperiment(Experiment):
+    """Let one of three leaves of each service fail everything."""
+
+    name: ClassVar[str] = "retries"
+    target: ClassVar[str] = (
+        "retries while a third of the leaves fail: extra calls at most 10% of first "
+        "tries"
+    )
+    baseline: ClassVar[str] = (
+        "unbounded extra calls (extra_budget_share 1); stands in for three plain "
+        "retries, for which there is no switch"
+    )
+    set_up: ClassVar[str] = (
+        f"{SERVICES} services x {REPLICAS} leaves, the first of each fails; 4 daemons; "
+        f"{RATE_PER_S:g} searches/s for {DURATION_S:g} s"
+    )
+
+    async def measure(self, variant: str, number: int) -> dict[str, float]:
+        """Run one variant once."""
+        policy = {"extra_budget_share": 1.0} if variant == BASELINE else {}
+        index = {"services": SERVICES, "replicas": REPLICAS}
+        async with Cluster(search_plan(policy, index=index)) as cluster:
+            await cluster.warm_up(INDEX)
+            for number_of_service in range(SERVICES):
+                leaf_id = f"{INDEX}-{number_of_service:02d}-0"
+                await cluster.upstreams.set(
+                    {"fault": {"mode": "fail"}}, leaf_id=leaf_id
+                )
+            before = await searches_received(cluster)
+            plan = load_plan(
+                cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
+            )
+            result = await run_load_process(plan)
+            received = await searches_received(cluster) - before
+        return {
+            "offered": result.offered,
+            "extra_share": received / (result.offered * SERVICES) - 1,
+            "complete_share": result.share_complete_in_time(),
+            "p99_ms": result.latency_ms["p99"],
+        }
+
+    def verdict(self, table: FigureTable) -> list[Check]:
+        """Compare with the target."""
+        extra = table.highest(CURRENT, "extra_share")
+        return [at_most("extra calls relative to first tries", extra, 0.10)]
