Keep the ownership of claim buckets through a store outage

An owner of a claim bucket could answer NOT_RUN only for 2 s after its last contact with the store, so an idle bucket or an outage turned every refusal into MAY_HAVE_RUN. The home of a bucket now takes it over before the first request and the live members prolong its lease. A lease that ended stays so until the store confirms it. Former owners whose lease may still run are kept in the bucket, and a new owner waits for them before its first run.

--- a/packages/gypsumvane-core/src/gypsumvane_core/claim_bucket.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/claim_bucket.py
@@ -13,18 +13,21 @@
 from gypsumvane_core.claim import RecordedResult
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
 # The store holds values up to 1 MB.
 BUCKET_BYTES_MAX = 1_000_000
 # New claims stop earlier, so that the outcome of each claim still fits.
 CLAIM_BYTES_MAX = 900_000
-HEADER_BYTES_MAX = 200
+HEADER_BYTES_MAX = 4096
+# More owners than this within one lease are refused.
+FORMER_OWNERS_MAX = 16
 # Covers the growth of a claim's line by status and a missing body.
 OUTCOME_BYTES = 16
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class BucketOwner:
     """Name the daemon that may answer from its copy of a bucket."""
 
@@ -37,6 +40,8 @@
     """Hold claims by key hash, oldest first."""
 
     owner: BucketOwner = field(default_factory=BucketOwner)
+    # Former owners that may still answer from their copies.
+    former_owners: tuple[BucketOwner, ...] = ()
     _claims: dict[str, Claim] = field(default_factory=dict)
     _lines: dict[str, bytes] = field(default_factory=dict)
     _bytes: int = HEADER_BYTES_MAX
@@ -55,9 +60,29 @@
     def copy(self) -> ClaimBucket:
         """Return an independent copy."""
         return ClaimBucket(
-            self.owner, dict(self._claims), dict(self._lines), self._bytes
+            self.owner,
+            self.former_owners,
+            dict(self._claims),
+            dict(self._lines),
+            self._bytes,
         )
 
+    def change_owner(
+        self, owner: BucketOwner, *, is_gone: Callable[[BucketOwner], bool]
+    ) -> None:
+        """Make a daemon the owner and keep those whose lease may still run.
+
+        Raises ValueError when too many owners followed one another.
+        """
+        if owner == self.owner:
+            return
+        before = {self.owner, *self.former_owners} - {owner, BucketOwner()}
+        kept = tuple(sorted(other for other in before if not is_gone(other)))
+        if len(kept) > FORMER_OWNERS_MAX:
+            raise ValueError("too many owners within one lease")
+        self.owner = owner
+        self.former_owners = kept
+
     def get(self, key_hash: str) -> Claim | None:
         """Return the claim on a key."""
         return self._claims.get(key_hash)
@@ -105,13 +130,11 @@
 
     def encode(self) -> bytes:
         """Return the value for the store."""
-        header = json.dumps(
-            {
-                "format": 1,
-                "owner_vm": self.owner.vm_id,
-                "owner_incarnation": self.owner.incarnation,
-            }
-        )
+        owners = [
+            [owner.vm_id, owner.incarnation]
+            for owner in (self.owner, *self.former_owners)
+        ]
+        header = json.dumps({"format": 1, "owners": owners}, separators=(",", ":"))
         return b"\n".join([header.encode(), *self._lines.values()])
 
     @classmethod
@@ -122,12 +145,14 @@
         """
         head, *lines = value.split(b"\n")
         header = json.loads(head)
-        if not isinstance(header, dict) or header.get("format") != 1:
+        if (
+            not isinstance(header, dict)
+            or header.get("format") != 1
+            or "owners" not in header
+        ):
             raise ValueError("unknown format of a claim bucket")
-        owner = BucketOwner(
-            str(header.get("owner_vm", "")), str(header.get("owner_incarnation", ""))
-        )
-        bucket = cls(owner)
+        owner, *former = (BucketOwner(*map(str, pair)) for pair in header["owners"])
+        bucket = cls(owner, tuple(former))
         for line in lines:
             bucket.put(Claim.decode(line))
         return bucket
--- a/packages/gypsumvane-core/src/gypsumvane_core/claim_change.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/claim_change.py
@@ -13,6 +13,7 @@
 from gypsumvane_core.claim_bucket import CLAIM_BYTES_MAX
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
     from collections.abc import Set as AbstractSet
 
@@ -103,6 +104,7 @@
 
     owner: BucketOwner
     retention_s: float
+    is_gone: Callable[[BucketOwner], bool]
 
     def group(
         self,
@@ -111,19 +113,28 @@
         *,
         not_run: AbstractSet[str],
         unix_s: float,
+        take_over: bool,
+        settled: bool,
     ) -> GroupedWrite:
-        """Return one write with all changes; ``bucket`` is left as it is."""
+        """Return one write with all changes; ``bucket`` is left as it is.
+
+        ``take_over`` asks for the ownership. ``settled`` tells that the leases
+        of the former owners have run out. Raises ValueError when the ownership
+        cannot be taken.
+        """
         new = bucket.copy()
         new.expire(unix_s - self.retention_s)
         decisions = []
         for change in changes:
             decisions.append(self._apply(new, change, not_run, unix_s))
         changed = any(new.get(c.key_hash) != bucket.get(c.key_hash) for c in changes)
-        # A former owner may still record results, but only claims move the
-        # ownership.
-        if changed and any(isinstance(c, TakeClaim) for c in changes):
-            new.owner = self.owner
-        return GroupedWrite(new, decisions, changed)
+        # A former owner may still record results, but only claims and the home
+        # move the ownership.
+        if take_over or (changed and any(isinstance(c, TakeClaim) for c in changes)):
+            new.change_owner(self.owner, is_gone=self.is_gone)
+        if settled and new.owner == self.owner:
+            new.former_owners = ()
+        return GroupedWrite(new, decisions, changed or new.owner != bucket.owner)
 
     def _apply(
         self,
--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -277,6 +277,28 @@
     """Return the outcome of one run at a leaf."""
 
 
+@dataclass(slots=True)
+class ClaimLease:
+    """Name a claim bucket and the version that its owner knows."""
+
+    bucket: int = 0
+    version: int = 0
+
+
+@dataclass(slots=True)
+class ClaimLeaseRequest:
+    """Ask a member whether it agrees that the sender owns claim buckets."""
+
+    leases: list[ClaimLease] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ClaimLeaseReply:
+    """Name the buckets for which the member agrees."""
+
+    buckets: list[int] = field(default_factory=list)
+
+
 Message = (
     Hello
     | Heartbeat
@@ -296,4 +318,6 @@
     | BookingReply
     | LeafRunRequest
     | LeafRunReply
+    | ClaimLeaseRequest
+    | ClaimLeaseReply
 )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
@@ -12,6 +12,7 @@
 from gypsumvane_core.claim import fingerprint_of
 from gypsumvane_core.messages import BookingReply
 from gypsumvane_core.messages import BookingRequest
+from gypsumvane_core.messages import ClaimLeaseRequest
 from gypsumvane_core.outcome import Failed
 from gypsumvane_core.outcome import Outcome
 from gypsumvane_core.outcome import Refused
@@ -22,6 +23,7 @@
 from gypsumvane_daemon.booking_deadline import Deadline
 from gypsumvane_daemon.booking_replies import outcome_of
 from gypsumvane_daemon.booking_replies import reply_of
+from gypsumvane_daemon.claim_leases import ClaimLeases
 from gypsumvane_daemon.claim_ledger import ClaimTimings
 from gypsumvane_daemon.claimed_runs import ClaimedRuns
 from gypsumvane_daemon.kernel import Service
@@ -80,6 +82,7 @@
         self._membership: MembershipPort
         self._documents: DocumentsPort
         self._claimed: ClaimedRuns
+        self._leases: ClaimLeases
         self._reserved: ReservedRuns
         self._checkpoints: ReservedCheckpoints
 
@@ -109,6 +112,14 @@
             runner=runner,
             timings=self._claim_timings,
         )
+        self._leases = ClaimLeases(
+            self._identity,
+            clock=self._clock,
+            peers=self._peers,
+            membership=self._membership,
+            ledgers=self._claimed.ledgers,
+            timings=self._claim_timings,
+        )
         self._checkpoints = ReservedCheckpoints(
             incarnation=self._identity.incarnation,
             store=store,
@@ -120,6 +131,7 @@
             self._identity, runner=runner, checkpoints=self._checkpoints
         )
         self._peers.register(BookingRequest, self._serve)
+        self._peers.register(ClaimLeaseRequest, self._leases.serve)
 
     async def stop(self) -> None:
         """End the runs in progress, then write their results."""
@@ -128,6 +140,7 @@
         for task in list(self._work):
             task.cancel()
         await asyncio.gather(*self._work, return_exceptions=True)
+        await self._leases.close()
         await self._claimed.close()
         await self._checkpoints.close()
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/claim_ledger.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claim_ledger.py
@@ -104,10 +104,25 @@
         self._not_run: OrderedDict[str, None] = OrderedDict()
         self._takes: list[_Take] = []
         self._notes: deque[ClaimChange] = deque()
+        self._take_over = False
+        # A write that gives the ownership up may still take effect, until
+        # another write changes the version.
+        self._may_lose_owner = False
         self._wake = asyncio.Event()
         self._last_write_s = float("-inf")
         self._task = asyncio.create_task(self._run(), name=self.store_key)
 
+    @property
+    def owned(self) -> bool:
+        """Return whether the copy of the bucket may be answered from."""
+        age_s = self._clock.monotonic_s() - self._lease_from_s
+        return self._bucket.owner == self._owner and age_s < self._timings.lease_s
+
+    @property
+    def version(self) -> int:
+        """Return the version of the copy."""
+        return self._version or 0
+
     @property
     def send_not_before_s(self) -> float:
         """Return the time from which claimed keys may be sent to leaves."""
@@ -153,11 +168,42 @@
 
     def knows_open(self, key_hash: str) -> bool:
         """Return whether it is certain, without the store, that no try ran."""
-        age_s = self._clock.monotonic_s() - self._lease_from_s
-        if age_s >= self._timings.lease_s:
+        if not self.owned:
             return False
         return is_open(self._bucket.get(key_hash), self._not_run.keys())
 
+    def take_over(self) -> None:
+        """Become the owner, or confirm the ownership, with the next write."""
+        self._take_over = True
+        self._stale = True
+        self._wake.set()
+
+    def extend(self, sent_at_s: float) -> None:
+        """Prolong a lease that has not ended; every live member granted it.
+
+        A lease that ended stays so until the store confirms the ownership,
+        because another owner may have come and gone meanwhile.
+        """
+        if self.owned:
+            self._lease_from_s = max(self._lease_from_s, sent_at_s)
+
+    def grants(self, version: int) -> bool:
+        """Return whether another daemon, at this version, may be the owner."""
+        return self._bucket.owner != self._owner or self.version < version
+
+    async def give_up(self) -> None:
+        """Let another daemon become the owner without waiting."""
+        self._lease_from_s = float("-inf")
+        if self._stale or self._bucket.owner != self._owner:
+            return
+        self._may_lose_owner = True
+        bucket = self._bucket.copy()
+        if self._settled():
+            bucket.former_owners = ()
+        bucket.owner = BucketOwner()
+        with contextlib.suppress(StoreError):
+            await self._put(bucket)
+
     async def read(self, key_hash: str) -> Claim | None:
         """Read the claim of a key that is not open; raises StoreError."""
         bucket, _ = await self._fetch()
@@ -170,16 +216,7 @@
         await asyncio.gather(self._task, return_exceptions=True)
         if self._takes or self._notes:
             await self._commit()
-        self._lease_from_s = float("-inf")
-        with contextlib.suppress(StoreError):
-            await self._give_up_ownership()
-
-    async def _give_up_ownership(self) -> None:
-        if self._stale or self._bucket.owner != self._owner:
-            return
-        bucket = self._bucket.copy()
-        bucket.owner = BucketOwner()
-        await self._put(bucket)
+        await self.give_up()
 
     async def _run(self) -> None:
         while True:
@@ -187,7 +224,7 @@
             self._wake.clear()
             spaced_s = self._last_write_s + self._timings.write_spacing_s
             await asyncio.sleep(max(0.0, spaced_s - self._clock.monotonic_s()))
-            if not self._takes and not self._notes:
+            if not self._takes and not self._notes and not self._take_over:
                 continue
             try:
                 await self._commit()
@@ -203,9 +240,10 @@
                 settled = await self._try_commit(takes, notes)
                 if settled:
                     return
-        except StoreError:
-            pass
+        except (StoreError, ValueError) as error:
+            logger.debug("claims were not written", extra={"cause": str(error)})
         finally:
+            self._take_over = False
             if not settled:
                 self._give_up(takes, notes)
 
@@ -215,19 +253,22 @@
         if self._stale:
             await self._load()
         live = [take for take in takes if not take.future.done()]
-        writer = ClaimWriter(self._owner, self._retention_s())
+        writer = ClaimWriter(self._owner, self._retention_s(), self._is_gone)
         group = writer.group(
             self._bucket,
             [*notes, *(take.change for take in live)],
             not_run=self._not_run.keys(),
             unix_s=self._clock.unix_s(),
+            take_over=self._take_over,
+            settled=self._settled(),
         )
         decisions = group.decisions[len(notes) :]
         if not loaded and any(d.answer is ClaimAnswer.FULL for d in decisions):
             # The copy may lack claims of another owner.
             self._stale = True
             return False
-        if group.changed and not await self._write(group.bucket, live):
+        must_write = group.changed or (self._take_over and self._may_lose_owner)
+        if must_write and not await self._write(group.bucket, live):
             return False
         for take, decision in zip(live, decisions, strict=True):
             if not take.future.done():
@@ -256,16 +297,20 @@
         return True
 
     def _note_owner(self, *, former: BucketOwner, sent_at_s: float) -> None:
-        if self._bucket.owner != self._owner:
+        if self._bucket.owner != self._owner or self._may_lose_owner:
             self._lease_from_s = float("-inf")
             return
         self._lease_from_s = sent_at_s
-        if former in (self._owner, BucketOwner()) or self._is_gone(former):
+        if former == self._owner or not self._bucket.former_owners:
             return
-        # The former owner may answer from its copy until its lease ends.
+        # A former owner may answer from its copy until its lease ends.
         wait_s = self._timings.lease_s + self._timings.margin_s
         self._send_not_before_s = self._clock.monotonic_s() + wait_s
 
+    def _settled(self) -> bool:
+        owned = self._bucket.owner == self._owner
+        return owned and self._clock.monotonic_s() >= self._send_not_before_s
+
     async def _put(self, bucket: ClaimBucket) -> bool:
         self._last_write_s = self._clock.monotonic_s()
         self._metrics.count("booking_claim_writes")
@@ -277,6 +322,7 @@
             return False
         self._bucket = bucket
         self._version = result.version
+        self._may_lose_owner = False
         return True
 
     async def _load(self) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/claimed_runs.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claimed_runs.py
@@ -78,7 +78,7 @@
         # Keys of which a try is in progress here, with its fingerprint.
         self._in_progress: dict[str, str] = {}
         self._recent: OrderedDict[str, _Recent] = OrderedDict()
-        self._ledgers = [
+        self.ledgers = [
             ClaimLedger(
                 bucket=bucket,
                 store=store,
@@ -94,7 +94,7 @@
 
     async def close(self) -> None:
         """Write pending results and give up the buckets."""
-        await asyncio.gather(*(ledger.close() for ledger in self._ledgers))
+        await asyncio.gather(*(ledger.close() for ledger in self.ledgers))
 
     async def run(self, request: BookingRequest, deadline: Deadline) -> Outcome:
         """Run a key at most once; this daemon is the home of its bucket."""
@@ -119,7 +119,7 @@
         An earlier try of the key may have run, so the answer says NOT_RUN only
         when the bucket shows that there is none.
         """
-        ledger = self._ledgers[bucket_of(request.key)]
+        ledger = self.ledgers[bucket_of(request.key)]
         key_hash = hash_key(request.key)
         if ledger.knows_open(key_hash):
             return Refused(reason=reason)
@@ -143,7 +143,7 @@
             fingerprint=request.fingerprint,
             attempt=f"{self._identity.incarnation}-{self._attempts}",
         )
-        ledger = self._ledgers[bucket_of(request.key)]
+        ledger = self.ledgers[bucket_of(request.key)]
         try:
             async with asyncio.timeout(deadline.left_s(self._clock)):
                 decision = await ledger.take(take)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -187,6 +187,19 @@
   body @7 :Data;
 }
 
+struct ClaimLease {
+  bucket @0 :Int64;
+  version @1 :Int64;
+}
+
+struct ClaimLeaseRequest {
+  leases @0 :List(ClaimLease);
+}
+
+struct ClaimLeaseReply {
+  buckets @0 :List(Int64);
+}
+
 struct Frame {
   requestId @0 :UInt64;
   # Zero for a frame that is not a reply.
@@ -211,6 +224,8 @@
     bookingReply @18 :BookingReply;
     leafRunRequest @19 :LeafRunRequest;
     leafRunReply @20 :BookingReply;
+    claimLeaseRequest @21 :ClaimLeaseRequest;
+    claimLeaseReply @22 :ClaimLeaseReply;
   }
 }
 
--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -137,16 +137,24 @@
         fault = self.world.fault("put")
         self._check(fault == "down", may_have_applied=False)
         self._check(fault == "lost_before", may_have_applied=True)
+        if fault == "late":
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, self._apply, key, value, expected_version)
+            raise StoreError("fault", may_have_applied=True)
+        version = self._apply(key, value, expected_version)
+        await self.world.step(self.vm_id)
+        self._check(fault == "lost_after", may_have_applied=True)
+        return Conflict() if version is None else Written(version)
+
+    def _apply(self, key: str, value: bytes, expected: int | None) -> int | None:
         known = self.world.objects.get(key)
-        if (known[1] if known else None) != expected_version:
-            return Conflict()
+        if (known[1] if known else None) != expected:
+            return None
         assert len(value) <= 1_000_000
-        version = next(self.world.versions)
+        version: int = next(self.world.versions)
         self.world.objects[key] = (value, version)
         self.world.puts += 1
-        await self.world.step(self.vm_id)
-        self._check(fault == "lost_after", may_have_applied=True)
-        return Written(version)
+        return version
 
     def _check(self, failed: bool, *, may_have_applied: bool) -> None:
         if failed or self.vm_id in self.world.cut_off:
@@ -353,9 +361,13 @@
     async def kill(self, vm_id: str) -> None:
         """End a daemon without its last writes."""
         daemon = self.daemons.pop(vm_id)
+        cut_off = vm_id in self.world.cut_off
         self.world.cut_off.add(vm_id)
+        for task in daemon.bookings._work:
+            task.cancel()
         await daemon.kernel.stop()
-        self.world.cut_off.discard(vm_id)
+        if not cut_off:
+            self.world.cut_off.discard(vm_id)
 
     async def stop(self) -> None:
         """Stop all daemons."""
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_booking_faults.py
@@ -0,0 +1,187 @@
+"""Stateful test of bookings under faults, in virtual time.
+
+The oracle: a key runs at most once, NOT_RUN is true for the key, and a
+recorded result is that of the run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from booking_fleet import Fleet
+from booking_fleet import virtual_loop
+from gypsumvane_core.outcome import Completed
+from gypsumvane_core.outcome import Outcome
+from gypsumvane_core.verdict import Verdict
+
+if TYPE_CHECKING:
+    import unittest
+
+VMS = ("vm-1", "vm-2", "vm-3")
+EXAMPLES = int(os.environ.get("GYPSUMVANE_FUZZ_EXAMPLES", "60"))
+vm_ids = st.sampled_from(VMS)
+
+
+@dataclass
+class Try:
+    """Follow one request of a caller."""
+
+    key: str
+    task: asyncio.Task[Outcome]
+    runs_before: int
+    overlapped: bool
+
+
+class BookingMachine(RuleBasedStateMachine):
+    """Send the same few keys through daemons while things fail."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def begin(self, seed: int) -> None:
+        self.loop = virtual_loop()
+        self.fleet = Fleet()
+        self.world = self.fleet.world
+        rng = random.Random(seed)
+        delays = (0.0, 0.001, 0.001, 0.02, 0.2)
+        self.world.delays = iter(lambda: rng.choice(delays), None)
+        self.loop.run_until_complete(self.fleet.start(*VMS))
+        self.keys = ["key-0", "key-1", "key-2"]
+        self.tries: list[Try] = []
+
+    @rule(vm_id=vm_ids)
+    def reserve(self, vm_id: str) -> None:
+        daemon = self.fleet.daemons.get(vm_id)
+        if daemon is not None:
+            self.keys += daemon.bookings.reserve(1)
+
+    @rule()
+    def new_key(self) -> None:
+        self.keys.append(f"key-{len(self.keys)}")
+
+    @rule(vm_id=vm_ids, number=st.integers(0, 2), wait_s=st.sampled_from([0, 0.05, 2]))
+    def book(self, vm_id: str, number: int, wait_s: float) -> None:
+        if vm_id not in self.fleet.daemons:
+            return
+        key = self.keys[-1 - number]
+        rivals = [other for other in self.tries if other.key == key]
+        for rival in rivals:
+            rival.overlapped = True
+        task = self.loop.create_task(self.fleet.book(vm_id, key))
+        runs = self.world.runs[key]
+        self.tries.append(Try(key, task, runs, bool(rivals)))
+        self.pass_time(wait_s)
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 1.0, 5.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+        for entry in [entry for entry in self.tries if entry.task.done()]:
+            self.tries.remove(entry)
+            if not entry.task.cancelled():
+                self.check(entry, entry.task.result())
+
+    @rule(
+        fault=st.sampled_from(
+            [
+                ("put", "down"),
+                ("put", "lost_before"),
+                ("put", "lost_after"),
+                ("put", "late"),
+                ("get", "down"),
+                ("leaf", "not_run"),
+                ("leaf", "lost"),
+                ("peer", "unsent"),
+                ("peer", "lost"),
+            ]
+        ),
+        times=st.integers(1, 3),
+    )
+    def fail_next(self, fault: tuple[str, str], times: int) -> None:
+        operation, kind = fault
+        self.world.faults.setdefault(operation, []).extend([kind] * times)
+
+    @rule(vm_id=vm_ids)
+    def cut_store(self, vm_id: str) -> None:
+        self.world.cut_off ^= {vm_id}
+
+    @rule()
+    def store_outage(self) -> None:
+        self.world.cut_off = set() if self.world.cut_off else set(VMS)
+
+    @rule(vm_id=vm_ids)
+    def move_home(self, vm_id: str) -> None:
+        self.world.homes["*"] = vm_id
+
+    @rule(vm_id=vm_ids, home=vm_ids)
+    def toggle_stale_view(self, vm_id: str, home: str) -> None:
+        daemon = self.fleet.daemons.get(vm_id)
+        if daemon is not None:
+            stale = daemon.membership.own_homes is not None
+            daemon.membership.own_homes = None if stale else {"*": home}
+
+    @rule(vm_id=vm_ids)
+    def toggle_pause(self, vm_id: str) -> None:
+        event = self.world.paused.pop(vm_id, None)
+        if event is not None:
+            event.set()
+        elif vm_id in self.fleet.daemons:
+            self.world.paused[vm_id] = asyncio.Event()
+
+    @precondition(lambda self: len(self.fleet.daemons) > 1)
+    @rule(vm_id=vm_ids, gone=st.booleans())
+    def kill(self, vm_id: str, gone: bool) -> None:
+        if vm_id in self.fleet.daemons:
+            event = self.world.paused.pop(vm_id, None)
+            if event is not None:
+                event.set()
+            self.loop.run_until_complete(self.fleet.kill(vm_id))
+            if gone:
+                self.world.members.pop(vm_id, None)
+
+    @rule(vm_id=vm_ids)
+    def start(self, vm_id: str) -> None:
+        if vm_id not in self.fleet.daemons:
+            self.loop.run_until_complete(self.fleet.start(vm_id))
+
+    def check(self, entry: Try, outcome: Outcome) -> None:
+        """Compare an answer with the runs that happened."""
+        runs = self.world.runs[entry.key]
+        if outcome.verdict is Verdict.NOT_RUN:
+            assert entry.runs_before == 0, f"false NOT_RUN: {outcome}"
+            assert entry.overlapped or runs == 0, f"false NOT_RUN: {outcome}"
+        if isinstance(outcome, Completed):
+            assert outcome.body == self.world.bodies[entry.key], "untrue result"
+        if outcome.verdict is Verdict.RAN:
+            assert runs == 1
+
+    def teardown(self) -> None:
+        if not hasattr(self, "loop"):
+            return
+        for event in self.world.paused.values():
+            event.set()
+        self.world.paused.clear()
+        self.world.cut_off = set()
+        self.pass_time(10.0)
+        self.loop.run_until_complete(self.fleet.stop())
+        self.loop.close()
+        assert max(self.world.runs.values(), default=0) <= 1, "a key ran twice"
+
+
+BookingFaultsTest: type[unittest.TestCase] = BookingMachine.TestCase
+BookingFaultsTest.settings = settings(  # type: ignore[attr-defined]
+    max_examples=EXAMPLES,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
