--- a/packages/gypsumvane-core/src/gypsumvane_core/reason.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/reason.py
@@ -29,6 +29,7 @@
     CONNECTION_LOST = "connection_lost"
     SNAPSHOT_GONE = "snapshot_gone"
     SNAPSHOT_MISMATCH = "snapshot_mismatch"
+    ANSWER_MISMATCH = "answer_mismatch"
     NO_SNAPSHOT = "no_snapshot"
     CANCELLED = "cancelled"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -39,3 +40,4 @@
     CLAIMS_FULL = "claims_full"
     RESULT_NOT_KEPT = "result_not_kept"
     CONFLICT = "conflict"
+    INTERNAL_ERROR = "internal_error"
