Let bookings follow version moves and find services by name

Bookings took any leaf of the service, whatever its version. They now use the version that the move service chooses for the key, fall back to the old version only while the move runs, and report the evidence of each answer. The leaf's home gets a deadline 10 ms earlier, so that it answers NOT_RUN for a request that waited in its queue before the caller's side gives up.

The other services are found by name, as elsewhere in the daemon.

--- a/packages/gypsumvane-core/src/gypsumvane_core/booking_target.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/booking_target.py
@@ -7,6 +7,8 @@
 
 from xxhash import xxh64_intdigest
 
+from gypsumvane_core.key_service import service_of_key as rendezvous
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Set as AbstractSet
@@ -24,12 +26,7 @@
     if not index.partition_maps:
         return None
     services = index.partition_maps[max(index.partition_maps)]
-    # The highest rendezvous hash moves few keys when services are added.
-    return max(
-        services,
-        key=lambda service: xxh64_intdigest(f"{service}\0{key}".encode()),
-        default=None,
-    )
+    return rendezvous(key, services) if services else None
 
 
 def draw_of_key(key: str) -> float:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import cast
 
 from gypsumvane_core.claim import bucket_of
 from gypsumvane_core.claim import bucket_store_key
@@ -35,10 +36,6 @@
 from gypsumvane_daemon.reserved_checkpoints import CheckpointTimings
 from gypsumvane_daemon.reserved_checkpoints import ReservedCheckpoints
 from gypsumvane_daemon.reserved_runs import ReservedRuns
-from gypsumvane_daemon.service_ports import DocumentsPort
-from gypsumvane_daemon.service_ports import MembershipPort
-from gypsumvane_daemon.service_ports import StorePort
-from gypsumvane_daemon.service_ports import UpstreamsPort
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -47,6 +44,11 @@
     from gypsumvane_daemon.identity import DaemonIdentity
     from gypsumvane_daemon.kernel import Kernel
     from gypsumvane_daemon.peer_network import PeerContext
+    from gypsumvane_daemon.service_ports import DocumentsPort
+    from gypsumvane_daemon.service_ports import MembershipPort
+    from gypsumvane_daemon.service_ports import MovesPort
+    from gypsumvane_daemon.service_ports import StorePort
+    from gypsumvane_daemon.service_ports import UpstreamsPort
 
 KEY_LENGTH_MAX = 200
 RESERVE_MAX = 1000
@@ -90,10 +92,10 @@
         """Find the other services and accept forwarded requests."""
         self._metrics = kernel.get(MetricsService)
         self._peers = kernel.get(PeerNetwork)
-        self._membership = kernel.get(MembershipPort)  # type: ignore[type-abstract]
-        self._documents = kernel.get(DocumentsPort)  # type: ignore[type-abstract]
-        store = kernel.get(StorePort)  # type: ignore[type-abstract]
-        upstreams = kernel.get(UpstreamsPort)  # type: ignore[type-abstract]
+        self._membership = cast("MembershipPort", kernel.find("membership"))
+        self._documents = cast("DocumentsPort", kernel.find("documents"))
+        store = cast("StorePort", kernel.find("store"))
+        upstreams = cast("UpstreamsPort", kernel.find("upstreams"))
         runner = LeafRunner(
             self._identity,
             clock=self._clock,
@@ -101,6 +103,7 @@
             membership=self._membership,
             documents=self._documents,
             upstreams=upstreams,
+            moves=cast("MovesPort", kernel.find("moves")),
         )
         self._claimed = ClaimedRuns(
             self._identity,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
@@ -6,11 +6,14 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.booking_target import LeafOrder
+from gypsumvane_core.booking_target import draw_of_key
 from gypsumvane_core.booking_target import service_of_key
+from gypsumvane_core.document_models import MoveState
 from gypsumvane_core.messages import BookingReply
 from gypsumvane_core.messages import BookingRequest
 from gypsumvane_core.messages import LeafRunReply
 from gypsumvane_core.messages import LeafRunRequest
+from gypsumvane_core.outcome import Failed
 from gypsumvane_core.outcome import Outcome
 from gypsumvane_core.outcome import Refused
 from gypsumvane_core.reason import Reason
@@ -30,10 +33,12 @@
     from gypsumvane_daemon.peer_network import PeerNetwork
     from gypsumvane_daemon.service_ports import DocumentsPort
     from gypsumvane_daemon.service_ports import MembershipPort
+    from gypsumvane_daemon.service_ports import MovesPort
     from gypsumvane_daemon.service_ports import UpstreamsPort
 
 # A run that cannot end within this time is not begun.
-RUN_LEFT_MIN_S = 0.005
+RUN_LEFT_MIN_S = 0.02
+LEAF_MARGIN_MS = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +61,7 @@
         membership: MembershipPort,
         documents: DocumentsPort,
         upstreams: UpstreamsPort,
+        moves: MovesPort,
     ) -> None:
         self._identity = identity
         self._clock = clock
@@ -63,6 +69,7 @@
         self._membership = membership
         self._documents = documents
         self._upstreams = upstreams
+        self._moves = moves
 
     def target(self, request: BookingRequest) -> BookingTarget | Reason:
         """Return where a request may run, or why it cannot."""
@@ -76,11 +83,23 @@
             domains_out=self._documents.catalogue.domains_out(),
             brief_of=self._upstreams.briefs.get,
         )
-        leaves = order.candidates(index, service, None)
+        leaves = order.candidates(index, service, self._versions(request))
         if not leaves:
             return Reason.UPSTREAM_UNAVAILABLE
         return BookingTarget(service=service, leaves=leaves)
 
+    def _versions(self, request: BookingRequest) -> list[str] | None:
+        """Return the versions that may run a request, None for all."""
+        move = self._documents.catalogue.move(request.index)
+        if move is None:
+            return None
+        draw = draw_of_key(request.key)
+        version = self._moves.choose_version(request.index, request.route, draw)
+        if version == move.to_version and move.state is MoveState.RUNNING:
+            # The old version still serves.
+            return [move.to_version, move.from_version]
+        return None if version is None else [version]
+
     async def run(
         self,
         attempt: BookingTry,
@@ -109,6 +128,7 @@
         deadline: Deadline,
     ) -> Outcome:
         attempt.send()
+        sent_at_s = self._clock.monotonic_s()
         reply = await self._call(
             leaf,
             LeafRunRequest(
@@ -117,13 +137,15 @@
                 route=request.route,
                 service=leaf.service,
                 leaf_id=leaf.leaf_id,
-                deadline_left_ms=deadline.left_ms(self._clock),
+                # The leaf's home answers NOT_RUN before this side gives up.
+                deadline_left_ms=deadline.left_ms(self._clock) - LEAF_MARGIN_MS,
                 caller_id=request.caller_id,
                 body=request.body,
             ),
             deadline,
         )
         outcome = outcome_of(reply)
+        self._record_evidence(request, leaf, outcome, sent_at_s)
         if outcome.verdict is Verdict.NOT_RUN:
             attempt.turn_away()
         elif outcome.verdict is Verdict.RAN:
@@ -132,6 +154,24 @@
             attempt.lose()
         return outcome
 
+    def _record_evidence(
+        self,
+        request: BookingRequest,
+        leaf: LeafModel,
+        outcome: Outcome,
+        sent_at_s: float,
+    ) -> None:
+        # A refusal before anything ran says little about a version.
+        if isinstance(outcome, Refused):
+            return
+        self._moves.record(
+            request.index,
+            request.route,
+            leaf.version,
+            failed=isinstance(outcome, Failed),
+            latency_ms=(self._clock.monotonic_s() - sent_at_s) * 1000,
+        )
+
     async def _call(
         self, leaf: LeafModel, request: LeafRunRequest, deadline: Deadline
     ) -> BookingReply:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/service_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/service_ports.py
@@ -1,17 +1,19 @@
-"""The parts of other services that bookings and version moves use."""
+"""The parts of other services that bookings and version moves use.
+
+The kernel finds a service by name; these protocols state what it must offer.
+"""
 
 from __future__ import annotations
 
-from abc import abstractmethod
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from gypsumvane_daemon.kernel import Service
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from gypsumvane_core.document import DocumentCatalogue
+    from gypsumvane_core.document_change import ChangeOutcome
+    from gypsumvane_core.document_change import DocumentChange
     from gypsumvane_core.messages import Heartbeat
     from gypsumvane_core.messages import LeafRunReply
     from gypsumvane_core.messages import LeafRunRequest
@@ -21,25 +23,12 @@
     from gypsumvane_daemon.store_objects import StoredObject
 
 
-class ServicePort(Service):
-    """Accept any service of the same name, so that the kernel finds it."""
-
-    @classmethod
-    def __subclasshook__(cls, subclass: type) -> bool:
-        """Return whether a class has the name of this port."""
-        return getattr(subclass, "name", None) == getattr(cls, "name", "")
-
-
-class StorePort(ServicePort):
+class StorePort(Protocol):
     """Read and write the object store."""
 
-    name = "store"
-
-    @abstractmethod
     async def get(self, key: str) -> StoredObject | None:
         """Read an object; raises StoreError."""
 
-    @abstractmethod
     async def put(
         self, key: str, value: bytes, *, expected_version: int | None
     ) -> PutResult:
@@ -56,42 +45,41 @@
         """Read fields of a heartbeat from a peer."""
 
 
-class MembershipPort(ServicePort):
+class MembershipPort(Protocol):
     """Tell members and homes."""
 
-    name = "membership"
-
-    @abstractmethod
     def live_members(self) -> list[Member]:
         """Return the members of the view that are not gone."""
 
-    @abstractmethod
     def member(self, vm_id: str) -> Member | None:
         """Return a member of the view."""
 
-    @abstractmethod
     def home_of(self, leaf_id: str) -> str | None:
         """Return the VM that is home of a leaf."""
 
-    @abstractmethod
     def home_of_key(self, key: str) -> str | None:
         """Return the VM that is home of a key."""
 
-    @abstractmethod
     def add_contributor(self, contributor: Contributor) -> None:
         """Add fields to heartbeats."""
 
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call the listener after each change of members or homes."""
 
-class DocumentsPort(ServicePort):
+
+class DocumentsPort(Protocol):
     """Hold the applied configuration documents."""
 
-    name = "documents"
-    catalogue: DocumentCatalogue
+    @property
+    def catalogue(self) -> DocumentCatalogue:
+        """Return the documents in force here."""
 
-    @abstractmethod
     def on_change(self, listener: Callable[[str], None]) -> None:
         """Call the listener with the name of each changed document."""
 
+    async def submit(self, change: DocumentChange) -> ChangeOutcome:
+        """Change a document."""
+
 
 class BriefSource(Protocol):
     """Tell the newest brief of each leaf."""
@@ -100,12 +88,24 @@
         """Return the newest brief of a leaf."""
 
 
-class UpstreamsPort(ServicePort):
+class UpstreamsPort(Protocol):
     """Run requests at the leaves that this daemon is home of."""
 
-    name = "upstreams"
-    briefs: BriefSource
+    @property
+    def briefs(self) -> BriefSource:
+        """Return the newest briefs."""
 
-    @abstractmethod
     async def run_once(self, request: LeafRunRequest) -> LeafRunReply:
         """Run a non-idempotent request at a leaf."""
+
+
+class MovesPort(Protocol):
+    """Choose versions and collect evidence."""
+
+    def choose_version(self, index: str, route: str, draw: float) -> str | None:
+        """Return the version that a request uses, None without a move."""
+
+    def record(
+        self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
+    ) -> None:
+        """Record the evidence of one answer."""
--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -248,6 +248,15 @@
         return reply
 
 
+class FakeMoves(FakeService):
+    """Move no version."""
+
+    name = "moves"
+
+    def record(self, *_: Any, **__: Any) -> None:
+        """Ignore the evidence."""
+
+
 def settings_of(vm_id: str) -> Settings:
     """Return settings that listen on free ports."""
     listener = {"address": "127.0.0.1:0"}
@@ -313,6 +322,7 @@
             FakeDocuments(world, vm_id),
             self.membership,
             FakeUpstreams(world, vm_id),
+            FakeMoves(world, vm_id),
             self.bookings,
         ):
             self.kernel.register(service)
