--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -384,7 +384,11 @@
         for daemon in self.daemons.values():
             await daemon.kernel.stop()
 
-    async def book(self, vm_id: str, key: str, *, body: bytes = b"{}") -> Outcome:
+    async def book(
+        self, vm_id: str, key: str, *, body: bytes = b"{}", left_ms: int = 1000
+    ) -> Outcome:
         """Send one booking to a daemon."""
-        request = BookingRequest(key=key, index="ledger", route="run", body=body)
+        request = BookingRequest(
+            key=key, index="ledger", route="run", body=body, deadline_left_ms=left_ms
+        )
         return await self.daemons[vm_id].bookings.run(request)
--- a/packages/gypsumvane-daemon/tests/test_daemon_booking_faults.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_booking_faults.py
@@ -32,6 +32,10 @@
 VMS = ("vm-1", "vm-2", "vm-3")
 EXAMPLES = int(os.environ.get("GYPSUMVANE_FUZZ_EXAMPLES", "60"))
 vm_ids = st.sampled_from(VMS)
+key_choice = st.sampled_from([0, 0, 1, 1, 2])
+# A deadline beyond the lease lets a new owner wait for the former one.
+deadlines = st.sampled_from([1000, 6000])
+waits = st.sampled_from([0.0, 0.05, 2.0])
 
 
 @dataclass
@@ -65,22 +69,34 @@
         if daemon is not None:
             self.keys += daemon.bookings.reserve(1)
 
-    @rule()
-    def new_key(self) -> None:
-        self.keys.append(f"key-{len(self.keys)}")
+    @rule(vm_id=vm_ids, key=key_choice, left_ms=deadlines, wait_s=waits)
+    def book(self, vm_id: str, key: int, left_ms: int, wait_s: float) -> None:
+        self.send(vm_id, self.pick(key), left_ms)
+        self.pass_time(wait_s)
 
-    @rule(vm_id=vm_ids, number=st.integers(0, 2), wait_s=st.sampled_from([0, 0.05, 2]))
-    def book(self, vm_id: str, number: int, wait_s: float) -> None:
+    @rule(key=key_choice, left_ms=deadlines, gap_s=waits)
+    def race(self, key: int, left_ms: int, gap_s: float) -> None:
+        """Send one key through all daemons, at once or shortly after another."""
+        name = self.pick(key)
+        for vm_id in list(self.fleet.daemons):
+            self.send(vm_id, name, left_ms)
+            self.pass_time(gap_s)
+
+    def pick(self, key: int) -> str:
+        """Return a recent key, or a new one for 0."""
+        if key == 0:
+            self.keys.append(f"key-{len(self.keys)}")
+        return self.keys[-1 - max(0, key - 1) % len(self.keys)]
+
+    def send(self, vm_id: str, key: str, left_ms: int) -> None:
+        """Begin one try through a daemon that runs."""
         if vm_id not in self.fleet.daemons:
             return
-        key = self.keys[-1 - number]
         rivals = [other for other in self.tries if other.key == key]
         for rival in rivals:
             rival.overlapped = True
-        task = self.loop.create_task(self.fleet.book(vm_id, key))
-        runs = self.world.runs[key]
-        self.tries.append(Try(key, task, runs, bool(rivals)))
-        self.pass_time(wait_s)
+        task = self.loop.create_task(self.fleet.book(vm_id, key, left_ms=left_ms))
+        self.tries.append(Try(key, task, self.world.runs[key], bool(rivals)))
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 1.0, 5.0]))
     def pass_time(self, seconds: float) -> None:
@@ -114,6 +130,12 @@
     def cut_store(self, vm_id: str) -> None:
         self.world.cut_off ^= {vm_id}
 
+    @rule()
+    def split_homes(self) -> None:
+        """Let every daemon believe that it is the home of everything."""
+        for vm_id, daemon in self.fleet.daemons.items():
+            daemon.membership.own_homes = {"*": vm_id}
+
     @rule()
     def store_outage(self) -> None:
         self.world.cut_off = set() if self.world.cut_off else set(VMS)
@@ -163,6 +185,7 @@
             assert outcome.body == self.world.bodies[entry.key], "untrue result"
         if outcome.verdict is Verdict.RAN:
             assert runs == 1
+        assert runs <= 1, "a key ran twice"
 
     def teardown(self) -> None:
         if not hasattr(self, "loop"):
