--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
@@ -6,12 +6,14 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import cast
 
 from gypsumvane_core.claim import bucket_of
 from gypsumvane_core.claim import bucket_store_key
 from gypsumvane_core.claim import fingerprint_of
 from gypsumvane_core.messages import BookingReply
 from gypsumvane_core.messages import BookingRequest
+from gypsumvane_core.messages import ClaimLeaseRequest
 from gypsumvane_core.outcome import Failed
 from gypsumvane_core.outcome import Outcome
 from gypsumvane_core.outcome import Refused
@@ -22,6 +24,7 @@
 from gypsumvane_daemon.booking_deadline import Deadline
 from gypsumvane_daemon.booking_replies import outcome_of
 from gypsumvane_daemon.booking_replies import reply_of
+from gypsumvane_daemon.claim_leases import ClaimLeases
 from gypsumvane_daemon.claim_ledger import ClaimTimings
 from gypsumvane_daemon.claimed_runs import ClaimedRuns
 from gypsumvane_daemon.kernel import Service
@@ -33,10 +36,6 @@
 from gypsumvane_daemon.reserved_checkpoints import CheckpointTimings
 from gypsumvane_daemon.reserved_checkpoints import ReservedCheckpoints
 from gypsumvane_daemon.reserved_runs import ReservedRuns
-from gypsumvane_daemon.service_ports import DocumentsPort
-from gypsumvane_daemon.service_ports import MembershipPort
-from gypsumvane_daemon.service_ports import StorePort
-from gypsumvane_daemon.service_ports import UpstreamsPort
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -45,6 +44,11 @@
     from gypsumvane_daemon.identity import DaemonIdentity
     from gypsumvane_daemon.kernel import Kernel
     from gypsumvane_daemon.peer_network import PeerContext
+    from gypsumvane_daemon.service_ports import DocumentsPort
+    from gypsumvane_daemon.service_ports import MembershipPort
+    from gypsumvane_daemon.service_ports import MovesPort
+    from gypsumvane_daemon.service_ports import StorePort
+    from gypsumvane_daemon.service_ports import UpstreamsPort
 
 KEY_LENGTH_MAX = 200
 RESERVE_MAX = 1000
@@ -80,6 +84,7 @@
         self._membership: MembershipPort
         self._documents: DocumentsPort
         self._claimed: ClaimedRuns
+        self._leases: ClaimLeases
         self._reserved: ReservedRuns
         self._checkpoints: ReservedCheckpoints
 
@@ -87,10 +92,10 @@
         """Find the other services and accept forwarded requests."""
         self._metrics = kernel.get(MetricsService)
         self._peers = kernel.get(PeerNetwork)
-        self._membership = kernel.get(MembershipPort)  # type: ignore[type-abstract]
-        self._documents = kernel.get(DocumentsPort)  # type: ignore[type-abstract]
-        store = kernel.get(StorePort)  # type: ignore[type-abstract]
-        upstreams = kernel.get(UpstreamsPort)  # type: ignore[type-abstract]
+        self._membership = cast("MembershipPort", kernel.find("membership"))
+        self._documents = cast("DocumentsPort", kernel.find("documents"))
+        store = cast("StorePort", kernel.find("store"))
+        upstreams = cast("UpstreamsPort", kernel.find("upstreams"))
         runner = LeafRunner(
             self._identity,
             clock=self._clock,
@@ -98,6 +103,7 @@
             membership=self._membership,
             documents=self._documents,
             upstreams=upstreams,
+            moves=cast("MovesPort", kernel.find("moves")),
         )
         self._claimed = ClaimedRuns(
             self._identity,
@@ -109,6 +115,14 @@
             runner=runner,
             timings=self._claim_timings,
         )
+        self._leases = ClaimLeases(
+            self._identity,
+            clock=self._clock,
+            peers=self._peers,
+            membership=self._membership,
+            ledgers=self._claimed.ledgers,
+            timings=self._claim_timings,
+        )
         self._checkpoints = ReservedCheckpoints(
             incarnation=self._identity.incarnation,
             store=store,
@@ -120,6 +134,7 @@
             self._identity, runner=runner, checkpoints=self._checkpoints
         )
         self._peers.register(BookingRequest, self._serve)
+        self._peers.register(ClaimLeaseRequest, self._leases.serve)
 
     async def stop(self) -> None:
         """End the runs in progress, then write their results."""
@@ -128,6 +143,7 @@
         for task in list(self._work):
             task.cancel()
         await asyncio.gather(*self._work, return_exceptions=True)
+        await self._leases.close()
         await self._claimed.close()
         await self._checkpoints.close()
 
