--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -138,6 +138,8 @@
 
     name: str = ""
     revision: int = 0
+    change_id: str = ""
+    in_force_since_unix_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -165,6 +167,10 @@
     """Return newer documents."""
 
     documents: list[DocumentCopy] = field(default_factory=list)
+    # The sender has loaded its documents from the store or a peer.
+    ready: bool = False
+    # Further documents did not fit; ask again with the new revisions.
+    more: bool = False
 
 
 @dataclass(slots=True)
@@ -285,6 +291,28 @@
     """Return the outcome of one run at a leaf."""
 
 
+@dataclass(slots=True)
+class ClaimLease:
+    """Name a claim bucket and the version that its owner knows."""
+
+    bucket: int = 0
+    version: int = 0
+
+
+@dataclass(slots=True)
+class ClaimLeaseRequest:
+    """Ask a member whether it agrees that the sender owns claim buckets."""
+
+    leases: list[ClaimLease] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ClaimLeaseReply:
+    """Name the buckets for which the member agrees."""
+
+    buckets: list[int] = field(default_factory=list)
+
+
 Message = (
     Hello
     | Heartbeat
@@ -304,4 +332,6 @@
     | BookingReply
     | LeafRunRequest
     | LeafRunReply
+    | ClaimLeaseRequest
+    | ClaimLeaseReply
 )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -92,6 +92,8 @@
 struct DocumentRevision {
   name @0 :Text;
   revision @1 :Int64;
+  changeId @2 :Text;
+  inForceSinceUnixMs @3 :Int64;
 }
 
 struct DocumentCopy {
@@ -110,6 +112,8 @@
 
 struct DocumentsReply {
   documents @0 :List(DocumentCopy);
+  ready @1 :Bool;
+  more @2 :Bool;
 }
 
 struct DocumentPush {
@@ -192,6 +196,19 @@
   body @7 :Data;
 }
 
+struct ClaimLease {
+  bucket @0 :Int64;
+  version @1 :Int64;
+}
+
+struct ClaimLeaseRequest {
+  leases @0 :List(ClaimLease);
+}
+
+struct ClaimLeaseReply {
+  buckets @0 :List(Int64);
+}
+
 struct Frame {
   requestId @0 :UInt64;
   # Zero for a frame that is not a reply.
@@ -216,6 +233,8 @@
     bookingReply @18 :BookingReply;
     leafRunRequest @19 :LeafRunRequest;
     leafRunReply @20 :BookingReply;
+    claimLeaseRequest @21 :ClaimLeaseRequest;
+    claimLeaseReply @22 :ClaimLeaseReply;
   }
 }
 
