Add version moves that are judged by their answers

No daemon chose versions or noticed a bad one. Each daemon now sends the canary share to the new version until every route with traffic has enough good answers, then a share that rises to 1 at the set time. Answers are sampled, counted per incarnation and exchanged in heartbeats. The versions are compared per route and step of time by a bound on the chance of so many bad answers of an equal version; the two worst steps are left out.

--- a/packages/gypsumvane-core/src/gypsumvane_core/document_models.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_models.py
@@ -43,6 +43,8 @@
     cold_report_hold_ms: int = Field(default=10_000, ge=0, le=600_000)
     canary_share: float = Field(default=0.02, gt=0, le=0.5)
     page_size_max: int = Field(default=100, ge=1, le=10_000)
+    # Good answers of a new version on each route that end its canary.
+    move_good_answers: int = Field(default=20, ge=1, le=100_000)
     # A repeat of a key is recognised for this long.
     claim_retention_s: int = Field(default=3600, ge=60, le=604_800)
 
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_comparison.py
@@ -0,0 +1,107 @@
+"""Statistical comparison of the new and the old version of an index."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import exp
+from math import log
+from math import log1p
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+# Natural logarithm of the largest chance at which one comparison condemns a
+# version. A move of an hour makes about 10^5 comparisons.
+LOG_CHANCE_MAX = log(1e-8)
+# A version is bad only when its rate is this many times the old rate ...
+RATE_FACTOR = 2.0
+# ... and the difference matters to callers.
+FAILURE_MARGIN = 0.02
+SLOW_MARGIN = 0.10
+# The worst steps are left out, because a leaf that stalls makes many answers of
+# one version bad together, which the bound does not allow for.
+STEPS_LEFT_OUT = 2
+_TILTS = [0.05 * 1.27**power for power in range(24)]
+
+
+@dataclass(frozen=True, slots=True)
+class Stratum:
+    """Count the answers of both versions in one step of time."""
+
+    old_answers: int = 0
+    old_bad: int = 0
+    new_answers: int = 0
+    new_bad: int = 0
+
+    @property
+    def empty(self) -> bool:
+        """Return whether nothing was counted."""
+        return self.old_answers + self.new_answers == 0
+
+    def plus(self, other: Stratum) -> Stratum:
+        """Return the sum of two strata."""
+        return Stratum(
+            self.old_answers + other.old_answers,
+            self.old_bad + other.old_bad,
+            self.new_answers + other.new_answers,
+            self.new_bad + other.new_bad,
+        )
+
+    def excess(self) -> float:
+        """Return by how much the new version's bad answers exceed their share."""
+        answers = self.old_answers + self.new_answers
+        bad = self.old_bad + self.new_bad
+        return self.new_bad - bad * self.new_answers / answers
+
+    def log_moment(self, tilt: float) -> float:
+        """Bound the log moment of the new version's bad answers.
+
+        When both versions are alike, the bad answers fall on the new version
+        like draws without replacement. Hoeffding's bound replaces these by
+        draws with replacement; of the four ways to draw the best one counts.
+        """
+        answers = self.old_answers + self.new_answers
+        bad = self.old_bad + self.new_bad
+        share = self.new_answers / answers
+        rate = bad / answers
+        up, down = exp(tilt) - 1, exp(-tilt) - 1
+        return min(
+            bad * log1p(share * up),
+            self.new_answers * log1p(rate * up),
+            tilt * bad + self.old_answers * log1p(rate * down),
+            tilt * self.new_answers + (answers - bad) * log1p(share * down),
+        )
+
+
+def log_chance(strata: Sequence[Stratum]) -> float:
+    """Bound the log of the chance of so many bad answers of the new version.
+
+    The chance is that of a version no worse than the old one. Each stratum has
+    its own rate and share, so rates that change with time and load do not
+    count against a version.
+    """
+    mixed = [s for s in strata if s.new_answers and s.old_answers]
+    observed = sum(s.new_bad for s in mixed)
+    if not observed:
+        return 0.0
+    return min(
+        0.0,
+        *(sum(s.log_moment(t) for s in mixed) - t * observed for t in _TILTS),
+    )
+
+
+def is_worse(strata: Sequence[Stratum], *, margin: float) -> bool:
+    """Return whether the new version is certainly and clearly worse."""
+    mixed = [s for s in strata if s.new_answers and s.old_answers]
+    mixed = sorted(mixed, key=Stratum.excess)[:-STEPS_LEFT_OUT]
+    if not mixed:
+        return False
+    total = Stratum()
+    for stratum in mixed:
+        total = total.plus(stratum)
+    old_rate = total.old_bad / total.old_answers
+    new_rate = total.new_bad / total.new_answers
+    if new_rate < RATE_FACTOR * old_rate + margin:
+        return False
+    return log_chance(mixed) < LOG_CHANCE_MAX
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_evidence.py
@@ -0,0 +1,110 @@
+"""Counts of answers per route, summed over incarnations."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+from gypsumvane_core.messages import MoveEvidence
+
+# More answers than this at first sight are older than the current step.
+FIRST_SIGHT_MAX = 50
+ROUTES_MAX = 32
+INCARNATIONS_MAX = 10_000
+_COUNTS = (
+    "old_answers",
+    "old_failures",
+    "old_slow",
+    "new_answers",
+    "new_failures",
+    "new_slow",
+)
+
+
+def added(one: MoveEvidence, other: MoveEvidence, *, sign: int = 1) -> MoveEvidence:
+    """Return the sum, or the difference, of two counts."""
+    counts = {n: getattr(one, n) + sign * getattr(other, n) for n in _COUNTS}
+    return replace(one, **counts)
+
+
+def _newest(one: MoveEvidence, other: MoveEvidence) -> MoveEvidence:
+    counts = {n: max(getattr(one, n), getattr(other, n)) for n in _COUNTS}
+    return replace(one, **counts)
+
+
+@dataclass(slots=True)
+class EvidenceTable:
+    """Hold the counts of one move; each count of an incarnation only grows.
+
+    Taking a row twice, late or out of order changes nothing.
+    """
+
+    move_id: str
+    incarnation: str
+    _rows: dict[tuple[str, str], MoveEvidence] = field(default_factory=dict)
+    # What was returned as growth already.
+    _seen: dict[tuple[str, str], MoveEvidence] = field(default_factory=dict)
+
+    def count(self, route: str, *, new: bool, failed: bool, slow: bool) -> None:
+        """Count one own answer."""
+        key = (route, self.incarnation)
+        row = self._rows.get(key)
+        if row is None:
+            if len(self.routes()) >= ROUTES_MAX:
+                return
+            row = self._rows[key] = self._empty(*key)
+        if new:
+            row.new_answers += 1
+            row.new_failures += failed
+            row.new_slow += slow
+        else:
+            row.old_answers += 1
+            row.old_failures += failed
+            row.old_slow += slow
+
+    def take(self, row: MoveEvidence) -> None:
+        """Take over the counts of another incarnation."""
+        if row.move_id != self.move_id or row.incarnation == self.incarnation:
+            return
+        key = (row.route, row.incarnation)
+        known = self._rows.get(key)
+        if known is not None:
+            self._rows[key] = _newest(known, row)
+            return
+        if len(self._rows) >= ROUTES_MAX * INCARNATIONS_MAX:
+            return
+        self._rows[key] = replace(row)
+        if row.old_answers + row.new_answers > FIRST_SIGHT_MAX:
+            self._seen[key] = replace(row)
+
+    def own(self) -> list[MoveEvidence]:
+        """Return the counts of this incarnation."""
+        rows = self._rows.items()
+        return [replace(row) for (_, who), row in rows if who == self.incarnation]
+
+    def routes(self) -> list[str]:
+        """Return all routes that had answers."""
+        return sorted({route for route, _ in self._rows})
+
+    def total(self, route: str) -> MoveEvidence:
+        """Return the sum over all incarnations."""
+        total = self._empty(route, "")
+        for (name, _), row in self._rows.items():
+            if name == route:
+                total = added(total, row)
+        return total
+
+    def growth(self) -> dict[str, MoveEvidence]:
+        """Return what was counted since the last call, per route."""
+        growth: dict[str, MoveEvidence] = {}
+        for key, row in self._rows.items():
+            seen = self._seen.get(key) or self._empty(*key)
+            step = added(row, seen, sign=-1)
+            before = growth.get(key[0]) or self._empty(key[0], "")
+            growth[key[0]] = added(before, step)
+            self._seen[key] = replace(row)
+        return growth
+
+    def _empty(self, route: str, incarnation: str) -> MoveEvidence:
+        return MoveEvidence(move_id=self.move_id, route=route, incarnation=incarnation)
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_history.py
@@ -0,0 +1,48 @@
+"""Evidence of one route over time, in steps that are compared separately."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+from gypsumvane_core.move_comparison import Stratum
+from gypsumvane_core.move_comparison import is_worse
+
+FINE_STEPS_MAX = 64
+MERGED_STEPS = 16
+COARSE_STEPS_MAX = 256
+# Short windows show a version that turns bad late, the whole history one that
+# is bad rarely.
+WINDOWS = (4, 16, FINE_STEPS_MAX)
+
+
+@dataclass(slots=True)
+class MoveHistory:
+    """Keep recent steps singly and older ones merged."""
+
+    _fine: deque[Stratum] = field(default_factory=deque)
+    _coarse: deque[Stratum] = field(
+        default_factory=lambda: deque(maxlen=COARSE_STEPS_MAX)
+    )
+
+    def add(self, stratum: Stratum) -> None:
+        """Add the counts of one step; empty steps take no place."""
+        if stratum.empty:
+            return
+        self._fine.append(stratum)
+        if len(self._fine) > FINE_STEPS_MAX + MERGED_STEPS:
+            merged = Stratum()
+            for _ in range(MERGED_STEPS):
+                merged = merged.plus(self._fine.popleft())
+            self._coarse.append(merged)
+
+    def is_worse(self, *, margin: float) -> bool:
+        """Return whether any window shows a worse new version."""
+        if not self._fine or not self._fine[-1].new_bad:
+            # Only a new bad answer can turn the comparison.
+            return False
+        fine = list(self._fine)
+        windows = [fine[-size:] for size in WINDOWS if size <= len(fine)]
+        windows.append([*self._coarse, *fine])
+        return any(is_worse(window, margin=margin) for window in windows)
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_tracker.py
@@ -0,0 +1,174 @@
+"""What one daemon knows and decides about one version move."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.answer_sampler import AnswerSample
+from gypsumvane_core.answer_sampler import AnswerSampler
+from gypsumvane_core.document_models import MoveState
+from gypsumvane_core.move_comparison import FAILURE_MARGIN
+from gypsumvane_core.move_comparison import SLOW_MARGIN
+from gypsumvane_core.move_comparison import Stratum
+from gypsumvane_core.move_evidence import EvidenceTable
+from gypsumvane_core.move_history import MoveHistory
+from gypsumvane_core.move_share import MoveSchedule
+from gypsumvane_core.slow_threshold import SlowThreshold
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from gypsumvane_core.document_models import MoveDocument
+    from gypsumvane_core.messages import MoveEvidence
+
+REASON_LENGTH_MAX = 200
+
+
+@dataclass(frozen=True, slots=True)
+class RouteEvidence:
+    """Sum what is known of one route."""
+
+    counts: MoveEvidence
+    good_new: int
+    good_needed: int
+
+    @property
+    def takes_part(self) -> bool:
+        """Return whether the route has enough traffic to be waited for."""
+        answers = self.counts.old_answers + self.counts.new_answers
+        return answers >= self.good_needed
+
+    @property
+    def proven(self) -> bool:
+        """Return whether the new version has given enough good answers."""
+        return self.good_new >= self.good_needed
+
+
+class MoveTracker:
+    """Follow a move from its document, evidence and facts."""
+
+    def __init__(
+        self,
+        move: MoveDocument,
+        *,
+        incarnation: str,
+        rng: Random,
+        good_needed: int,
+    ) -> None:
+        self.move = move
+        self.evidence = EvidenceTable(move.move_id, incarnation)
+        self.taken_back_reason: str | None = None
+        self.proven_at_unix_s: float | None = None
+        self._good_needed = good_needed
+        self._sampler = AnswerSampler(rng)
+        self._thresholds: dict[str, SlowThreshold] = {}
+        self._failures: dict[str, MoveHistory] = {}
+        self._slow: dict[str, MoveHistory] = {}
+
+    def update(self, move: MoveDocument) -> None:
+        """Apply a newer revision of the document."""
+        self.move = move
+        if move.state is MoveState.TAKEN_BACK:
+            self.take_back(move.state_reason or "taken back by the document")
+
+    def take_back(self, reason: str) -> bool:
+        """Note the fact, which is final, and return whether it is new."""
+        if self.taken_back_reason is not None:
+            return False
+        self.taken_back_reason = reason[:REASON_LENGTH_MAX]
+        return True
+
+    @property
+    def state(self) -> MoveState:
+        """Return the state as this daemon applies it."""
+        if self.taken_back_reason is not None:
+            return MoveState.TAKEN_BACK
+        return self.move.state
+
+    def share(self, now_unix_s: float) -> float:
+        """Return the share of the new version that this daemon applies."""
+        if self.state is MoveState.TAKEN_BACK:
+            return 0.0
+        if self.state is MoveState.DONE:
+            return 1.0
+        return MoveSchedule(self.move).share(now_unix_s, self.proven_at_unix_s)
+
+    def version(self, draw: float, now_unix_s: float) -> str:
+        """Return the version that a request uses."""
+        if draw < self.share(now_unix_s):
+            return self.move.to_version
+        return self.move.from_version
+
+    def record(
+        self, route: str, version: str, sample: AnswerSample, now_s: float
+    ) -> None:
+        """Take the evidence of one answer."""
+        if self.state is not MoveState.RUNNING:
+            return
+        if version not in (self.move.from_version, self.move.to_version):
+            return
+        ended = self._sampler.add((route, version), sample, now_s)
+        if ended is not None:
+            self._count(route, version, ended)
+
+    def step(self, now_s: float, now_unix_s: float) -> str | None:
+        """Compare the versions and return why the new one is bad, if it is."""
+        for (route, version), sample in self._sampler.flush(now_s):
+            self._count(route, version, sample)
+        if self.state is not MoveState.RUNNING:
+            return None
+        reason = None
+        for route, growth in self.evidence.growth().items():
+            reason = self._compare(route, growth) or reason
+        if reason is None and self.proven_at_unix_s is None:
+            self._prove(now_unix_s)
+        return reason
+
+    def routes(self) -> list[RouteEvidence]:
+        """Return the evidence of each route."""
+        found = []
+        for route in self.evidence.routes():
+            counts = self.evidence.total(route)
+            good = counts.new_answers - counts.new_failures
+            found.append(RouteEvidence(counts, good, self._good_needed))
+        return found
+
+    def _prove(self, now_unix_s: float) -> None:
+        if now_unix_s < MoveSchedule(self.move).canary_until_unix_s():
+            return
+        if all(route.proven for route in self.routes() if route.takes_part):
+            self.proven_at_unix_s = now_unix_s
+
+    def _count(self, route: str, version: str, sample: AnswerSample) -> None:
+        threshold = self._thresholds.setdefault(route, SlowThreshold())
+        slow = not sample.failed and threshold.is_slow(sample.latency_ms)
+        new = version == self.move.to_version
+        if not new and not sample.failed:
+            threshold.add_old(sample.latency_ms)
+        self.evidence.count(route, new=new, failed=sample.failed, slow=slow)
+
+    def _compare(self, route: str, growth: MoveEvidence) -> str | None:
+        failures = self._failures.setdefault(route, MoveHistory())
+        failures.add(
+            Stratum(
+                growth.old_answers,
+                growth.old_failures,
+                growth.new_answers,
+                growth.new_failures,
+            )
+        )
+        slow = self._slow.setdefault(route, MoveHistory())
+        slow.add(
+            Stratum(
+                growth.old_answers - growth.old_failures,
+                growth.old_slow,
+                growth.new_answers - growth.new_failures,
+                growth.new_slow,
+            )
+        )
+        if failures.is_worse(margin=FAILURE_MARGIN):
+            return f"{self.move.to_version} fails more often on {route}"
+        if slow.is_worse(margin=SLOW_MARGIN):
+            return f"{self.move.to_version} is slower on {route}"
+        return None
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/slow_threshold.py
@@ -0,0 +1,37 @@
+"""The latency above which an answer counts as slow."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+SAMPLES = 256
+REFRESH_AFTER = 32
+QUANTILE = 0.95
+# Latencies that hardly vary make the quantile too strict alone.
+MEDIAN_FACTOR = 2.0
+
+
+@dataclass(slots=True)
+class SlowThreshold:
+    """Follow the latency of the old version on one route."""
+
+    threshold_ms: float = float("inf")
+    _latencies: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
+    _added: int = 0
+
+    def add_old(self, latency_ms: float) -> None:
+        """Learn from an answer of the old version."""
+        self._latencies.append(latency_ms)
+        self._added += 1
+        if self._added % REFRESH_AFTER:
+            return
+        ordered = sorted(self._latencies)
+        quantile_ms = ordered[int(QUANTILE * (len(ordered) - 1))]
+        median_ms = ordered[len(ordered) // 2]
+        self.threshold_ms = max(quantile_ms, MEDIAN_FACTOR * median_ms)
+
+    def is_slow(self, latency_ms: float) -> bool:
+        """Return whether an answer of either version is slow."""
+        return latency_ms > self.threshold_ms
--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_move_comparison.py
@@ -0,0 +1,129 @@
+"""Tests of the comparison of versions, with seeded simulations."""
+
+from __future__ import annotations
+
+import os
+import random
+import unittest
+from math import comb
+from math import exp
+from math import log
+
+from gypsumvane_core.move_comparison import FAILURE_MARGIN
+from gypsumvane_core.move_comparison import SLOW_MARGIN
+from gypsumvane_core.move_comparison import Stratum
+from gypsumvane_core.move_comparison import log_chance
+from gypsumvane_core.move_history import MoveHistory
+
+MOVES = int(os.environ.get("GYPSUMVANE_SIMULATED_MOVES", "60"))
+STEPS = 240
+
+
+def exact_log_chance(stratum: Stratum) -> float:
+    """Return the log of the hypergeometric tail."""
+    n, m = stratum.new_answers, stratum.old_answers
+    bad = stratum.new_bad + stratum.old_bad
+    tail = sum(
+        comb(n, x) * comb(m, bad - x) for x in range(stratum.new_bad, min(n, bad) + 1)
+    )
+    return log(tail / comb(n + m, bad))
+
+
+def drawn(rng: random.Random, answers: int, rate: float) -> int:
+    """Return how many of the answers are bad."""
+    return sum(rng.random() < rate for _ in range(answers))
+
+
+def condemned_at(
+    rng: random.Random,
+    *,
+    answers: int,
+    margin: float,
+    old_rate: list[float],
+    new_rate: list[float],
+    share: list[float],
+) -> int | None:
+    """Simulate a move and return the step at which the version is condemned."""
+    history = MoveHistory()
+    for step in range(len(share)):
+        new = drawn(rng, answers, share[step])
+        old_bad = drawn(rng, answers - new, old_rate[step])
+        new_bad = drawn(rng, new, new_rate[step])
+        history.add(Stratum(answers - new, old_bad, new, new_bad))
+        if history.is_worse(margin=margin):
+            return step
+    return None
+
+
+def rising(canary: float) -> list[float]:
+    """Return a share that stays at the canary and then rises to 1."""
+    rise = STEPS - STEPS // 4
+    return [canary] * (STEPS // 4) + [
+        canary + (1 - canary) * step / rise for step in range(rise)
+    ]
+
+
+class MoveComparisonTest(unittest.TestCase):
+    """Check the bound on the chance and what it leads to."""
+
+    def test_bound_is_never_below_the_exact_chance(self) -> None:
+        """Guard against a bound that makes noise look like a fault."""
+        rng = random.Random(1)
+        for _ in range(500):
+            new, old = rng.randint(1, 60), rng.randint(1, 200)
+            stratum = Stratum(old, rng.randint(0, old), new, rng.randint(0, new))
+            self.assertGreaterEqual(
+                log_chance([stratum]) + 1e-9, exact_log_chance(stratum)
+            )
+
+    def test_good_versions_are_never_condemned(self) -> None:
+        """Guard against good versions taken back because of noise.
+
+        The rates of both versions jump together, also while the share rises.
+        """
+        rng = random.Random(2)
+        condemned = 0
+        for number in range(MOVES):
+            base = rng.choice([0.0, 0.005, 0.05, 0.1])
+            burst = rng.choice([0.0, 0.2, 0.8])
+            rates = [burst if rng.random() < 0.05 else base for _ in range(STEPS)]
+            found = condemned_at(
+                rng,
+                answers=rng.choice([2, 20, 100]),
+                margin=FAILURE_MARGIN if number % 2 else SLOW_MARGIN,
+                old_rate=rates,
+                new_rate=rates,
+                share=rising(rng.choice([0.02, 0.1])),
+            )
+            condemned += found is not None
+        self.assertEqual(condemned, 0, f"of {MOVES}")
+
+    def test_bad_versions_are_condemned(self) -> None:
+        """Guard against a bad version that stays, at once, late or in part."""
+        shares = rising(0.02)
+        cases = {
+            "at once": (0, 0.8),
+            "late": (STEPS // 2, 0.8),
+            "under full load": (STEPS - 12, 0.8),
+            "in part": (0, 0.2),
+        }
+        for name, (begin, rate) in cases.items():
+            with self.subTest(name):
+                new_rate = [0.01] * begin + [rate] * (STEPS - begin)
+                found = condemned_at(
+                    random.Random(3),
+                    answers=100,
+                    margin=FAILURE_MARGIN,
+                    old_rate=[0.01] * STEPS,
+                    new_rate=new_rate,
+                    share=shares,
+                )
+                self.assertIsNotNone(found)
+                self.assertGreaterEqual(found or 0, begin)
+
+    def test_chance_of_a_single_failing_canary(self) -> None:
+        """Guard against a verdict on two failures, which happen by chance."""
+        quiet = Stratum(98, 0, 2, 0)
+        failing = Stratum(98, 0, 1, 1)
+        self.assertGreater(log_chance([quiet, failing, failing]), log(1e-8))
+        self.assertLess(exp(log_chance([quiet] + [failing] * 6)), 1e-8)
--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_move_tracker.py
@@ -0,0 +1,101 @@
+"""Tests of share, evidence and threshold of a move."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from gypsumvane_core.answer_sampler import AnswerSample
+from gypsumvane_core.answer_sampler import AnswerSampler
+from gypsumvane_core.document_models import MoveDocument
+from gypsumvane_core.messages import MoveEvidence
+from gypsumvane_core.move_evidence import EvidenceTable
+from gypsumvane_core.move_share import MoveSchedule
+from gypsumvane_core.slow_threshold import SlowThreshold
+
+
+def move_document(**changes: object) -> MoveDocument:
+    """Return a move of 100 s."""
+    values: dict[str, object] = {
+        "move_id": "m1",
+        "index": "ledger",
+        "from_version": "v1",
+        "to_version": "v2",
+        "start_unix_s": 1000.0,
+        "complete_by_unix_s": 1100.0,
+    }
+    return MoveDocument.model_validate(values | changes)
+
+
+class MoveScheduleTest(unittest.TestCase):
+    """Check the share over time."""
+
+    def test_share_follows_canary_and_line(self) -> None:
+        """Guard against a rise before the canary is proven."""
+        schedule = MoveSchedule(move_document())
+        self.assertEqual(schedule.share(999.0, None), 0.0)
+        self.assertEqual(schedule.share(1090.0, None), 0.02)
+        self.assertAlmostEqual(schedule.share(1060.0, 1020.0), 0.51)
+        self.assertEqual(schedule.share(1100.0, 1020.0), 1.0)
+
+    def test_late_canary_is_followed_by_a_rise(self) -> None:
+        """Guard against a jump to full load on a version proven late."""
+        schedule = MoveSchedule(move_document())
+        self.assertLess(schedule.share(1101.0, 1099.0), 0.2)
+        self.assertEqual(schedule.share(1119.0, 1099.0), 1.0)
+
+
+class EvidenceTableTest(unittest.TestCase):
+    """Check that sums do not depend on how reports arrive."""
+
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    @given(st.data())
+    def test_reports_may_repeat_and_cross(self, data: st.DataObject) -> None:
+        """Guard against evidence that shrinks or counts twice."""
+        table = EvidenceTable("m1", "own")
+        rows = [
+            MoveEvidence("m1", "search", f"i{who}", old_answers=n, new_answers=2 * n)
+            for who in range(3)
+            for n in range(1, 5)
+        ]
+        grown = 0
+        order = data.draw(st.permutations(rows + rows))
+        for row in order:
+            table.take(row)
+            step = table.growth().get("search")
+            grown += step.new_answers if step else 0
+        self.assertEqual(table.total("search").old_answers, 12)
+        self.assertEqual(grown, 24)
+
+    def test_old_counts_of_a_peer_are_no_growth(self) -> None:
+        """Guard against a restart that compares an hour as one moment."""
+        table = EvidenceTable("m1", "own")
+        table.take(MoveEvidence("m1", "search", "i1", old_answers=5000))
+        self.assertEqual(table.growth()["search"].old_answers, 0)
+        self.assertEqual(table.total("search").old_answers, 5000)
+
+
+class SamplingTest(unittest.TestCase):
+    """Check what counts as an answer and as a slow one."""
+
+    def test_one_stall_counts_once(self) -> None:
+        """Guard against a query whose many parts fail together."""
+        sampler = AnswerSampler(random.Random(1))
+        source = ("search", "v2")
+        samples = [
+            sampler.add(source, AnswerSample(True, 1.0), 1.001) for _ in range(20)
+        ]
+        self.assertEqual([s for s in samples if s], [])
+        self.assertEqual(len(sampler.flush(1.05)), 1)
+
+    def test_threshold_ignores_small_differences(self) -> None:
+        """Guard against a version condemned for a few per cent of latency."""
+        threshold = SlowThreshold()
+        for number in range(64):
+            threshold.add_old(10.0 + number % 3)
+        self.assertFalse(threshold.is_slow(14.0))
+        self.assertTrue(threshold.is_slow(30.0))
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/move_service.py
@@ -0,0 +1,292 @@
+"""Version moves: share of the new version, evidence, taken back and done."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+from typing import cast
+
+from gypsumvane_core.answer_sampler import AnswerSample
+from gypsumvane_core.document import MOVE_PREFIX
+from gypsumvane_core.document_models import MoveState
+from gypsumvane_core.messages import MoveFact
+from gypsumvane_core.move_share import MoveSchedule
+from gypsumvane_core.move_status import MoveStatus
+from gypsumvane_core.move_status import RouteStatus
+from gypsumvane_core.move_tracker import MoveTracker
+from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.move_writer import MoveWriter
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.messages import Heartbeat
+    from gypsumvane_core.move_tracker import RouteEvidence
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.kernel import Kernel
+    from gypsumvane_daemon.service_ports import DocumentsPort
+    from gypsumvane_daemon.service_ports import MembershipPort
+
+logger = logging.getLogger(__name__)
+
+STEP_S = 0.25
+WRITE_RETRY_S = 1.0
+# A daemon that just started may not know yet that a move is taken back.
+FIRST_HEARTBEAT_WAIT_S = 2.0
+DONE_REASON = "the share is 1 on every live member"
+
+
+class MoveService(Service):
+    """Choose versions and judge them by their answers."""
+
+    name = "moves"
+
+    def __init__(self, identity: DaemonIdentity, *, clock: Clock, rng: Random) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._rng = rng
+        self._metrics: MetricsService
+        self._documents: DocumentsPort
+        self._membership: MembershipPort
+        self._writer: MoveWriter
+        # By index; only the newest move of an index is followed.
+        self._trackers: dict[str, MoveTracker] = {}
+        # Facts about moves whose document is not applied here yet.
+        self._facts: dict[str, MoveFact] = {}
+        self._sources: dict[str, str] = {}
+        # Share that a member reported, by move, VM and incarnation.
+        self._applied: dict[tuple[str, str, str], float] = {}
+        self._started_at_s = 0.0
+        self._heard = False
+        self._next_write_s: dict[str, float] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, kernel: Kernel) -> None:
+        """Follow the documents and exchange facts and evidence."""
+        self._metrics = kernel.get(MetricsService)
+        self._documents = cast("DocumentsPort", kernel.find("documents"))
+        self._membership = cast("MembershipPort", kernel.find("membership"))
+        self._writer = MoveWriter(self._documents, vm_id=self._identity.vm_id)
+        self._started_at_s = self._clock.monotonic_s()
+        self._documents.on_change(self._on_document)
+        self._membership.add_contributor(self)
+        for move in self._documents.catalogue.moves():
+            self._on_document(MOVE_PREFIX + move.index)
+        self._tasks = [asyncio.create_task(self._run(), name="moves")]
+
+    async def stop(self) -> None:
+        """End the comparison."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def choose_version(self, index: str, route: str, draw: float) -> str | None:
+        """Return the version that a request uses, None without a move.
+
+        ``draw`` is a random number in [0, 1).
+        """
+        tracker = self._trackers.get(index)
+        if tracker is None:
+            return None
+        if draw < self._share(tracker):
+            return tracker.move.to_version
+        return tracker.move.from_version
+
+    def record(
+        self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
+    ) -> None:
+        """Take the evidence of one answer."""
+        tracker = self._trackers.get(index)
+        if tracker is not None:
+            sample = AnswerSample(failed=failed, latency_ms=latency_ms)
+            tracker.record(route, version, sample, self._clock.monotonic_s())
+
+    def status(self, index: str) -> MoveStatus | None:
+        """Return the newest move of an index, None without one."""
+        tracker = self._trackers.get(index)
+        if tracker is None:
+            return None
+        move = tracker.move
+        return MoveStatus(
+            move_id=move.move_id,
+            index=index,
+            state=tracker.state.value,
+            state_reason=tracker.taken_back_reason or move.state_reason,
+            state_source=self._sources.get(move.move_id, "document"),
+            phase=self._phase(tracker),
+            share=self._share(tracker),
+            late=self._is_late(tracker),
+            routes=[_route_status(route) for route in tracker.routes()],
+            applied={
+                member.vm_id: self._applied_by(tracker, member.vm_id)
+                for member in self._membership.live_members()
+            },
+        )
+
+    def contribute(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Add facts and own evidence to a heartbeat."""
+        known = dict(self._facts)
+        for tracker in self._trackers.values():
+            known[tracker.move.move_id] = self._fact(tracker)
+            if tracker.state is MoveState.RUNNING:
+                heartbeat.evidence.extend(tracker.evidence.own())
+        heartbeat.move_facts.extend(known.values())
+
+    def receive(self, heartbeat: Heartbeat, vm_id: str) -> None:
+        """Take facts and evidence of a peer."""
+        self._heard = True
+        trackers = {t.move.move_id: t for t in self._trackers.values()}
+        for fact in heartbeat.move_facts:
+            self._take_fact(fact, trackers.get(fact.move_id), vm_id)
+        for row in heartbeat.evidence:
+            tracker = trackers.get(row.move_id)
+            if tracker is not None:
+                tracker.evidence.take(row)
+
+    def _take_fact(
+        self, fact: MoveFact, tracker: MoveTracker | None, vm_id: str
+    ) -> None:
+        member = self._membership.member(vm_id)
+        if member is not None and tracker is not None:
+            key = (fact.move_id, vm_id, member.incarnation)
+            self._applied[key] = fact.applied_share
+        if not fact.taken_back:
+            return
+        if tracker is None:
+            self._facts[fact.move_id] = MoveFact(fact.move_id, True, fact.reason)
+        elif tracker.take_back(fact.reason):
+            self._note_end(tracker, source=vm_id)
+
+    def _on_document(self, name: str) -> None:
+        index = name.removeprefix(MOVE_PREFIX)
+        move = self._documents.catalogue.move(index)
+        if not name.startswith(MOVE_PREFIX) or move is None:
+            return
+        tracker = self._trackers.get(index)
+        if tracker is None or tracker.move.move_id != move.move_id:
+            policy = self._documents.catalogue.fleet().policy(index=index)
+            tracker = MoveTracker(
+                move,
+                incarnation=self._identity.incarnation,
+                rng=self._rng,
+                good_needed=policy.move_good_answers,
+            )
+            self._replace(index, tracker)
+        tracker.update(move)
+
+    def _replace(self, index: str, tracker: MoveTracker) -> None:
+        former = self._trackers.get(index)
+        if former is not None:
+            old_id = former.move.move_id
+            self._applied = {k: v for k, v in self._applied.items() if k[0] != old_id}
+        self._trackers[index] = tracker
+        fact = self._facts.pop(tracker.move.move_id, None)
+        if fact is not None and tracker.take_back(fact.reason):
+            self._note_end(tracker, source="peer")
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            for index, tracker in list(self._trackers.items()):
+                try:
+                    self._step(tracker)
+                    await self._write_end(index, tracker)
+                except Exception:
+                    logger.exception("move could not be judged")
+
+    def _step(self, tracker: MoveTracker) -> None:
+        reason = tracker.step(self._clock.monotonic_s(), self._clock.unix_s())
+        if reason is not None and tracker.take_back(reason):
+            self._note_end(tracker, source="evidence")
+
+    def _note_end(self, tracker: MoveTracker, *, source: str) -> None:
+        self._sources[tracker.move.move_id] = source
+        self._metrics.count("moves_taken_back")
+        logger.warning(
+            "move taken back",
+            extra={
+                "move_id": tracker.move.move_id,
+                "cause": tracker.taken_back_reason,
+                "source": source,
+            },
+        )
+
+    async def _write_end(self, index: str, tracker: MoveTracker) -> None:
+        move = tracker.move
+        if self._membership.home_of_key(MOVE_PREFIX + index) != self._identity.vm_id:
+            return
+        if tracker.state is MoveState.TAKEN_BACK:
+            state, reason = MoveState.TAKEN_BACK, tracker.taken_back_reason or ""
+        elif move.state is MoveState.RUNNING and self._is_done(tracker):
+            state, reason = MoveState.DONE, DONE_REASON
+        else:
+            return
+        now_s = self._clock.monotonic_s()
+        if move.state is state or now_s < self._next_write_s.get(index, 0.0):
+            return
+        self._next_write_s[index] = now_s + WRITE_RETRY_S
+        await self._writer.write(index, move.move_id, state, reason)
+
+    def _is_done(self, tracker: MoveTracker) -> bool:
+        if self._share(tracker) < 1.0:
+            return False
+        members = self._membership.live_members()
+        return bool(members) and all(
+            self._applied_by(tracker, member.vm_id) == 1.0 for member in members
+        )
+
+    def _applied_by(self, tracker: MoveTracker, vm_id: str) -> float | None:
+        if vm_id == self._identity.vm_id:
+            return self._share(tracker)
+        member = self._membership.member(vm_id)
+        if member is None:
+            return None
+        return self._applied.get((tracker.move.move_id, vm_id, member.incarnation))
+
+    def _share(self, tracker: MoveTracker) -> float:
+        if tracker.move.state is MoveState.RUNNING and not self._knows_facts():
+            return 0.0
+        return tracker.share(self._clock.unix_s())
+
+    def _knows_facts(self) -> bool:
+        waited_s = self._clock.monotonic_s() - self._started_at_s
+        return self._heard or waited_s >= FIRST_HEARTBEAT_WAIT_S
+
+    def _fact(self, tracker: MoveTracker) -> MoveFact:
+        return MoveFact(
+            move_id=tracker.move.move_id,
+            taken_back=tracker.state is MoveState.TAKEN_BACK,
+            reason=tracker.taken_back_reason or "",
+            applied_share=self._share(tracker),
+        )
+
+    def _phase(self, tracker: MoveTracker) -> str:
+        if tracker.state is not MoveState.RUNNING:
+            return "ended"
+        if self._clock.unix_s() < tracker.move.start_unix_s:
+            return "waiting"
+        return "canary" if tracker.proven_at_unix_s is None else "scheduled"
+
+    def _is_late(self, tracker: MoveTracker) -> bool:
+        if tracker.state is not MoveState.RUNNING:
+            return False
+        proven_s = tracker.proven_at_unix_s or self._clock.unix_s()
+        full_at_s = MoveSchedule(tracker.move).full_at_unix_s(proven_s)
+        return full_at_s > tracker.move.complete_by_unix_s
+
+
+def _route_status(route: RouteEvidence) -> RouteStatus:
+    counts = route.counts
+    return RouteStatus(
+        route=counts.route,
+        old_answers=counts.old_answers,
+        old_failures=counts.old_failures,
+        old_slow=counts.old_slow,
+        new_answers=counts.new_answers,
+        new_failures=counts.new_failures,
+        new_slow=counts.new_slow,
+        good_needed=route.good_needed,
+    )
