--- a/packages/gypsumvane-core/src/gypsumvane_core/admission_request.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/admission_request.py
@@ -9,7 +9,7 @@
     from gypsumvane_core.priority import Priority
 
 
-@dataclass(frozen=True, slots=True, eq=False)
+@dataclass(slots=True, eq=False)
 class AdmissionRequest:
     """Describe a whole query, lookup or run; parts are not admitted singly."""
 
@@ -17,3 +17,5 @@
     caller_id: str
     # Monotonic time of the passed clock.
     deadline_s: float
+    # Filled by admission.
+    arrived_s: float = 0.0
--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -74,6 +74,9 @@
     move_facts: list[MoveFact] = field(default_factory=list)
     evidence: list[MoveEvidence] = field(default_factory=list)
     briefs: list[UpstreamBrief] = field(default_factory=list)
+    # The incarnation of the sender.
+    incarnation: str = ""
+    settled: bool = False
 
 
 @dataclass(slots=True)
@@ -92,6 +95,8 @@
     caller_address: str = ""
     operator_address: str = ""
     leaving: bool = False
+    # The epoch that added this incarnation.
+    joined_epoch: int = 0
 
 
 @dataclass(slots=True)
@@ -101,6 +106,9 @@
     epoch: int = 0
     members: list[Member] = field(default_factory=list)
     writer: str = ""
+    # Removed incarnations that may still hold authority.
+    former: list[Member] = field(default_factory=list)
+    out_domains: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -130,6 +138,8 @@
 
     name: str = ""
     revision: int = 0
+    change_id: str = ""
+    in_force_since_unix_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -157,6 +167,10 @@
     """Return newer documents."""
 
     documents: list[DocumentCopy] = field(default_factory=list)
+    # The sender has loaded its documents from the store or a peer.
+    ready: bool = False
+    # Further documents did not fit; ask again with the new revisions.
+    more: bool = False
 
 
 @dataclass(slots=True)
@@ -277,6 +291,28 @@
     """Return the outcome of one run at a leaf."""
 
 
+@dataclass(slots=True)
+class ClaimLease:
+    """Name a claim bucket and the version that its owner knows."""
+
+    bucket: int = 0
+    version: int = 0
+
+
+@dataclass(slots=True)
+class ClaimLeaseRequest:
+    """Ask a member whether it agrees that the sender owns claim buckets."""
+
+    leases: list[ClaimLease] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ClaimLeaseReply:
+    """Name the buckets for which the member agrees."""
+
+    buckets: list[int] = field(default_factory=list)
+
+
 Message = (
     Hello
     | Heartbeat
@@ -296,4 +332,6 @@
     | BookingReply
     | LeafRunRequest
     | LeafRunReply
+    | ClaimLeaseRequest
+    | ClaimLeaseReply
 )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/kernel.py
@@ -52,7 +52,7 @@
         return service
 
     def find(self, name: str) -> Service:
-        """Return the service of this name.
+        """Return the service of this name, for use through a protocol.
 
         Raises LookupError when there is none.
         """
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
@@ -0,0 +1,33 @@
+"""All experiments by name."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gypsumvane_devtools.measure.bookings import BookingsExperiment
+from gypsumvane_devtools.measure.cold_start import ColdStartExperiment
+from gypsumvane_devtools.measure.configuration_change import (
+    ConfigurationChangeExperiment,
+)
+from gypsumvane_devtools.measure.daemon_killed import DaemonKilledExperiment
+from gypsumvane_devtools.measure.failure_domain import FailureDomainExperiment
+from gypsumvane_devtools.measure.overload import OverloadExperiment
+from gypsumvane_devtools.measure.retries import RetriesExperiment
+from gypsumvane_devtools.measure.store_calls import StoreCallsExperiment
+from gypsumvane_devtools.measure.straggler import StragglerExperiment
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.measure.experiment import Experiment
+
+EXPERIMENT_CLASSES: list[type[Experiment]] = [
+    StragglerExperiment,
+    ColdStartExperiment,
+    DaemonKilledExperiment,
+    FailureDomainExperiment,
+    ConfigurationChangeExperiment,
+    OverloadExperiment,
+    RetriesExperiment,
+    BookingsExperiment,
+    StoreCallsExperiment,
+]
+EXPERIMENTS = {experiment.name: experiment for experiment in EXPERIMENT_CLASSES}
