Test documents by a state machine over outages, lost answers and races

The oracle is the list of values that the store was ever written: applied revisions only grow, an accepted change is at its revision, a denied one is absent, no change id is written twice, one of two racing changes wins.

--- a/packages/gypsumvane-daemon/tests/fake_store.py
+++ b/packages/gypsumvane-daemon/tests/fake_store.py
@@ -22,6 +22,7 @@
     LOST_AFTER_WRITE = "lost after write"
     LOST_BEFORE_WRITE = "lost before write"
     WRITTEN_LATE = "written late"
+    WRITTEN_BEFORE_NEXT_PUT = "written before next put"
 
 
 @dataclass(slots=True)
@@ -32,11 +33,21 @@
     value: bytes | None
 
 
+@dataclass(frozen=True, slots=True)
+class HeldWrite:
+    """Hold a write back."""
+
+    request: Request
+    value: bytes
+
+
 class FakeStore:
     """Serve objects in memory and fail on request."""
 
     def __init__(self) -> None:
         self.objects: dict[str, FakeObject] = {}
+        # All values ever written, by key.
+        self.history: dict[str, list[bytes]] = {}
         self.version = 0
         self.outage = False
         # Answers of 429 still to be given.
@@ -49,6 +60,8 @@
         self.calls: Counter[str] = Counter()
         self.address = ""
         self._changed = asyncio.Event()
+        # A write that takes effect right before the next one.
+        self._held: HeldWrite | None = None
         self._late: set[asyncio.Task[None]] = set()
         self._runner: AppRunner | None = None
 
@@ -74,6 +87,8 @@
         """Write without a condition."""
         self.version += 1
         self.objects[key] = FakeObject(version=self.version, value=value)
+        if value is not None:
+            self.history.setdefault(key, []).append(value)
         changed = self._changed
         self._changed = asyncio.Event()
         changed.set()
@@ -107,9 +122,15 @@
         if refusal is not None:
             return refusal
         value = await request.read()
+        if self._held is not None:
+            self._conditional_write(self._held.request, self._held.value)
+            self._held = None
         fault = self.put_faults.pop(0) if self.put_faults else None
         if fault is PutFault.LOST_BEFORE_WRITE:
             return self._drop(request)
+        if fault is PutFault.WRITTEN_BEFORE_NEXT_PUT:
+            self._held = HeldWrite(request, value)
+            return self._drop(request)
         if fault is PutFault.WRITTEN_LATE:
             self._late.add(asyncio.create_task(self._write_late(request, value)))
             return self._drop(request)
