--- a/packages/gypsumvane-core/src/gypsumvane_core/assignment.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/assignment.py
@@ -64,6 +64,8 @@
     ``gone`` facts only skip different dead VMs of the same list, so that no
     two living daemons take the same leaf in one epoch.
     """
+    if not vm_ids:
+        return []
     used: list[str] = []
     for earlier in replica_of(leaf_id).earlier:
         free = [vm_id for vm_id in vm_ids if vm_id not in used]
--- a/packages/gypsumvane-core/tests/test_core_assignment.py
+++ b/packages/gypsumvane-core/tests/test_core_assignment.py
@@ -26,6 +26,10 @@
             homes = preferred_homes(f"svc-{suffix}", VMS[:2])
             self.assertEqual(sorted(homes), VMS[:2])
 
+    def test_no_candidates(self) -> None:
+        """Guard against a daemon that cannot stop while all members leave."""
+        self.assertEqual(preferred_homes("svc-b", []), [])
+
     def test_loss_of_a_member_moves_few_leaves(self) -> None:
         """Guard against an assignment that moves most leaves at each change."""
         leaves = [f"svc{service}-{s}" for service in range(200) for s in "ab"]
