--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_membership.py
@@ -0,0 +1,149 @@
+"""Tests of single rules of the membership."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from transitions import MachineError
+
+from gypsumvane_core.clock import ManualClock
+from gypsumvane_core.entry_addresses import order_entry_addresses
+from gypsumvane_core.grade import Grade
+from gypsumvane_core.life_cycle import LifeCycle
+from gypsumvane_core.life_cycle import LifeState
+from gypsumvane_core.membership import MembershipState
+from gypsumvane_core.messages import Heartbeat
+from gypsumvane_core.messages import Member
+from gypsumvane_core.promise import PromiseKeeper
+from gypsumvane_core.view import View
+from gypsumvane_core.view import decode_view
+from gypsumvane_core.view import encode_view
+
+
+def member(vm_id: str, run: str = "1", *, domain: str = "fd-a") -> Member:
+    """Build a member that joined in the first epoch."""
+    return Member(
+        vm_id=vm_id,
+        incarnation=f"{vm_id}#{run}",
+        failure_domain=domain,
+        caller_address=f"{vm_id}:80",
+        joined_epoch=1,
+    )
+
+
+class MembershipRulesTest(unittest.TestCase):
+    """Check rules that simulated runs reach only rarely."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.own, self.other = member("vm-1"), member("vm-2")
+        self.state = MembershipState(own=self.own, clock=self.clock)
+        self.view = View(epoch=1, members=(self.own, self.other))
+        self.state.adopt(self.view)
+
+    def answer(self, *, sent_s: float, run: str = "1", **fields: int) -> None:
+        reply = Heartbeat(incarnation=f"vm-2#{run}", **fields)  # type: ignore[arg-type]
+        self.state.receive_reply("vm-2", reply, sent_at_s=sent_s)
+
+    def test_confirmation_of_a_peer_counts_from_the_request(self) -> None:
+        """Guard against an age that leaves out the time on the way."""
+        sent_s = self.clock.monotonic_s()
+        self.clock.advance(1.5)
+        self.answer(sent_s=sent_s, epoch=1, confirmation_age_ms=400)
+        self.assertTrue(self.state.store_confirmed())
+        self.clock.advance(0.1)
+        self.assertFalse(self.state.store_confirmed())
+
+    def test_confirmation_of_a_newer_view_does_not_count(self) -> None:
+        """Guard against a confirmation of a view that is not known here."""
+        now_s = self.clock.monotonic_s()
+        self.answer(sent_s=now_s, epoch=2, confirmation_age_ms=0)
+        self.assertFalse(self.state.confirmed())
+
+    def test_late_answer_of_an_older_process_shows_nothing(self) -> None:
+        """Guard against a living process that is taken as gone."""
+        self.answer(sent_s=self.clock.monotonic_s() - 1, run="0")
+        self.assertNotIn(self.other.incarnation, self.state.gone)
+        self.clock.advance(1)
+        self.answer(sent_s=self.clock.monotonic_s(), run="2")
+        self.assertIn(self.other.incarnation, self.state.gone)
+
+    def test_answering_member_is_not_gone_by_the_list(self) -> None:
+        """Guard against a VM name that the platform gave to another VM."""
+        self.clock.advance(1)
+        self.state.take_listing(1, ["vm-1", "vm-2"], sent_at_s=1001)
+        self.answer(sent_s=1001, epoch=1)
+        self.assertFalse(self.state.take_listing(2, ["vm-1"], sent_at_s=1000.5))
+        self.assertTrue(self.state.take_listing(3, ["vm-1"], sent_at_s=1001))
+
+    def test_skipped_view_ends_full_authority(self) -> None:
+        """Guard against a home that missed that it was replaced."""
+        leaf = next(f"svc{n}" for n in range(99) if self.is_own_leaf(f"svc{n}"))
+        self.answer(sent_s=1000, epoch=1, acknowledged_epoch=1, confirmation_age_ms=0)
+        self.assertIs(self.state.grade(leaf), Grade.FULL)
+        self.state.adopt(replace(self.view, epoch=3))
+        self.assertIs(self.state.grade(leaf), Grade.NONE)
+        self.assertFalse(self.state.acknowledge([]))
+        self.assertTrue(self.state.acknowledge([leaf]))
+
+    def is_own_leaf(self, leaf: str) -> bool:
+        return self.state.home_of(leaf) == "vm-1"
+
+    def test_promise_is_withheld_while_a_write_may_take_effect(self) -> None:
+        """Guard against a promise that a lost write breaks."""
+        promises = PromiseKeeper(validity_s=2)
+        self.assertTrue(promises.give(10))
+        promises.begin_write()
+        self.assertFalse(promises.give(11))
+        self.assertEqual(promises.wait_s(11), 1)
+        promises.note_lost_answer(5)
+        promises.end_write()
+        promises.note_version(5)
+        self.assertFalse(promises.give(20))
+        promises.note_version(6)
+        self.assertTrue(promises.give(20))
+
+    def test_halves_never_exceed_the_limit(self) -> None:
+        """Guard against two halves that are both rounded up."""
+        for limit in range(20):
+            halves = Grade.HALF.allowance(limit) + Grade.UNCONFIRMED.allowance(limit)
+            self.assertEqual(halves, limit)
+
+    def test_stored_view_round_trips(self) -> None:
+        """Guard against a stored view that loses a field."""
+        view = replace(
+            self.view, former=(member("vm-3"),), out_domains=frozenset({"fd-b"})
+        )
+        self.assertEqual(decode_view(encode_view(view)), view)
+        for value in (b"", b"{}", b"[]", b'{"epoch": 1}', b"\xff"):
+            with self.assertRaises(ValueError):
+                decode_view(value)
+
+    def test_entry_addresses_prefer_the_domain_and_omit_the_leaving(self) -> None:
+        """Guard against callers that are sent away or far."""
+        members = [member(f"vm-{n}", domain="fd-ab"[: 4 + n % 2]) for n in range(6)]
+        members[0].leaving = True
+        for spread in ("1", "2", "3"):
+            listed = order_entry_addresses(
+                members,
+                failure_domain="fd-ab",
+                out_domains=(),
+                spread=spread,
+                keep_s=10,
+            )
+            self.assertEqual(
+                set(listed.addresses[:3]), {"vm-1:80", "vm-3:80", "vm-5:80"}
+            )
+            self.assertEqual(len(listed.addresses), 5)
+
+    def test_life_cycle_refuses_undefined_transitions(self) -> None:
+        """Guard against a daemon that serves again after its graceful stop."""
+        states: list[LifeState] = []
+        cycle = LifeCycle(states.append)
+        for trigger in ("join", "serve", "leave", "finish", "end"):
+            cycle.apply(trigger)
+        self.assertEqual(states, list(LifeState)[1:])
+        for trigger in ("join", "serve", "leave", "finish", "end"):
+            with self.assertRaises(MachineError):
+                cycle.apply(trigger)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_ports.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import Protocol
 
 if TYPE_CHECKING:
@@ -11,6 +10,8 @@
 
     from gypsumvane_core.document import DocumentCatalogue
     from gypsumvane_core.messages import Heartbeat
+    from gypsumvane_daemon.store_objects import PutResult
+    from gypsumvane_daemon.store_objects import StoredObject
 
 
 class HeartbeatContributor(Protocol):
@@ -26,11 +27,13 @@
 class StorePort(Protocol):
     """Read, write and watch the object store; see StoreClient."""
 
-    async def get(self, key: str) -> Any:
+    async def get(self, key: str) -> StoredObject | None:
         """Read an object, None when it does not exist."""
 
-    async def put(self, key: str, value: bytes, *, expected_version: int | None) -> Any:
-        """Write on a condition."""
+    async def put(
+        self, key: str, value: bytes, *, expected_version: int | None
+    ) -> PutResult:
+        """Write on a condition; raises StoreError."""
 
     def subscribe(
         self, prefix: str, listener: Callable[[str, bytes | None, int], None]
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -28,6 +28,7 @@
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
+from gypsumvane_daemon.store_objects import StoreError
 from gypsumvane_daemon.view_store import ViewStore
 
 if TYPE_CHECKING:
@@ -168,6 +169,14 @@
         """Return the live member on a VM."""
         return next((m for m in self.live_members() if m.vm_id == vm_id), None)
 
+    def is_gone(self, incarnation: str) -> bool:
+        """Return whether a process is known to have ended for good.
+
+        A member with another incarnation on the same VM does not show this:
+        the view may be older than the process.
+        """
+        return incarnation in self.state.gone
+
     def is_leaving(self, vm_id: str) -> bool:
         """Return whether the member on a VM is leaving."""
         member = self.member(vm_id)
@@ -361,9 +370,7 @@
             except PeerError as error:
                 self._metrics.count("join_failures", reason="peer")
                 logger.debug("joining failed", extra={"cause": str(error)})
-            except Exception as error:
-                if not hasattr(error, "may_have_applied"):
-                    raise
+            except StoreError:
                 self._metrics.count("view_failures", reason="store")
             self._wake_writer.clear()
             try:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/view_store.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/view_store.py
@@ -9,6 +9,8 @@
 from gypsumvane_core.view import VIEW_KEY
 from gypsumvane_core.view import decode_view
 from gypsumvane_core.view import encode_view
+from gypsumvane_daemon.store_objects import Conflict
+from gypsumvane_daemon.store_objects import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -110,16 +112,15 @@
             result = await self._store.put(
                 VIEW_KEY, encode_view(view), expected_version=version
             )
-        except Exception as error:
-            if version is not None and getattr(error, "may_have_applied", True):
+        except StoreError as error:
+            if version is not None and error.may_have_applied:
                 self._state.promises.note_lost_answer(version)
                 self._metrics.count("view_writes", result="lost")
             raise
-        written = getattr(result, "version", None)
-        if written is None:
+        if isinstance(result, Conflict):
             self._metrics.count("view_writes", result="conflict")
             return False
         self._metrics.count("view_writes", result="written")
-        self._state.promises.note_version(written)
+        self._state.promises.note_version(result.version)
         self._on_view(view)
         return True
--- a/packages/gypsumvane-daemon/tests/membership_fakes.py
+++ b/packages/gypsumvane-daemon/tests/membership_fakes.py
@@ -19,6 +19,11 @@
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerNetwork
 from gypsumvane_daemon.settings import Settings
+from gypsumvane_daemon.store_objects import Conflict
+from gypsumvane_daemon.store_objects import PutResult
+from gypsumvane_daemon.store_objects import StoredObject
+from gypsumvane_daemon.store_objects import StoreError
+from gypsumvane_daemon.store_objects import Written
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,27 +31,6 @@
 WATCH_S = 0.05
 
 
-class FakeStoreError(Exception):
-    """Fail like the store client."""
-
-    def __init__(self, *, may_have_applied: bool) -> None:
-        super().__init__("store is down")
-        self.may_have_applied = may_have_applied
-
-
-@dataclass(slots=True)
-class FakeObject:
-    """Carry a value and its version."""
-
-    value: bytes
-    version: int
-
-
-@dataclass(slots=True)
-class FakeConflict:
-    """Report a failed condition."""
-
-
 @dataclass(slots=True)
 class FakeObjects:
     """Hold the objects that all daemons of a test share."""
@@ -54,7 +38,7 @@
     up: bool = True
     lose_next_answer: bool = False
     version: int = 0
-    objects: dict[str, FakeObject] = field(default_factory=dict)
+    objects: dict[str, StoredObject] = field(default_factory=dict)
 
 
 class FakeStore(Service):
@@ -76,26 +60,26 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def get(self, key: str) -> FakeObject | None:
+    async def get(self, key: str) -> StoredObject | None:
         await asyncio.sleep(0)
         self._require_up()
         return self.shared.objects.get(key)
 
     async def put(
         self, key: str, value: bytes, *, expected_version: int | None
-    ) -> FakeObject | FakeConflict:
+    ) -> PutResult:
         await asyncio.sleep(0)
         self._require_up()
         known = self.shared.objects.get(key)
         if (None if known is None else known.version) != expected_version:
-            return FakeConflict()
+            return Conflict()
         self.shared.version += 1
-        written = FakeObject(value, self.shared.version)
-        self.shared.objects[key] = written
+        version = self.shared.version
+        self.shared.objects[key] = StoredObject(key, value, version)
         if self.shared.lose_next_answer:
             self.shared.lose_next_answer = False
-            raise FakeStoreError(may_have_applied=True)
-        return written
+            raise StoreError("answer was lost", may_have_applied=True)
+        return Written(version)
 
     def subscribe(
         self, prefix: str, listener: Callable[[str, bytes | None, int], None]
@@ -110,7 +94,7 @@
 
     def _require_up(self) -> None:
         if not self.shared.up:
-            raise FakeStoreError(may_have_applied=False)
+            raise StoreError("store is down", may_have_applied=False)
 
     async def _watch(self) -> None:
         clock = SystemClock()
--- a/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from gypsumvane_core.grade import Grade
 from gypsumvane_core.life_cycle import LifeState
 from gypsumvane_core.view import VIEW_KEY
+from gypsumvane_daemon.store_objects import StoredObject
 from membership_fakes import FakeLiveList
 from membership_fakes import FakeObjects
 from membership_fakes import TestDaemon
@@ -31,14 +33,16 @@
         await self.live_list.stop()
 
     async def start(self, vm_id: str) -> TestDaemon:
-        seeds = [d.identity.peer_address for d in self.daemons]
-        daemon = TestDaemon(
-            vm_id, shared=self.shared, live_list=self.live_list.address, seeds=seeds
-        )
+        daemon = self.make(vm_id, [d.identity.peer_address for d in self.daemons])
         await daemon.start()
         self.daemons.append(daemon)
         return daemon
 
+    def make(self, vm_id: str, seeds: list[str]) -> TestDaemon:
+        return TestDaemon(
+            vm_id, shared=self.shared, live_list=self.live_list.address, seeds=seeds
+        )
+
     async def start_three(self) -> None:
         for vm_id in ("vm-1", "vm-2", "vm-3"):
             await self.start(vm_id)
@@ -67,6 +71,14 @@
             service = self.daemons[0].membership
             self.assertNotEqual(service.home_of(first), service.home_of(second))
 
+    async def test_daemons_that_start_at_once_agree_on_one_view(self) -> None:
+        """Guard against two first views of daemons that race."""
+        for number in range(1, 4):
+            # Without seeds they find each other by the stored view.
+            self.daemons.append(self.make(f"vm-{number}", seeds=[]))
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+        await wait_for(self.all_served)
+
     async def test_homes_stay_full_without_the_store(self) -> None:
         """Guard against an outage of the store that halves all limits."""
         await self.start_three()
@@ -155,8 +167,7 @@
     async def test_unreadable_view_is_not_confirmed(self) -> None:
         """Guard against authority by a view that this version cannot read."""
         await self.start_three()
-        stored = self.shared.objects[VIEW_KEY]
-        stored.value = b"{}"
-        stored.version += 1
+        version = self.shared.objects[VIEW_KEY].version + 1
+        self.shared.objects[VIEW_KEY] = StoredObject(VIEW_KEY, b"{}", version)
         states = [d.membership.state for d in self.daemons]
         await wait_for(lambda: not any(s.store_confirmed() for s in states))
