--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -77,6 +77,8 @@
     # When each incarnation became known here, for the evidence that a VM
     # runs another incarnation.
     _known_since_s: dict[str, float] = field(default_factory=dict)
+    # Since when the view has differed from the wanted one.
+    _wanted_since_s: float | None = None
     _absent_since_s: dict[str, float] = field(default_factory=dict)
     # Leaves of which a part was granted and that may have calls in progress.
     _granted: set[str] = field(default_factory=set)
@@ -108,6 +110,7 @@
         self.view = view
         self.authority.adopt(view, now_s)
         self._release_leaves(every=not consecutive)
+        self._wanted_since_s = None
         self.settlement.adopt(view)
         for member in view.others(self.own.incarnation):
             self._known_since_s.setdefault(member.incarnation, now_s)
@@ -353,34 +356,18 @@
             return False
         return self.suspicion.suspected(member.incarnation, now_s)
 
-    def is_senior(self) -> bool:
-        """Return whether this daemon is the first member that answers."""
-        alive = [m for m in self.live_members() if not self.suspected(m)]
-        return bool(alive) and alive[0].incarnation == self.own.incarnation
-
     # Changes of the view.
 
-    def change_wanted(self, out_domains: frozenset[str]) -> ViewChange:
-        """Return what this daemon would change in the view."""
-        change = ViewChange(joins=dict(self.joins), own=self.own)
-        if self.leaving_since_s is not None:
-            change.leaving.add(self.own.incarnation)
-        if self.is_senior():
-            change.leaving |= self.leaving
-            change.out_domains = out_domains
-            change.removals = self._removals()
-        return change
-
     def next_view(self, out_domains: frozenset[str]) -> View | None:
         """Return the view that this daemon wants to write, None without change.
 
-        Members that are not senior write for joining daemons and themselves.
+        Any member writes for joining daemons and for itself. Other changes
+        are for the senior member; the next ones follow when it does not write
+        for a while, because it may be cut off from the store.
         """
         if self.view is None or not self.is_member():
             return None
-        change = self.change_wanted(out_domains)
-        if not self.is_senior() and not self._concerns_this(change):
-            return None
+        change = self._wanted_change(out_domains)
         following = change.apply(
             self.view,
             gone=self.gone.names(),
@@ -388,7 +375,34 @@
             acknowledged=self._all_acknowledged(),
             writer=self.own.vm_id,
         )
-        return None if following is self.view else following
+        if following is self.view:
+            self._wanted_since_s = None
+            return None
+        if self._concerns_this(change) or self._is_due():
+            return following
+        return None
+
+    def _wanted_change(self, out_domains: frozenset[str]) -> ViewChange:
+        change = ViewChange(
+            joins=dict(self.joins),
+            removals=self._removals(),
+            leaving=set(self.leaving),
+            out_domains=out_domains,
+            own=self.own,
+        )
+        if self.leaving_since_s is not None:
+            change.leaving.add(self.own.incarnation)
+        return change
+
+    def _is_due(self) -> bool:
+        """Return whether all members before this one had their time to write."""
+        now_s = self.clock.monotonic_s()
+        if self._wanted_since_s is None:
+            self._wanted_since_s = now_s
+        answering = [m for m in self.live_members() if not self.suspected(m)]
+        places = [m.incarnation for m in answering].index(self.own.incarnation)
+        wait_s = places * self.times.takeover_wait_s
+        return now_s - self._wanted_since_s >= wait_s
 
     def view_without_members(self, stored: View | None) -> View | None:
         """Return the view to write when no member is alive, else None."""
@@ -403,7 +417,7 @@
         if listed is None:
             return False
         moved = _addresses(listed) != _addresses(self.own)
-        leaves = bool(change.leaving) and not listed.leaving
+        leaves = self.leaving_since_s is not None and not listed.leaving
         return bool(change.joins) or leaves or moved
 
     def _removals(self) -> set[str]:
--- a/packages/gypsumvane-core/tests/test_core_membership_scenarios.py
+++ b/packages/gypsumvane-core/tests/test_core_membership_scenarios.py
@@ -98,6 +98,16 @@
             world.advance(15)
             self.assertEqual(len(others[0].state.live_members()), 3)
 
+    def test_senior_member_without_store(self) -> None:
+        """Guard against removals that wait for a senior cut off from the store."""
+        world, (senior, second, third) = formed(1, 3)
+        senior.store_cut = True
+        world.remove_vm(third)
+        world.advance(20)
+        self.assertEqual(len(second.state.live_members()), 2)
+        assert world.store.view is not None
+        self.assertFalse(world.store.view.has(third.state.own.incarnation))
+
     def test_all_daemons_restart_during_a_store_outage(self) -> None:
         """Guard against new processes that never find back to a view."""
         world, daemons = formed(1, 3)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import cast
@@ -218,6 +219,9 @@
             for m in self.live_members()
             if not state.is_leaving(m) and not state.suspected(m)
         ]
+        if not members and self.can_serve():
+            # The caller reached this daemon and no other one stays.
+            members = [replace(state.own, leaving=False)]
         return order_entry_addresses(
             members,
             failure_domain=failure_domain,
