Ask the next sponsor when one is silent and count the time of a suspended VM

Cause: a paused sponsor kept a joining daemon from asking the others, and CLOCK_MONOTONIC stands still while a VM is suspended, so that a resumed home would take its old confirmation as valid. Change: a failed sponsor is skipped; SystemClock reads CLOCK_BOOTTIME where it exists; the stateful test also takes failure domains out.

--- a/packages/gypsumvane-core/src/gypsumvane_core/clock.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/clock.py
@@ -19,12 +19,17 @@
         """Return the wall-clock time."""
 
 
+# A suspended VM stops CLOCK_MONOTONIC. A home that resumes would take its old
+# confirmation as valid and send beside its successor.
+_MONOTONIC_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
 class SystemClock(Clock):
     """Read the clocks of the operating system."""
 
     def monotonic_s(self) -> float:
         """Return a time that never goes back."""
-        return time.monotonic()
+        return time.clock_gettime(_MONOTONIC_CLOCK)
 
     def unix_s(self) -> float:
         """Return the wall-clock time."""
--- a/packages/gypsumvane-core/tests/membership_world.py
+++ b/packages/gypsumvane-core/tests/membership_world.py
@@ -23,6 +23,7 @@
 
 TIMES = MembershipTimes(gone_grace_s=6.0)
 LIMITS = {"stock-a": 1, "stock-b": 2, "ledger": 3, "portal": 5}
+DOMAINS = ("fd-a", "fd-b")
 TICK_S = 0.1
 ROUND_S = 0.5
 CALL_S = TIMES.leaf_call_max_s
@@ -72,6 +73,7 @@
         self.store = SimStore()
         self.daemons: list[SimDaemon] = []
         self.cut_links: set[frozenset[str]] = set()
+        self.out_domains: frozenset[str] = frozenset()
         self.listed: set[str] = set()
         self.listing = 0
         # Changes of the list from before it settled are dropped.
@@ -86,7 +88,7 @@
         own = Member(
             vm_id=vm_id,
             incarnation=f"{vm_id}#{number}",
-            failure_domain="fd",
+            failure_domain=DOMAINS[number % len(DOMAINS)],
             peer_address=f"127.0.0.1:{number}",
         )
         state = MembershipState(own=own, clock=self.clock, times=TIMES)
@@ -213,7 +215,7 @@
             self._send_heartbeat(daemon, other)
         self._read_store(daemon)
         if state.is_member():
-            wanted = state.next_view(frozenset()) is not None
+            wanted = state.next_view(self.out_domains) is not None
             if wanted and state.store_confirmed() and not daemon.writing:
                 daemon.writing = True
                 state.promises.begin_write()
@@ -289,7 +291,7 @@
         if daemon.paused:
             daemon.inbox.append(lambda: self._write(daemon))
             return
-        following = daemon.state.next_view(frozenset())
+        following = daemon.state.next_view(self.out_domains)
         if following is None or not daemon.alive:
             self._end_write(daemon)
             return
--- a/packages/gypsumvane-core/tests/test_core_membership_safety.py
+++ b/packages/gypsumvane-core/tests/test_core_membership_safety.py
@@ -15,6 +15,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from gypsumvane_core.grade import Grade
+from membership_world import DOMAINS
 from membership_world import LIMITS
 from membership_world import TICK_S
 from membership_world import SimDaemon
@@ -103,6 +104,10 @@
     def toggle_store(self) -> None:
         self.world.store.up = not self.world.store.up
 
+    @rule(domain=st.sampled_from(DOMAINS))
+    def toggle_domain(self, domain: str) -> None:
+        self.world.out_domains ^= {domain}
+
     @rule(index=INDEX)
     def toggle_store_link(self, index: int) -> None:
         daemon = self.pick(self.world.living(), index)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -371,9 +371,6 @@
         while True:
             try:
                 await self._view_step()
-            except PeerError as error:
-                self._metrics.count("join_failures", reason="peer")
-                logger.debug("joining failed", extra={"cause": str(error)})
             except StoreError:
                 self._metrics.count("view_failures", reason="store")
             self._wake_writer.clear()
@@ -398,8 +395,12 @@
 
     async def _join(self) -> None:
         for vm_id in self._sponsors():
-            if await self._ask_sponsor(vm_id):
-                return
+            try:
+                if await self._ask_sponsor(vm_id):
+                    return
+            except PeerError:
+                # A paused sponsor must not keep this daemon from the others.
+                self._metrics.count("join_failures", reason="peer")
         await self._views.create()
 
     def _sponsors(self) -> list[str]:
--- a/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -8,6 +8,7 @@
 from gypsumvane_core.grade import Grade
 from gypsumvane_core.life_cycle import LifeState
 from gypsumvane_core.view import VIEW_KEY
+from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.store_objects import StoredObject
 from membership_fakes import FakeLiveList
 from membership_fakes import FakeObjects
@@ -79,6 +80,23 @@
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
         await wait_for(self.all_served)
 
+    async def test_silent_sponsor_does_not_block_joining(self) -> None:
+        """Guard against a daemon that asks only a paused sponsor."""
+        first = await self.start("vm-1")
+        silent = TestDaemon(
+            "vm-0", shared=self.shared, live_list=self.live_list.address, seeds=[]
+        )
+        kernel = Kernel()
+        kernel.register(silent.metrics)
+        kernel.register(silent.network)
+        await kernel.start()
+        self.addAsyncCleanup(kernel.stop)
+        addresses = [silent.identity.peer_address, first.identity.peer_address]
+        second = self.make("vm-2", addresses)
+        await second.start()
+        self.daemons.append(second)
+        await wait_for(self.all_served)
+
     async def test_homes_stay_full_without_the_store(self) -> None:
         """Guard against an outage of the store that halves all limits."""
         await self.start_three()
