--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/main.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/main.py
@@ -26,6 +26,7 @@
 from gypsumvane_daemon.log_setup import configure_logging
 from gypsumvane_daemon.membership_service import MembershipService
 from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.move_service import MoveService
 from gypsumvane_daemon.operator_api import OperatorApi
 from gypsumvane_daemon.peer_network import PeerNetwork
 from gypsumvane_daemon.settings import Settings
@@ -56,6 +57,7 @@
         LifecycleService(identity, clock=clock),
         AdmissionService(clock),
         UpstreamService(identity, clock),
+        MoveService(identity, clock=clock, rng=rng),
         BookingService(identity, clock=clock),
         GatewayService(identity, clock=clock, rng=rng),
         OperatorApi(identity, clock=clock),
