--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -69,11 +69,20 @@
             )
 
 
+@dataclass(slots=True)
+class _Traffic:
+    """Count what this daemon sent to its peers."""
+
+    frames: int = 0
+    bytes: int = 0
+
+
 @dataclass(slots=True)
 class _Connection:
     """Write frames to one TCP connection."""
 
     writer: asyncio.StreamWriter
+    traffic: _Traffic
     hello: Hello = field(default_factory=Hello)
 
     def write(self, frame: Frame) -> None:
@@ -84,6 +93,8 @@
         if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES_MAX:
             raise PeerError("peer does not read", sent=False)
         self.writer.write(data)
+        self.traffic.frames += 1
+        self.traffic.bytes += len(data)
 
 
 async def _read_frame(reader: asyncio.StreamReader) -> Frame:
@@ -118,7 +129,7 @@
             reader, writer = await asyncio.open_connection(
                 host, port, ssl=client_context(tls)
             )
-        connection = _Connection(writer=writer)
+        connection = _Connection(writer=writer, traffic=self._network.traffic)
         try:
             connection.write(Frame(body=self._network.own_hello()))
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -191,6 +202,7 @@
     def __init__(self, identity: DaemonIdentity) -> None:
         self.identity = identity
         self.metrics: MetricsService
+        self.traffic = _Traffic()
         self._peers: dict[str, _Peer] = {}
         self._handlers: dict[
             type, Callable[[Any, PeerContext], Awaitable[Message | None]]
@@ -203,6 +215,8 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen for peers."""
         self.metrics = kernel.get(MetricsService)
+        self.metrics.gauge("peer_sent_frames", lambda: self.traffic.frames)
+        self.metrics.gauge("peer_sent_bytes", lambda: self.traffic.bytes, unit="By")
         settings = self.identity.settings.peers
         host, port = split_address(settings.address)
         self._server = await asyncio.start_server(
@@ -329,7 +343,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._inbound[writer] = asyncio.current_task()
-        connection = _Connection(writer=writer)
+        connection = _Connection(writer=writer, traffic=self.traffic)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 first = await _read_frame(reader)
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/daemon_window.py
@@ -0,0 +1,93 @@
+"""What the daemons of a cluster use during a window of time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from gypsumvane_devtools.capacity.process_usage import read_usage
+from gypsumvane_devtools.daemon_process import OPERATOR_TOKEN
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from gypsumvane_devtools.cluster import Cluster
+    from gypsumvane_devtools.daemon_process import DaemonProcess
+
+GAUGES = ("peer_sent_frames", "peer_sent_bytes")
+
+
+@dataclass(frozen=True, slots=True)
+class WindowUsage:
+    """Hold the usage of one daemon, the mean over all daemons."""
+
+    seconds: float
+    cpu_s: float
+    resident_mb: float
+    peer_frames: float
+    peer_bytes: float
+    store_calls: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Totals:
+    cpu_s: float
+    resident_bytes: int
+    peer_frames: float
+    peer_bytes: float
+    store_calls: int
+
+
+async def measure_window(cluster: Cluster, work: Awaitable[object]) -> WindowUsage:
+    """Return the mean usage of a daemon while some work is done."""
+    before = await _totals(cluster)
+    began_s = time.monotonic()
+    await work
+    seconds = time.monotonic() - began_s
+    after = await _totals(cluster)
+    daemons = len(cluster.daemons)
+    return WindowUsage(
+        seconds=seconds,
+        cpu_s=(after.cpu_s - before.cpu_s) / daemons,
+        resident_mb=after.resident_bytes / daemons / 1e6,
+        peer_frames=(after.peer_frames - before.peer_frames) / daemons,
+        peer_bytes=(after.peer_bytes - before.peer_bytes) / daemons,
+        store_calls=(after.store_calls - before.store_calls) / daemons,
+    )
+
+
+async def _totals(cluster: Cluster) -> _Totals:
+    usages = [read_usage(daemon.process.pid) for daemon in cluster.daemons]
+    async with aiohttp.ClientSession() as session:
+        gauges = await asyncio.gather(
+            *(_read_gauges(session, daemon) for daemon in cluster.daemons)
+        )
+    counters = await cluster.store.get("/control/counters")
+    return _Totals(
+        cpu_s=sum(usage.cpu_s for usage in usages),
+        resident_bytes=sum(usage.resident_bytes for usage in usages),
+        peer_frames=sum(values[GAUGES[0]] for values in gauges),
+        peer_bytes=sum(values[GAUGES[1]] for values in gauges),
+        store_calls=sum(counters["calls"].values()),
+    )
+
+
+async def _read_gauges(
+    session: aiohttp.ClientSession, daemon: DaemonProcess
+) -> dict[str, float]:
+    url = f"http://{daemon.addresses.operators}/metrics"
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    async with session.get(url, headers=headers) as answer:
+        answer.raise_for_status()
+        text = await answer.text()
+    found = {}
+    for line in text.splitlines():
+        name, _, value = line.rpartition(" ")
+        plain = name.partition("{")[0]
+        if plain in GAUGES:
+            found[plain] = float(value)
+    return found
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/fleet_cost.py
@@ -0,0 +1,40 @@
+"""Control cost of an idle daemon by the number of daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import ClassVar
+
+from gypsumvane_devtools.capacity.daemon_window import measure_window
+from gypsumvane_devtools.capacity.sweep import Sweep
+from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.measure.load_helpers import search_plan
+
+WINDOW_S = 10.0
+SETTLE_S = 8.0
+
+
+class FleetCostSweep(Sweep):
+    """Run more and more daemons without callers."""
+
+    name: ClassVar[str] = "fleet_cost"
+    unit: ClassVar[str] = "daemons"
+    set_up: ClassVar[str] = (
+        f"4 services x 2 leaves, no callers, {WINDOW_S:g} s after {SETTLE_S:g} s; "
+        "mean of one daemon"
+    )
+    sizes: ClassVar[tuple[int, ...]] = (4, 8, 16, 32, 64)
+
+    async def measure(self, size: int) -> dict[str, float]:
+        """Measure one number of daemons."""
+        plan = search_plan(daemons=size, index={"services": 4})
+        async with Cluster(plan) as cluster:
+            await asyncio.sleep(SETTLE_S)
+            usage = await measure_window(cluster, asyncio.sleep(WINDOW_S))
+        return {
+            "cpu_share": usage.cpu_s / usage.seconds,
+            "resident_mb": usage.resident_mb,
+            "peer_bytes_per_s": usage.peer_bytes / usage.seconds,
+            "peer_frames_per_s": usage.peer_frames / usage.seconds,
+            "store_calls_per_s": usage.store_calls / usage.seconds,
+        }
