Keep leaving members as homes while all members are leaving

Cause: when the whole fleet was stopped at once no member was left as home, and requests from kept address lists found no home until the retention time ended. Change: members that are all leaving stay homes until each announces its end.

--- a/packages/gypsumvane-core/src/gypsumvane_core/view.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/view.py
@@ -47,10 +47,14 @@
         return [m for m in everyone if m.incarnation != incarnation]
 
     def home_candidates(self) -> list[str]:
-        """Return the VMs that may become homes, by the view alone."""
+        """Return the VMs that may become homes, by the view alone.
+
+        Members that are all leaving stay homes, so that a planned stop of the
+        whole fleet cuts off no request.
+        """
         staying = [m for m in self.members if not m.leaving]
         inside = [m for m in staying if m.failure_domain not in self.out_domains]
-        return [m.vm_id for m in inside or staying]
+        return [m.vm_id for m in inside or staying or self.members]
 
 
 def view_to_message(view: View) -> ViewUpdate:
@@ -161,8 +165,9 @@
 
 def _released(member: Member, view: View, acknowledged: Mapping[str, int]) -> bool:
     """Return whether the member gave up all leaves and cannot get them back."""
-    is_home = not member.leaving and view.has(member.incarnation)
-    return not is_home and acknowledged.get(member.incarnation, 0) >= view.epoch
+    may_be_home = view.has(member.incarnation)
+    may_be_home = may_be_home and member.vm_id in view.home_candidates()
+    return not may_be_home and acknowledged.get(member.incarnation, 0) >= view.epoch
 
 
 def first_view(
--- a/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -174,6 +174,15 @@
         await self.kill(leaving)
         await wait_for(self.all_served)
 
+    async def test_daemons_that_all_leave_stay_homes_until_they_end(self) -> None:
+        """Guard against requests without a home while the fleet stops."""
+        await self.start_three()
+        for daemon in self.daemons:
+            daemon.membership.begin_leaving()
+        await wait_for(lambda: all(d.membership.handed_over() for d in self.daemons))
+        await wait_for(self.all_served)
+        await asyncio.gather(*(daemon.lifecycle.leave() for daemon in self.daemons))
+
     async def test_leaving_daemon_is_not_in_entry_addresses(self) -> None:
         """Guard against callers that are sent to a leaving daemon."""
         await self.start_three()
