Derive homes from those of the view before

Cause: ranking 6400 members took 6040 us a leaf, 240 s for 40000 leaves at each change of the view at the planned size. Change: HomeTable keeps a home that is still a candidate and that no added member outweighs.

--- a/packages/gypsumvane-core/src/gypsumvane_core/assignment.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/assignment.py
@@ -52,7 +52,7 @@
     """Return the VMs by falling rendezvous weight for a name."""
     return sorted(
         vm_ids,
-        key=lambda vm_id: (_weight(name, vm_id), vm_id),
+        key=lambda vm_id: (weight(name, vm_id), vm_id),
         reverse=True,
     )
 
@@ -72,10 +72,11 @@
         if not free:
             used.clear()
             free = list(vm_ids)
-        used.append(max(free, key=lambda vm: (_weight(earlier, vm), vm)))
+        used.append(max(free, key=lambda vm: (weight(earlier, vm), vm)))
     ranked = rank(leaf_id, vm_ids)
     return sorted(ranked, key=lambda vm_id: vm_id in used)
 
 
-def _weight(name: str, vm_id: str) -> int:
+def weight(name: str, vm_id: str) -> int:
+    """Return the rendezvous weight of a VM for a name."""
     return xxh64_intdigest(f"{name}\0{vm_id}".encode())
--- a/packages/gypsumvane-core/src/gypsumvane_core/authority.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/authority.py
@@ -6,8 +6,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from gypsumvane_core.assignment import preferred_homes
 from gypsumvane_core.grade import Grade
+from gypsumvane_core.home_table import HomeTable
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -20,15 +20,6 @@
 HISTORY_MAX = 64
 
 
-def home_in(view: View, leaf_id: str, gone: GoneFacts) -> Member | None:
-    """Return the member that is home of a leaf in a view."""
-    for vm_id in preferred_homes(leaf_id, view.home_candidates()):
-        member = view.member(vm_id)
-        if member is not None and member.incarnation not in gone.ended:
-            return member
-    return None
-
-
 @dataclass(slots=True)
 class Authority:
     """Decide grades; knows consecutive views since the last full handover."""
@@ -42,22 +33,19 @@
     _handed_over: bool = False
     # Consecutive epochs; the last one is the current view.
     _history: list[View] = field(default_factory=list)
-    _homes: list[dict[str, Member | None]] = field(default_factory=list)
+    _tables: list[HomeTable] = field(default_factory=list)
 
     def adopt(self, view: View, now_s: float) -> None:
         """Continue or restart the history with a newer view."""
-        last = self._history[-1] if self._history else None
-        consecutive = last is not None and last.epoch + 1 == view.epoch
+        last = self._tables[-1] if self._tables else None
+        table = HomeTable(view) if last is None else last.following(view)
+        consecutive = last is not None and last.view.epoch + 1 == view.epoch
         if not consecutive or len(self._history) >= HISTORY_MAX:
             self._restart()
         self._history.append(view)
-        self._homes.append({})
+        self._tables.append(table)
         self.adopted_at_s = now_s
 
-    def note_gone(self) -> None:
-        """Forget assignments after new gone facts."""
-        self._homes = [{} for _ in self._history]
-
     def update(self, acknowledged: Mapping[str, int]) -> bool:
         """Check whether the current view is handed over and return whether.
 
@@ -75,7 +63,7 @@
             if acknowledged_epoch < view.epoch and not ended:
                 return False
         del self._history[:-1]
-        del self._homes[:-1]
+        del self._tables[:-1]
         self._handed_over = True
         return True
 
@@ -106,12 +94,8 @@
 
     def _restart(self) -> None:
         self._history.clear()
-        self._homes.clear()
+        self._tables.clear()
         self._handed_over = False
 
     def _home(self, place: int, leaf_id: str) -> Member | None:
-        homes = self._homes[place]
-        if leaf_id not in homes:
-            view = self._history[place]
-            homes[leaf_id] = home_in(view, leaf_id, self.gone)
-        return homes[leaf_id]
+        return self._tables[place].home_of(leaf_id, self.gone.ended)
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/home_table.py
@@ -0,0 +1,101 @@
+"""Homes by one view, derived from those by the view before."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.assignment import preferred_homes
+from gypsumvane_core.assignment import replica_of
+from gypsumvane_core.assignment import weight
+
+if TYPE_CHECKING:
+    from collections.abc import Container
+
+    from gypsumvane_core.messages import Member
+    from gypsumvane_core.view import View
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """Remember the homes of a leaf and of the earlier ones of its service."""
+
+    # Names in the order of choice with the VM that each one took.
+    winners: tuple[tuple[str, str], ...]
+
+    @property
+    def home(self) -> str:
+        return self.winners[-1][1]
+
+
+@dataclass(slots=True)
+class HomeTable:
+    """Find the home of a leaf; most homes outlast a change of the view.
+
+    Ranking 6400 members takes 6 ms for a leaf. A home of the previous view is
+    kept when it still is a candidate and no added member has more weight.
+    """
+
+    view: View
+    _members: dict[str, Member] = field(init=False)
+    _candidates: list[str] = field(init=False)
+    _choices: dict[str, _Choice] = field(default_factory=dict)
+    _previous: dict[str, _Choice] = field(default_factory=dict)
+    _added: frozenset[str] = frozenset()
+    _removed: frozenset[str] = frozenset()
+
+    def __post_init__(self) -> None:
+        self._members = {m.vm_id: m for m in self.view.members}
+        self._candidates = self.view.home_candidates()
+
+    def following(self, view: View) -> HomeTable:
+        """Return the table of the next view."""
+        table = HomeTable(view)
+        old, new = set(self._candidates), set(table._candidates)
+        table._added = frozenset(new - old)
+        table._removed = frozenset(old - new)
+        table._previous = self._choices
+        return table
+
+    def home_of(self, leaf_id: str, ended: Container[str]) -> Member | None:
+        """Return the first member in the leaf's order that has not ended."""
+        if not self._candidates:
+            return None
+        choice = self._choices.get(leaf_id)
+        if choice is None:
+            choice = self._kept(leaf_id) or self._chosen(leaf_id)
+            self._choices[leaf_id] = choice
+        home = self._members[choice.home]
+        if home.incarnation not in ended:
+            return home
+        ranked = preferred_homes(leaf_id, self._candidates)
+        members = (self._members[vm_id] for vm_id in ranked)
+        return next((m for m in members if m.incarnation not in ended), None)
+
+    def _kept(self, leaf_id: str) -> _Choice | None:
+        choice = self._previous.get(leaf_id)
+        if choice is None:
+            return None
+        for name, vm_id in choice.winners:
+            if vm_id in self._removed:
+                return None
+            least = (weight(name, vm_id), vm_id)
+            if any((weight(name, vm), vm) > least for vm in self._added):
+                return None
+        # With too few members the order of choice starts again.
+        if len(choice.winners) >= len(self._candidates) - len(self._added):
+            return None
+        return choice
+
+    def _chosen(self, leaf_id: str) -> _Choice:
+        names = (*replica_of(leaf_id).earlier, leaf_id)
+        winners = []
+        free = set(self._candidates)
+        for name in names:
+            if not free:
+                free = set(self._candidates)
+            vm_id = max(free, key=lambda vm: (weight(name, vm), vm))  # noqa: B023
+            free.discard(vm_id)
+            winners.append((name, vm_id))
+        return _Choice(winners=tuple(winners))
--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -134,7 +134,6 @@
         """Apply gone facts that are due and return whether homes may change."""
         matured = self.gone.mature(self.clock.monotonic_s())
         if matured:
-            self.authority.note_gone()
             self._update_handover()
         return matured
 
--- a/packages/gypsumvane-core/tests/test_core_assignment.py
+++ b/packages/gypsumvane-core/tests/test_core_assignment.py
@@ -3,8 +3,18 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
 
 from gypsumvane_core.assignment import preferred_homes
+from gypsumvane_core.home_table import HomeTable
+from gypsumvane_core.messages import Member
+from gypsumvane_core.view import View
+
+
+def view_of(vms: list[str]) -> View:
+    """Build a view whose incarnations are named like their VMs."""
+    return View(epoch=1, members=tuple(Member(vm_id=v, incarnation=v) for v in vms))
+
 
 VMS = [f"vm-{n}" for n in range(7)]
 
@@ -30,6 +40,21 @@
         """Guard against a daemon that cannot stop while all members leave."""
         self.assertEqual(preferred_homes("svc-b", []), [])
 
+    def test_table_follows_views(self) -> None:
+        """Guard against daemons whose homes depend on the views they saw."""
+        random = Random(1)
+        leaves = [f"svc{n}-{s}" for n in range(20) for s in "0123"]
+        table = HomeTable(view_of(VMS))
+        for _ in range(200):
+            vms = random.sample(VMS, random.randint(0, len(VMS)))
+            table = table.following(view_of(vms))
+            ended = set(random.sample(VMS, random.randint(0, 2)))
+            for leaf in random.sample(leaves, 60):
+                ranked = [v for v in preferred_homes(leaf, vms) if v not in ended]
+                home = table.home_of(leaf, ended)
+                found = None if home is None else home.vm_id
+                self.assertEqual(found, ranked[0] if ranked else None)
+
     def test_loss_of_a_member_moves_few_leaves(self) -> None:
         """Guard against an assignment that moves most leaves at each change."""
         leaves = [f"svc{service}-{s}" for service in range(200) for s in "ab"]
