Lower the processor time of a query

Cause: at 20 services with 10 hits each a query took 560 to 740 us of processor time (best of 5 runs of 400 queries, three processes, in-process fakes, busy machine). A third was garbage collection, then JSON, the check of each hit, the merge and the hedge delays.

--- a/packages/gypsumvane-core/src/gypsumvane_core/hedge_delay.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/hedge_delay.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.latency_window import LatencyWindow
@@ -16,30 +18,52 @@
 DEFAULT_DELAY_S = 0.05
 
 
+# A delay is computed again after this many answers of its service.
+ANSWERS_PER_DELAY = 8
+
+
+@dataclass(slots=True)
+class _ServiceDelay:
+    """Keep the latency of a service and the delay that follows from it."""
+
+    window: LatencyWindow = field(default_factory=LatencyWindow)
+    delay_s: float = DEFAULT_DELAY_S
+    new_answers: int = 0
+
+
 class HedgeDelays:
     """Derive the hedge delay of each service from its recent latency."""
 
     def __init__(self) -> None:
-        self._windows: dict[str, LatencyWindow] = {}
+        self._services: dict[str, _ServiceDelay] = {}
 
     def add(self, service: str, latency_s: float) -> None:
         """Record the time from the first try of a service to its answer."""
-        window = self._windows.get(service)
-        if window is None:
-            window = self._windows[service] = LatencyWindow()
-        window.add(latency_s)
+        delay = self._services.get(service)
+        if delay is None:
+            delay = self._services[service] = _ServiceDelay()
+        delay.window.add(latency_s)
+        delay.new_answers += 1
 
     def delay_s(self, service: str, policy: Policy) -> float:
         """Return the time after which a service is hedged."""
-        delay_min_s = policy.hedge_min_ms / 1000
-        window = self._windows.get(service)
-        quantile_s = window.quantile(policy.hedge_quantile) if window else None
-        median_s = window.quantile(0.5) if window else None
-        if quantile_s is None or median_s is None:
-            return max(DEFAULT_DELAY_S, delay_min_s)
-        return max(min(quantile_s, MEDIAN_FACTOR * median_s), delay_min_s)
+        delay = self._services.get(service)
+        if delay is None:
+            return max(DEFAULT_DELAY_S, policy.hedge_min_ms / 1000)
+        if delay.new_answers >= ANSWERS_PER_DELAY:
+            delay.new_answers = 0
+            delay.delay_s = _delay_s(delay.window, policy)
+        return max(delay.delay_s, policy.hedge_min_ms / 1000)
 
     def keep_only(self, services: set[str]) -> None:
         """Forget the services that no index names any more."""
-        for service in self._windows.keys() - services:
-            del self._windows[service]
+        for service in self._services.keys() - services:
+            del self._services[service]
+
+
+def _delay_s(window: LatencyWindow, policy: Policy) -> float:
+    quantile_s = window.quantile(policy.hedge_quantile)
+    median_s = window.quantile(0.5)
+    if quantile_s is None or median_s is None:
+        return DEFAULT_DELAY_S
+    return min(quantile_s, MEDIAN_FACTOR * median_s)
--- a/packages/gypsumvane-core/src/gypsumvane_core/partial_body.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/partial_body.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from heapq import nsmallest
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,6 +12,10 @@
     from collections.abc import Iterable
 
 
+# Not isinstance, because a bool is an int too.
+_NUMBERS = frozenset({int, float})
+
+
 @dataclass(frozen=True, slots=True)
 class HitPage:
     """Hold the best hits of one service or of a whole query."""
@@ -43,7 +46,9 @@
     if not isinstance(hits, list) or type(total) is not int or total < 0:
         raise ValueError("hits or total is missing")
     for hit in hits:
-        if not isinstance(hit, dict) or not _is_ranked(hit):
+        if type(hit) is not dict:
+            raise ValueError("a hit is not an object")
+        if type(hit.get("id")) is not str or type(hit.get("score")) not in _NUMBERS:
             raise ValueError("a hit has no id or no score")
     return HitPage(hits=hits, total=total)
 
@@ -70,8 +75,14 @@
     for page in pages:
         total += page.total
         hits += page.hits
-    best = nsmallest(offset + limit, hits, key=_rank)
-    return HitPage(hits=best[offset:], total=total)
+    wanted = offset + limit
+    if len(hits) > wanted:
+        # Sorting numbers first leaves few hits to compare by score and id.
+        scores = sorted([hit["score"] for hit in hits], reverse=True)
+        lowest = scores[wanted - 1]
+        hits = [hit for hit in hits if hit["score"] >= lowest]
+    hits.sort(key=_rank)
+    return HitPage(hits=hits[offset:wanted], total=total)
 
 
 def _rank(hit: dict[str, Any]) -> tuple[float, str]:
@@ -83,7 +94,3 @@
     if not isinstance(value, dict):
         raise ValueError("the body is not an object")
     return value
-
-
-def _is_ranked(hit: dict[str, Any]) -> bool:
-    return type(hit.get("id")) is str and type(hit.get("score")) in (int, float)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_query.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_query.py
@@ -7,10 +7,10 @@
 import logging
 from collections import defaultdict
 from dataclasses import dataclass
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.messages import Cancel
+from gypsumvane_core.messages import PartialBatch
 from gypsumvane_core.messages import PartialRequest
 from gypsumvane_core.messages import PartialResults
 from gypsumvane_core.query_attempt import AttemptState
@@ -24,7 +24,6 @@
     from collections.abc import Iterable
 
     from gypsumvane_core.clock import Clock
-    from gypsumvane_core.messages import PartialBatch
     from gypsumvane_core.messages import PartialResult
     from gypsumvane_core.query_attempt import Attempt
     from gypsumvane_core.scatter import Scatter
@@ -161,8 +160,14 @@
 
     def _send_to_home(self, home: str, attempts: list[Attempt]) -> None:
         left_s = self._scatter.answer_by_s - self._now_s()
-        batch = replace(
-            self._template,
+        template = self._template
+        batch = PartialBatch(
+            query_id=template.query_id,
+            index=template.index,
+            route=template.route,
+            priority=template.priority,
+            caller_id=template.caller_id,
+            query=template.query,
             snapshot=attempts[0].snapshot,
             deadline_left_ms=max(int(left_s * 1000), 0),
             requests=[
