--- a/packages/gypsumvane-core/tests/test_core_scatter_machine.py
+++ b/packages/gypsumvane-core/tests/test_core_scatter_machine.py
@@ -86,7 +86,6 @@
     reroutes: set[tuple[int, str]] = field(default_factory=set)
 
     def deliver(self, result: PartialResult) -> None:
-        """Accept a result of an outstanding attempt and the pinned snapshot."""
         attempt = self.outstanding.get(result.attempt_id)
         if attempt is None or result.query_id != self.query_id:
             return
@@ -98,7 +97,6 @@
             self.accepted.add(result.service)
 
     def follow(self, step: Step, snapshot: int) -> None:
-        """Take over what a decision sent, cancelled and pinned."""
         for attempt in step.cancel:
             self.outstanding.pop(attempt.attempt_id, None)
         if snapshot != self.snapshot:
@@ -142,7 +140,6 @@
         self.sent: list[Attempt] = []
 
     def routes(self) -> IndexRoutes:
-        """Compute the routes from the present briefs."""
         return IndexRoutes(
             INDEX,
             version=VersionChoice(),
@@ -152,7 +149,6 @@
         )
 
     def follow(self, number: int, step: Step) -> None:
-        """Let the leaves answer what a decision sent."""
         scatter, oracle = self.queries[number]
         oracle.follow(step, scatter.state.snapshot)
         for attempt in step.send:
@@ -172,7 +168,6 @@
             )
 
     def deliver(self, number: int, result: PartialResult) -> None:
-        """Give a result to a query and to its oracle."""
         scatter, oracle = self.queries[number]
         oracle.deliver(result)
         step = scatter.on_result(result, self.clock.monotonic_s())
@@ -180,7 +175,6 @@
 
     @initialize(snapshots=st.lists(st.sets(st.sampled_from([1, 2, 3])), min_size=12))
     def start_queries(self, snapshots: list[set[int]]) -> None:
-        """Start both queries on leaves with different snapshots."""
         for leaf_id, known in zip(LEAVES, snapshots, strict=False):
             self.set_brief(leaf_id, known, "warm")
         for number in range(2):
@@ -205,7 +199,6 @@
         state=st.sampled_from(["warm", "cold", "unavailable"]),
     )
     def set_brief(self, leaf_id: str, snapshots: set[int], state: str) -> None:
-        """Change what is known of a leaf while queries run."""
         self.briefs[leaf_id] = UpstreamBrief(
             leaf_id=leaf_id, state=state, limit=2, snapshots=sorted(snapshots)
         )
@@ -213,7 +206,6 @@
     @precondition(lambda self: self.results)
     @rule(data=st.data(), number=st.integers(0, 1))
     def deliver_any(self, data: st.DataObject, number: int) -> None:
-        """Deliver a result to either query, perhaps late or once more."""
         self.deliver(number, data.draw(st.sampled_from(self.results)))
 
     @precondition(lambda self: self.results)
@@ -228,7 +220,6 @@
     def deliver_altered(
         self, data: st.DataObject, number: int, change: dict[str, int | str]
     ) -> None:
-        """Deliver a result that names another origin than its body."""
         result = data.draw(st.sampled_from(self.results))
         altered = replace(result, **change)  # type: ignore[arg-type]
         if altered != result:
@@ -240,7 +231,6 @@
     def fail(
         self, data: st.DataObject, number: int, failure: tuple[Reason, Verdict]
     ) -> None:
-        """Let an attempt fail or be refused."""
         result = data.draw(st.sampled_from(self.results))
         reason, verdict = failure
         failed = replace(
@@ -250,7 +240,6 @@
 
     @rule(number=st.integers(0, 1), replica=st.sampled_from("abc"))
     def lose_home(self, number: int, replica: str) -> None:
-        """Lose the connection to the home of all leaves with one letter."""
         scatter, oracle = self.queries[number]
         lost = [a for a in self.sent if a.leaf.leaf_id.endswith(replica)]
         lost = [a for a in lost if oracle.outstanding.get(a.attempt_id) is a]
@@ -263,14 +252,12 @@
 
     @rule(number=st.integers(0, 1), seconds=st.sampled_from([0.01, 0.06, 0.4]))
     def wait(self, number: int, seconds: float) -> None:
-        """Let time pass, so that hedges become due."""
         self.clock.advance(seconds)
         scatter, _ = self.queries[number]
         self.follow(number, scatter.on_tick(self.clock.monotonic_s()))
 
     @rule(number=st.integers(0, 1))
     def finish(self, number: int) -> None:
-        """Answer now with what there is."""
         scatter, oracle = self.queries[number]
         self.follow(number, scatter.finish(self.clock.monotonic_s()))
         oracle.finished = True
--- a/packages/gypsumvane-core/tests/test_core_scatter_rules.py
+++ b/packages/gypsumvane-core/tests/test_core_scatter_rules.py
@@ -133,7 +133,6 @@
     """Check the choice between two leaves."""
 
     def count_choices(self, **changes: Any) -> int:
-        """Return how often of 1000 choices the changed leaf is taken."""
         briefs = {
             "s0-a": UpstreamBrief(leaf_id="s0-a", state="warm", limit=2, latency_ms=5),
             "s0-b": UpstreamBrief(leaf_id="s0-b", state="warm", limit=2, latency_ms=5),
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -12,6 +12,7 @@
 from gypsumvane_core.query_answer import AnswerOutcome
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.admission_service import AdmissionRefused
 from gypsumvane_daemon.caller_error import CallerError
 from gypsumvane_daemon.caller_headers import REQUEST_ID
 from gypsumvane_daemon.caller_headers import read_token
@@ -163,10 +164,10 @@
             return self._refuse(
                 request_id, Reason.BAD_REQUEST, error.reason, error.status
             )
-        reason = getattr(error, "reason", None)
-        if isinstance(reason, Reason):
-            # AdmissionRefused
-            return self._refuse(request_id, reason, "the request was not admitted")
+        if isinstance(error, AdmissionRefused):
+            return self._refuse(
+                request_id, error.reason, "the request was not admitted"
+            )
         logger.error("caller request failed", exc_info=error)
         self._metrics.count("caller_requests_failed", reason=Reason.INTERNAL_ERROR)
         return error_reply(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_ports.py
@@ -9,7 +9,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Callable
-    from collections.abc import Iterable
 
     from gypsumvane_core.document import DocumentCatalogue
     from gypsumvane_core.messages import Message
@@ -73,7 +72,7 @@
     ) -> PartialResult:
         """Ask one leaf."""
 
-    def cancel(self, query_id: str, attempt_ids: Iterable[int]) -> None:
+    def cancel(self, query_id: str, attempt_ids: list[int]) -> None:
         """Cancel attempts of a query."""
 
 
--- a/packages/gypsumvane-daemon/tests/caller_fakes.py
+++ b/packages/gypsumvane-daemon/tests/caller_fakes.py
@@ -11,6 +11,7 @@
 from gateway_fakes import FakeService
 from gateway_fakes import GatewayRig
 from gypsumvane_core.outcome import Completed
+from gypsumvane_daemon.admission_service import AdmissionRefused
 from gypsumvane_daemon.caller_api import CallerApi
 
 if TYPE_CHECKING:
@@ -33,18 +34,9 @@
     """Tell entry addresses too."""
 
     def entry_addresses(self, failure_domain: str) -> FakeEntryAddresses:
-        """Return an address that names the failure domain."""
         return FakeEntryAddresses(addresses=(f"{failure_domain}:1",))
 
 
-class FakeRefusalError(Exception):
-    """Stand for AdmissionRefused."""
-
-    def __init__(self, reason: Reason) -> None:
-        super().__init__(reason)
-        self.reason = reason
-
-
 class FakeAdmission(FakeService):
     """Admit all requests unless a test sets a reason."""
 
@@ -55,13 +47,11 @@
         self.finished: list[bool] = []
 
     async def admit(self, request: object) -> FakeAdmission:
-        """Return a ticket."""
         if self.reason is not None:
-            raise FakeRefusalError(self.reason)
+            raise AdmissionRefused(self.reason)
         return self
 
     def finish(self, in_time: bool) -> None:
-        """Record the end of a request."""
         self.finished.append(in_time)
 
 
@@ -83,7 +73,6 @@
         self.idle_checks: list[Callable[[], bool]] = []
 
     def add_idle_check(self, check: Callable[[], bool]) -> None:
-        """Remember the check."""
         self.idle_checks.append(check)
 
 
@@ -99,14 +88,12 @@
         self.begun = asyncio.Event()
 
     async def run(self, request: BookingRequest) -> Outcome:
-        """Record the request."""
         self.requests.append(request)
         self.begun.set()
         await asyncio.sleep(self.delay_s)
         return self.outcome
 
     def reserve(self, count: int) -> list[str]:
-        """Return numbered keys."""
         return [f"key-{number}" for number in range(count)]
 
 
@@ -123,9 +110,7 @@
             self.kernel.register(service)
 
     def make_membership(self) -> FakeMembership:
-        """Return a membership that knows entry addresses."""
         return FakeEntryMembership()
 
     def url(self, path: str) -> str:
-        """Return the address of a call."""
         return f"http://{self.identity.caller_address}{path}"
--- a/packages/gypsumvane-daemon/tests/gateway_fakes.py
+++ b/packages/gypsumvane-daemon/tests/gateway_fakes.py
@@ -74,11 +74,9 @@
         self._listeners: list[Callable[[str], None]] = []
 
     def on_change(self, listener: Callable[[str], None]) -> None:
-        """Remember the listener."""
         self._listeners.append(listener)
 
     def apply(self, name: str, body: dict[str, Any]) -> None:
-        """Apply the next revision of a document."""
         known = self.catalogue.get(name)
         revision = known.revision + 1 if known is not None else 1
         document = Document(
@@ -103,7 +101,6 @@
     homes: dict[str, str | None] = field(default_factory=dict)
 
     def home_of(self, leaf_id: str) -> str | None:
-        """Return the home that a test set, else one per replica."""
         return self.homes.get(leaf_id, f"vm-{leaf_id[-1]}")
 
 
@@ -114,11 +111,9 @@
         self.briefs: dict[str, UpstreamBrief] = {}
 
     def get(self, leaf_id: str) -> UpstreamBrief | None:
-        """Return a brief."""
         return self.briefs.get(leaf_id)
 
     def take(self, brief: UpstreamBrief) -> bool:
-        """Take over a brief."""
         self.briefs[brief.leaf_id] = brief
         return True
 
@@ -140,7 +135,6 @@
     async def ask(
         self, batch: PartialBatch, request: PartialRequest
     ) -> PartialResult | None:
-        """Return the result after the delay."""
         self.asked += 1
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
@@ -171,13 +165,11 @@
     async def run_partial(
         self, batch: PartialBatch, request: PartialRequest
     ) -> PartialResult:
-        """Ask a leaf whose home is the daemon under test."""
         result = await self.leaves[request.leaf_id].ask(batch, request)
         assert result is not None
         return result
 
     def cancel(self, query_id: str, attempt_ids: Iterable[int]) -> None:
-        """Record the cancelled attempts."""
         self.cancelled += attempt_ids
 
 
@@ -196,11 +188,9 @@
         self.lost: set[str] = set()
 
     def notify(self, vm_id: str, message: Any) -> None:
-        """Record a cancellation."""
         self.cancels.append((vm_id, message))
 
     async def stream(self, vm_id: str, message: Any) -> AsyncIterator[Any]:
-        """Yield a result for each leaf as it answers."""
         if vm_id in self.missing:
             raise PeerError("no connection", sent=False)
         self.batches.append((vm_id, message))
@@ -233,13 +223,11 @@
         self.recorded: list[tuple[str, bool]] = []
 
     def choose_version(self, index: str, route: str, draw: float) -> str | None:
-        """Return the version that a test set."""
         return self.version
 
     def record(
         self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
     ) -> None:
-        """Remember the evidence."""
         self.recorded.append((version, failed))
 
 
@@ -307,11 +295,9 @@
             self.kernel.register(service)
 
     def make_membership(self) -> FakeMembership:
-        """Return the fake that tells homes."""
         return FakeMembership()
 
     def apply_index(self, body: dict[str, Any], *, limit: int = 2) -> None:
-        """Apply an index whose leaves all serve all of its snapshots."""
         self.documents.apply(f"index/{body['name']}", body)
         for leaf in body["leaves"]:
             leaf_id = leaf["leaf_id"]
@@ -324,5 +310,4 @@
             )
 
     def leaves_of(self, service: str) -> list[FakeLeaf]:
-        """Return both leaves of a service."""
         return [self.upstreams.leaves[f"{service}-{r}"] for r in ("a", "b")]
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -23,7 +23,6 @@
     """Check what callers see over HTTP."""
 
     async def asyncSetUp(self) -> None:
-        """Start the listener with a search and a lookup index."""
         self.rig = CallerRig()
         await self.rig.kernel.start()
         self.addAsyncCleanup(self.rig.kernel.stop)
@@ -35,7 +34,6 @@
     async def post(
         self, path: str, body: Any = None, *, data: bytes | None = None, **headers: str
     ) -> tuple[int, dict[str, Any]]:
-        """Send a request and return status and body."""
         names = {name.replace("_", "-"): value for name, value in headers.items()}
         async with self.session.post(
             self.rig.url(path), json=body, data=data, headers=names
--- a/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
@@ -23,14 +23,12 @@
     """Run a gateway with fakes."""
 
     async def asyncSetUp(self) -> None:
-        """Start the gateway with one search index."""
         self.rig = GatewayRig()
         await self.rig.kernel.start()
         self.addAsyncCleanup(self.rig.kernel.stop)
         self.rig.apply_index(index_body())
 
     async def search(self, *, wait_s: float = 1.0, **kwargs: int) -> SearchAnswer:
-        """Search the index."""
         return await self.rig.gateway.search(
             SearchRequest(
                 request_id="r1",
@@ -42,7 +40,6 @@
         )
 
     async def lookup(self, key: str) -> LookupAnswer:
-        """Look a key up in the ledger."""
         return await self.rig.gateway.lookup(
             LookupRequest(
                 request_id="r2",
