Let most steps of the document state machine succeed

Outages and stale revisions were drawn half of the time, so few changes were accepted and a missing fetch on a digest difference went unnoticed. On scratch copies the machine fails for each of: older revisions applied, no change id check, change id of the last change only, no expected revision, lost answer taken as not made, conflict returned for an own late write, failed write accepted, no push, no fetch.

--- a/packages/gypsumvane-daemon/tests/test_daemon_document_machine.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_document_machine.py
@@ -41,7 +41,9 @@
 
 VMS = st.integers(min_value=0, max_value=2)
 NAMES = st.sampled_from(["fleet", "index/stock"])
-FAULTS = st.sampled_from([None, None, *PutFault])
+# Most changes succeed, so that later steps have something to work on.
+RARELY = st.sampled_from([False, False, False, True])
+FAULTS = st.sampled_from([None, None, None, None, *PutFault])
 Result = TypeVar("Result")
 
 
@@ -123,7 +125,7 @@
             }
         return outcome
 
-    @rule(vm=VMS, name=NAMES, fault=FAULTS, outage=st.booleans(), behind=st.booleans())
+    @rule(vm=VMS, name=NAMES, fault=FAULTS, outage=RARELY, behind=RARELY)
     def change(
         self, vm: int, name: str, fault: PutFault | None, outage: bool, behind: bool
     ) -> None:
@@ -187,7 +189,7 @@
         self.submitted = [item for item in self.submitted if item is not earlier]
         self.submitted.append(Submitted(change, outcome))
 
-    @rule(outage=st.booleans())
+    @rule(outage=RARELY)
     def set_outage(self, outage: bool) -> None:
         """Begin or end an outage of the store."""
         self.fake.outage = outage
