--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_watch.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_watch.py
@@ -14,6 +14,7 @@
 from gypsumvane_cli.exit_code import ExitCode
 from gypsumvane_cli.local_check import check_name
 from gypsumvane_cli.move_lines import move_lines
+from gypsumvane_cli.move_lines import move_state
 
 if TYPE_CHECKING:
     from absl.flags import FlagValues
@@ -49,9 +50,10 @@
                 if lines != shown:
                     context.output.show(move, *lines)
                     shown = lines
-                if move["move"]["state"] == "done":
+                state = move_state(move)
+                if state == "done":
                     return ExitCode.DONE
-                if move["move"]["state"] == "taken_back":
+                if state == "taken_back":
                     return ExitCode.NOT_ACCEPTED
             await asyncio.sleep(context.flag("interval_s"))
 
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/move_lines.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/move_lines.py
@@ -10,25 +10,52 @@
 def move_lines(body: dict[str, Any]) -> list[str]:
     """Return the move and where it is in force."""
     move = body["move"]
+    status = body.get("status") or {}
     lines = [
         f"{move['index']}: move {move['move_id']} {move['from_version']} -> "
-        f"{move['to_version']}: {move['state']}",
+        f"{move['to_version']}: {move_state(body)}",
         f"from {_time(move['start_unix_s'])} to {_time(move['complete_by_unix_s'])}, "
         f"canary share {move['canary_share']}",
     ]
-    if move.get("state_reason"):
-        lines.append(f"reason: {move['state_reason']}")
+    reason = status.get("state_reason") or move.get("state_reason")
+    if reason:
+        lines.append(f"reason: {reason}")
+    if status:
+        late = ", will be late" if status["late"] else ""
+        lines.append(f"{status['phase']}, share {status['share']:.3f}{late}")
+        lines += [_route_line(route) for route in status["routes"]]
     revision = body["document"]["revision"]
-    lines += [_vm_line(item, revision) for item in body["vms"]]
+    applied = status.get("applied", {})
+    lines += [_vm_line(item, revision, applied) for item in body["vms"]]
     return lines
 
 
+def move_state(body: dict[str, Any]) -> str:
+    """Return the state; a daemon may know of an end before the document."""
+    status = body.get("status") or {}
+    same_move = status.get("move_id") == body["move"]["move_id"]
+    if same_move and status["state"] == "taken_back":
+        return "taken_back"
+    return str(body["move"]["state"])
+
+
 def _time(unix_s: float) -> str:
     return datetime.fromtimestamp(unix_s, tz=UTC).isoformat(timespec="seconds")
 
 
-def _vm_line(item: dict[str, Any], revision: int) -> str:
+def _route_line(route: dict[str, Any]) -> str:
+    return (
+        f"route {route['route']}: new version {route['new_answers']} answers "
+        f"({route['new_failures']} failed, {route['new_slow']} slow), old version "
+        f"{route['old_answers']} ({route['old_failures']} failed, "
+        f"{route['old_slow']} slow), {route['good_needed']} good ones needed"
+    )
+
+
+def _vm_line(item: dict[str, Any], revision: int, applied: dict[str, Any]) -> str:
     if not item["reached"]:
         return f"{item['vm_id']}: not reached"
     state = "in force" if item["revision"] >= revision else "behind"
-    return f"{item['vm_id']}: revision {item['revision']} ({state})"
+    line = f"{item['vm_id']}: revision {item['revision']} ({state})"
+    share = applied.get(item["vm_id"])
+    return line if share is None else f"{line}, share {share:.3f}"
--- a/packages/gypsumvane-cli/tests/test_cli_commands.py
+++ b/packages/gypsumvane-cli/tests/test_cli_commands.py
@@ -6,6 +6,7 @@
 import io
 import unittest
 from contextlib import redirect_stderr
+from dataclasses import asdict
 
 from fake_operator_server import TOKEN
 from fake_operator_server import FakeOperatorServer
@@ -13,6 +14,8 @@
 from gypsumvane_cli.exit_code import ExitCode
 from gypsumvane_cli.local_check import parse_time
 from gypsumvane_cli.main import main
+from gypsumvane_core.move_status import MoveStatus
+from gypsumvane_core.move_status import RouteStatus
 
 ACCEPTED = {"outcome": "accepted", "revision": 2, "in_force": [], "not_reached": []}
 REASON = ("--reason", "power work")
@@ -106,6 +109,27 @@
         self.assertIn("vm-1: revision 1 (behind)", self.out.getvalue())
         self.assertIn("vm-2: not reached", self.out.getvalue())
 
+    async def test_move_taken_back_by_evidence(self) -> None:
+        """Guard against an end that operators learn only from the document."""
+        route = RouteStatus("search", 90, 0, 1, 12, 6, 0, good_needed=20)
+        status = MoveStatus(
+            move_id="m1",
+            index="stock",
+            state="taken_back",
+            state_reason="errors",
+            state_source="evidence",
+            phase="ended",
+            share=0.0,
+            late=False,
+            routes=[route],
+            applied={"vm-1": 0.25},
+        )
+        body = {**move_body("running"), "status": asdict(status)}
+        self.server.script("GET /v1/moves/stock", Scripted(200, body))
+        self.assertEqual(await self.run_client("move", "watch", "stock"), 1)
+        for text in ("v2: taken_back", "12 answers (6 failed", "share 0.250"):
+            self.assertIn(text, self.out.getvalue())
+
     async def test_move_watch_ends_with_the_move(self) -> None:
         """Guard against a watch that ends early or reports a wrong end."""
         ends = (("done", ExitCode.DONE), ("taken_back", ExitCode.NOT_ACCEPTED))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/daemon_parts.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/daemon_parts.py
@@ -16,6 +16,7 @@
     from gypsumvane_core.messages import Heartbeat
     from gypsumvane_core.messages import Member
     from gypsumvane_core.messages import UpstreamBrief
+    from gypsumvane_core.move_status import MoveStatus
     from gypsumvane_daemon.kernel import Kernel
     from gypsumvane_daemon.kernel import Service
 
@@ -101,3 +102,10 @@
     @property
     def serving(self) -> bool:
         """Return whether callers are served."""
+
+
+class MovesPart(Protocol):
+    """Tell the state of version moves."""
+
+    def status(self, index: str) -> MoveStatus | None:
+        """Return the newest move of an index."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
@@ -56,7 +56,7 @@
             client_max_size=BODY_BYTES_MAX,
         )
         DocumentRoutes(self._documents, self._clock).add_to(app.router)
-        MoveRoutes(self._documents).add_to(app.router)
+        MoveRoutes(self._documents, kernel).add_to(app.router)
         StatusRoutes(self._identity, kernel).add_to(app.router)
         self._runner = AppRunner(app, access_log=None, shutdown_timeout=STOP_TIMEOUT_S)
         await self._runner.setup()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import cast
 
 from aiohttp.web import Response
 from aiohttp.web import json_response
@@ -15,6 +17,7 @@
 from gypsumvane_core.document_edits import start_move
 from gypsumvane_core.document_edits import take_back_move
 from gypsumvane_core.document_models import MoveDocument
+from gypsumvane_daemon.daemon_parts import find_part
 from gypsumvane_daemon.document_submission import plain_error
 from gypsumvane_daemon.operator_answers import change_response
 from gypsumvane_daemon.operator_answers import document_head
@@ -31,14 +34,19 @@
     from aiohttp.web import Request
     from aiohttp.web import UrlDispatcher
 
+    from gypsumvane_daemon.daemon_parts import MovesPart
     from gypsumvane_daemon.document_service import DocumentService
+    from gypsumvane_daemon.kernel import Kernel
 
 
 class MoveRoutes:
     """Start, show and take back version moves."""
 
-    def __init__(self, documents: Callable[[], DocumentService]) -> None:
+    def __init__(
+        self, documents: Callable[[], DocumentService], kernel: Kernel
+    ) -> None:
         self._documents = documents
+        self._kernel = kernel
 
     def add_to(self, router: UrlDispatcher) -> None:
         """Add the routes."""
@@ -61,9 +69,15 @@
             raise OperatorError(404, "not_found", f"there is no document {name}")
         move = MoveDocument.model_validate_json(document.body)
         states = await documents.in_force_everywhere(name)
+        moves = find_part(self._kernel, "moves")
+        status = None
+        if moves is not None:
+            status = cast("MovesPart", moves).status(move.index)
         answer: dict[str, Any] = {
             "document": document_head(document, documents.in_force(name)),
             "move": move.model_dump(mode="json"),
+            # What the asked daemon knows beyond the document.
+            "status": None if status is None else asdict(status),
             "vms": [revision_json(item) for item in states],
         }
         return json_response(answer)
