Bound replies by the whole size of documents

Replies counted bodies only, so many small documents could exceed the frame, and escaped characters made a body larger than the one that was checked. The daemon that accepts a change now applies the bytes that readers of the store get. An index of more than about 7,000 leaves does not fit one document.

--- a/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
@@ -51,7 +51,8 @@
             author=self.author,
             reason=self.reason,
             accepted_unix_ms=self.accepted_unix_ms,
-            body=json.dumps(self.body).encode(),
+            # Escapes would make a body larger than the one that was checked.
+            body=json.dumps(self.body, ensure_ascii=False).encode(),
         )
 
     def recent(self, change_id: str) -> RecentChange | None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_spread.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_spread.py
@@ -27,6 +27,8 @@
 
 REQUEST_TIMEOUT_S = 1.0
 REPLY_BYTES_MAX = 256 << 10
+# Counted for the fields of a document besides its body.
+HEAD_BYTES = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +138,7 @@
         reply = DocumentsReply(ready=self.is_ready())
         size_bytes = 0
         for document in self._applied.catalogue.newer_than(known):
-            size_bytes += len(document.body)
+            size_bytes += len(document.body) + HEAD_BYTES
             if reply.documents and size_bytes > REPLY_BYTES_MAX:
                 reply.more = True
                 break
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -46,7 +45,7 @@
     def body(self) -> bytes | None:
         if self.stored is None:
             return None
-        return json.dumps(self.stored.body).encode()
+        return self.stored.document().body
 
 
 class DocumentSubmission:
@@ -146,7 +145,8 @@
             return ChangeUnavailable(change_id=edit.change_id, message=str(error))
         if not isinstance(result, Written):
             return None
-        self._applied.apply(document, source="operator")
+        # All daemons apply the bytes that a reader of the store gets.
+        self._applied.apply(decode_stored(value).document(), source="operator")
         return ChangeAccepted(change_id=edit.change_id, revision=document.revision)
 
     def _document(self, edit: DocumentEdit, *, revision: int, body: bytes) -> Document:
--- a/packages/gypsumvane-daemon/tests/test_daemon_document_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_document_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from dataclasses import replace
 
 from daemon_fixture import TestDaemon
 from daemon_fixture import connect
@@ -37,6 +38,22 @@
     )
 
 
+def index_change(name: str, *, leaves: int) -> DocumentChange:
+    """Return a change that creates an index with many leaves."""
+    leaf = {"service": "s1", "failure_domain": "a", "address": "127.0.0.1:80"}
+    body = {
+        "name": name,
+        "kind": "search",
+        "leaves": [{**leaf, "leaf_id": f"leaf-{n}"} for n in range(leaves)],
+        "partition_maps": {},
+    }
+    return replace(
+        fleet_change(name, 0),
+        name=f"index/{name}",
+        body=json.dumps(body).encode(),
+    )
+
+
 class DocumentServiceTest(unittest.IsolatedAsyncioTestCase):
     """Check loading, changes and their spread."""
 
@@ -196,6 +213,26 @@
         assert isinstance(outcome, ChangeAccepted)
         self.assertEqual(outcome.revision, 3)
 
+    async def test_many_large_documents_are_fetched(self) -> None:
+        """Guard against replies that exceed the frame size."""
+        first = await self.start("vm-0")
+        await first.documents.wait_ready()
+        for number in range(4):
+            change = index_change(f"big-{number}", leaves=5000)
+            outcome = await first.documents.submit(change)
+            self.assertIsInstance(outcome, ChangeAccepted)
+        outcome = await first.documents.submit(index_change("huge", leaves=9000))
+        assert isinstance(outcome, ChangeInvalid)
+        self.assertIn("exceeds", outcome.message)
+        self.fake.outage = True
+        second = await self.start("vm-1")
+        await connect([first, second])
+        await second.documents.wait_ready()
+        self.assertEqual(
+            second.documents.catalogue.revisions(),
+            first.documents.catalogue.revisions(),
+        )
+
     async def test_watcher_pushes_what_the_store_tells(self) -> None:
         """Guard against daemons without a watch that miss a change."""
         first, second, third = await self.start_three()
