--- a/packages/gypsumvane-core/src/gypsumvane_core/upstream_state.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/upstream_state.py
@@ -53,28 +53,28 @@
     (UpstreamEvent.UNREACHABLE, _SERVING, UpstreamState.UNAVAILABLE),
     (UpstreamEvent.REACHED, (UpstreamState.UNAVAILABLE,), UpstreamState.COLD),
 )
+_SOURCES = {event: frozenset(sources) for event, sources, _ in TRANSITIONS}
 
 
 class UpstreamStateMachine:
     """Apply events to the state of one upstream."""
 
     def __init__(self) -> None:
+        self.state = UpstreamState.UNKNOWN
         self._machine = Machine(
             states=[state.value for state in UpstreamState],
             initial=UpstreamState.UNKNOWN.value,
             auto_transitions=False,
-            ignore_invalid_triggers=True,
         )
         for event, sources, target in TRANSITIONS:
             self._machine.add_transition(
                 event.value, [source.value for source in sources], target.value
             )
 
-    @property
-    def state(self) -> UpstreamState:
-        """Return the current state."""
-        return UpstreamState(self._machine.state)
-
     def apply(self, event: UpstreamEvent) -> bool:
         """Apply an event and return whether it applied in this state."""
-        return bool(self._machine.trigger(event.value))
+        if self.state not in _SOURCES[event]:
+            return False
+        self._machine.trigger(event.value)
+        self.state = UpstreamState(self._machine.state)
+        return True
--- a/packages/gypsumvane-core/src/gypsumvane_core/upstream_trust.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/upstream_trust.py
@@ -26,6 +26,7 @@
 # Without a sign of life for this time an upstream may have restarted unseen;
 # reports arrive once a second.
 HEARD_VALIDITY_S = 3.0
+_SERVING = frozenset((UpstreamState.COLD, UpstreamState.WARMING, UpstreamState.WARM))
 
 
 class DrainCause(StrEnum):
@@ -93,11 +94,7 @@
 
     @property
     def _serving(self) -> bool:
-        return self.state in (
-            UpstreamState.COLD,
-            UpstreamState.WARMING,
-            UpstreamState.WARM,
-        )
+        return self._machine.state in _SERVING
 
     def configure(self, policy: Policy, slots: int) -> None:
         """Take over changed policy and slots."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -29,6 +29,7 @@
 from gypsumvane_daemon.upstream_client import LeafCall
 from gypsumvane_daemon.upstream_client import LeafCallError
 from gypsumvane_daemon.upstream_client import UpstreamClient
+from gypsumvane_daemon.upstream_client import is_header_value
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -196,6 +197,8 @@
         reason = self._standing_refusal()
         if reason is not None:
             return reason
+        if not is_header_value(task.caller_id + task.idempotency_key):
+            return Reason.BAD_REQUEST
         now_s = self._clock.monotonic_s()
         if task.deadline_s <= now_s:
             return Reason.DEADLINE
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from contextvars import ContextVar
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -14,12 +13,15 @@
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
 from aiohttp import DummyCookieJar
+from aiohttp import ServerDisconnectedError
+from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
 from gypsumvane_daemon.leaf_connector import LeafConnector
 
 if TYPE_CHECKING:
-    from aiohttp import ClientResponse
+    from collections.abc import Mapping
+
     from aiohttp.connector import Connection
 
 NO_TIMEOUT = ClientTimeout(total=None, sock_connect=None)
@@ -40,20 +42,23 @@
     idempotency_key: str = ""
     written: bool = False
 
-    def headers(self) -> dict[str, str]:
-        """Return the request headers."""
-        headers = {
-            "Request-Id": self.request_id,
-            "Deadline-Ms": str(self.deadline_left_ms),
-            "Content-Type": JSON,
-        }
+    def encode(self, host: str) -> bytes:
+        """Return the request as it is written."""
+        lines = [
+            f"POST {self.path} HTTP/1.1",
+            f"Host: {host}",
+            f"Request-Id: {self.request_id}",
+            f"Deadline-Ms: {self.deadline_left_ms}",
+            f"Content-Type: {JSON}",
+            f"Content-Length: {len(self.body)}",
+        ]
         if self.snapshot:
-            headers["Snapshot"] = str(self.snapshot)
+            lines.append(f"Snapshot: {self.snapshot}")
         if self.caller_id:
-            headers["Caller-Id"] = self.caller_id
+            lines.append(f"Caller-Id: {self.caller_id}")
         if self.idempotency_key:
-            headers["Idempotency-Key"] = self.idempotency_key
-        return headers
+            lines.append(f"Idempotency-Key: {self.idempotency_key}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + self.body
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,26 +89,19 @@
     args: tuple[str, ...] = field(default=(), init=False)
 
 
-# The call that the current task sends, for the request class below.
-_current_call: ContextVar[LeafCall | None] = ContextVar("leaf_call", default=None)
-
-
-class _MarkingRequest(ClientRequest):
-    """Mark the call before its first byte is written."""
-
-    async def send(self, conn: Connection) -> ClientResponse:
-        call = _current_call.get()
-        if call is not None:
-            call.written = True
-        return await super().send(conn)
+def is_header_value(text: str) -> bool:
+    """Return whether a text from outside can be written into a header."""
+    return text.isprintable()
 
 
 class UpstreamClient:
     """Send requests to one upstream over its own connections.
 
-    aiohttp sends GET and DELETE again by itself when a kept connection turns
-    out to be closed, but never POST; redirects are off because a 307 would
-    send a POST again.
+    Calls use the connections and the response parser of aiohttp without its
+    ClientSession, which takes most of the time of a call; see
+    docs/decisions/leaf-call-cost.md. So nothing is ever sent again: neither
+    after a kept connection turns out to be closed nor after a redirect. The
+    session serves status reports and cancellation.
     """
 
     def __init__(self, address: str, *, connections: int) -> None:
@@ -112,16 +110,15 @@
             connector=self._connector,
             cookie_jar=DummyCookieJar(),
             timeout=NO_TIMEOUT,
-            request_class=_MarkingRequest,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             auto_decompress=False,
         )
+        self._host = address
         base = URL.build(scheme="http", authority=address)
-        self._urls = {
-            path: base.with_path(path)
-            for path in ("/v1/search", "/v1/lookup", "/v1/run", "/v1/status")
-        }
-        self._requests = base.with_path("/v1/requests")
+        self._status_url = base.with_path("/v1/status")
+        self._requests_url = base.with_path("/v1/requests")
+        # Tells the connector where to connect; it is never sent.
+        self._target = ClientRequest("POST", base, loop=asyncio.get_running_loop())
 
     async def close(self) -> None:
         """Close all connections."""
@@ -140,23 +137,42 @@
 
         Raises LeafCallError; ``call.written`` tells whether it was written.
         """
-        _current_call.set(call)
         try:
-            async with self._session.post(
-                self._urls[call.path],
-                data=call.body,
-                headers=call.headers(),
-                allow_redirects=False,
-            ) as response:
-                answer = _read_answer(response, await response.read())
-                if answer.request_id != call.request_id:
-                    # The next response on this connection may be wrong too.
-                    response.close()
-                return answer
+            connection = await self._connector.connect(
+                self._target, traces=[], timeout=NO_TIMEOUT
+            )
         except ClientConnectorError as error:
             raise LeafCallError(str(error), unreachable=True) from error
-        except (ClientError, OSError, ValueError) as error:
+        except (ClientError, OSError) as error:
+            raise LeafCallError(f"{type(error).__name__}: {error}") from error
+        try:
+            answer = await self._exchange(connection, call)
+        except (ClientError, HttpProcessingError, OSError, ValueError) as error:
+            connection.close()
             raise LeafCallError(f"{type(error).__name__}: {error}") from error
+        except BaseException:
+            connection.close()
+            raise
+        if answer.request_id == call.request_id:
+            connection.release()
+        else:
+            # The next response on this connection may be wrong too.
+            connection.close()
+        return answer
+
+    async def _exchange(self, connection: Connection, call: LeafCall) -> LeafAnswer:
+        protocol = connection.protocol
+        if protocol is None or protocol.transport is None:
+            raise ServerDisconnectedError
+        protocol.set_response_params(read_until_eof=True, auto_decompress=False)
+        # From here on the upstream may have run the request.
+        call.written = True
+        protocol.transport.write(call.encode(self._host))
+        message, payload = await protocol.read()
+        while message.code < 200:
+            message, payload = await protocol.read()
+        body = await payload.read()
+        return _read_answer(message.code, message.headers, body)
 
     async def cancel(self, request_id: str) -> None:
         """Ask the upstream to cancel a request.
@@ -165,7 +181,7 @@
         """
         try:
             async with self._session.delete(
-                self._requests / request_id, allow_redirects=False
+                self._requests_url / request_id, allow_redirects=False
             ) as response:
                 await response.read()
         except (ClientError, OSError) as error:
@@ -179,9 +195,10 @@
         try:
             async with asyncio.timeout(STATUS_TIMEOUT_S):
                 async with self._session.get(
-                    self._urls["/v1/status"], allow_redirects=False
+                    self._status_url, allow_redirects=False
                 ) as response:
-                    return _read_answer(response, await response.read())
+                    body = await response.read()
+                    return _read_answer(response.status, response.headers, body)
         except ClientConnectorError as error:
             raise LeafCallError(str(error), unreachable=True) from error
         except TimeoutError as error:
@@ -198,10 +215,9 @@
             )
 
 
-def _read_answer(response: ClientResponse, body: bytes) -> LeafAnswer:
-    headers = response.headers
+def _read_answer(status: int, headers: Mapping[str, str], body: bytes) -> LeafAnswer:
     return LeafAnswer(
-        status=response.status,
+        status=status,
         body=body,
         request_id=headers.get("Request-Id", ""),
         boot_id=headers.get("Boot-Id", ""),
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -124,6 +124,12 @@
         self.assertEqual(sent["Snapshot"], "7")
         self.assertTrue(0 < int(sent["Deadline-Ms"]) <= 1000)
 
+    async def test_header_values_cannot_add_a_request(self) -> None:
+        """Guard against a caller's text that ends the header it is put in."""
+        result = await self.search(caller_id="a\r\n\r\nPOST /v1/run HTTP/1.1")
+        self.assertEqual((result.verdict, result.reason), ("not_run", "bad_request"))
+        self.assertEqual(self.leaf.calls, [])
+
     async def test_foreign_request_id_is_dropped(self) -> None:
         """Guard against an answer to another request."""
 
