--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -53,6 +53,8 @@
   moveFacts @8 :List(MoveFact);
   evidence @9 :List(MoveEvidence);
   briefs @10 :List(UpstreamBrief);
+  incarnation @11 :Text;
+  settled @12 :Bool;
 }
 
 struct Member {
@@ -63,12 +65,15 @@
   callerAddress @4 :Text;
   operatorAddress @5 :Text;
   leaving @6 :Bool;
+  joinedEpoch @7 :Int64;
 }
 
 struct ViewUpdate {
   epoch @0 :Int64;
   members @1 :List(Member);
   writer @2 :Text;
+  former @3 :List(Member);
+  outDomains @4 :List(Text);
 }
 
 struct ViewRequest {
@@ -87,6 +92,8 @@
 struct DocumentRevision {
   name @0 :Text;
   revision @1 :Int64;
+  changeId @2 :Text;
+  inForceSinceUnixMs @3 :Int64;
 }
 
 struct DocumentCopy {
@@ -105,6 +112,8 @@
 
 struct DocumentsReply {
   documents @0 :List(DocumentCopy);
+  ready @1 :Bool;
+  more @2 :Bool;
 }
 
 struct DocumentPush {
@@ -187,6 +196,19 @@
   body @7 :Data;
 }
 
+struct ClaimLease {
+  bucket @0 :Int64;
+  version @1 :Int64;
+}
+
+struct ClaimLeaseRequest {
+  leases @0 :List(ClaimLease);
+}
+
+struct ClaimLeaseReply {
+  buckets @0 :List(Int64);
+}
+
 struct Frame {
   requestId @0 :UInt64;
   # Zero for a frame that is not a reply.
@@ -211,6 +233,8 @@
     bookingReply @18 :BookingReply;
     leafRunRequest @19 :LeafRunRequest;
     leafRunReply @20 :BookingReply;
+    claimLeaseRequest @21 :ClaimLeaseRequest;
+    claimLeaseReply @22 :ClaimLeaseReply;
   }
 }
 
