Test cold starts of the home role against the stand-in leaf

Decisions are tested with a simulated leaf; sockets, cancellation and status reports were not. Loads a stand-in leaf beyond its slots while it starts, restarts after an outage and turns cold without warning.

--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_cold_leaf.py
@@ -0,0 +1,131 @@
+"""Tests of the home role against the stand-in leaf with its strict counters."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from gypsumvane_core.clock import SystemClock
+from gypsumvane_core.messages import PartialBatch
+from gypsumvane_core.messages import PartialRequest
+from gypsumvane_daemon.identity import DaemonIdentity
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_network import PeerNetwork
+from gypsumvane_daemon.upstream_service import UpstreamService
+from gypsumvane_devtools.leaf import Leaf
+from gypsumvane_devtools.leaf_server import LeafServer
+from gypsumvane_devtools.leaf_settings import ColdSettings
+from gypsumvane_devtools.leaf_settings import LeafSettings
+from gypsumvane_devtools.run_ledger import RunLedger
+from upstream_fakes import FakeDocuments
+from upstream_fakes import FakeMembership
+from upstream_fakes import make_settings
+
+SEARCHERS = 6
+
+
+class ColdLeafTest(unittest.IsolatedAsyncioTestCase):
+    """Load a leaf beyond its slots while it turns cold in several ways."""
+
+    async def asyncSetUp(self) -> None:
+        leaf_settings = LeafSettings(
+            leaf_id="leaf-1",
+            index="stock",
+            service="shelf",
+            failure_domain="a",
+            partition_maps={1: ["shelf"]},
+            cold=ColdSettings(rate_per_s=60, good_answers=8),
+        )
+        self.leaf = Leaf(leaf_settings, RunLedger())
+        self.server = LeafServer(self.leaf)
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        identity = DaemonIdentity(settings=make_settings())
+        documents = FakeDocuments()
+        documents.put_policy(cold_spacing_ms=20, warm_good_answers=10)
+        documents.put(
+            "index/stock",
+            {
+                "name": "stock",
+                "kind": "search",
+                "leaves": [
+                    {
+                        "leaf_id": "leaf-1",
+                        "service": "shelf",
+                        "failure_domain": "a",
+                        "address": self.server.address,
+                        "slots": leaf_settings.slots,
+                        "connections_max": leaf_settings.connections_max,
+                    }
+                ],
+                "partition_maps": {1: ["shelf"]},
+            },
+        )
+        self.service = UpstreamService(identity, SystemClock())
+        kernel = Kernel()
+        for service in (
+            MetricsService(),
+            PeerNetwork(identity),
+            documents,
+            FakeMembership(),
+            self.service,
+        ):
+            kernel.register(service)
+        await kernel.start()
+        self.addAsyncCleanup(kernel.stop)
+        self.attempt = 0
+        self.answered = 0
+
+    async def search_until(self, state: str) -> None:
+        """Keep the queue full until the leaf has a state."""
+        async with asyncio.timeout(20):
+            await asyncio.gather(*(self._search(state) for _ in range(SEARCHERS)))
+
+    async def _search(self, state: str) -> None:
+        while True:
+            self.attempt += 1
+            request = PartialRequest(self.attempt, "shelf", "leaf-1")
+            batch = PartialBatch(
+                query_id=f"query-{self.attempt}",
+                index="stock",
+                route="search",
+                snapshot=1,
+                deadline_left_ms=500,
+                query=b'{"query": "speaker", "limit": 3}',
+                requests=[request],
+            )
+            result = await self.service.run_partial(batch, request)
+            self.answered += result.kind == "answered"
+            brief = self.service.briefs.get("leaf-1")
+            if brief is not None and brief.state == state:
+                return
+            # A refusal comes back at once.
+            await asyncio.sleep(0.002)
+
+    def check(self) -> None:
+        """Check the strict counters of the leaf."""
+        counters = self.leaf.counters
+        self.assertEqual((counters.cold_excess, counters.falls), (0, 0))
+        self.assertLessEqual(counters.running_max, self.leaf.settings.slots)
+        self.assertEqual(counters.connections_refused, 0)
+
+    async def test_new_leaf_and_restarted_leaf(self) -> None:
+        """Guard against full load on a new process that is cold."""
+        await self.search_until("warm")
+        self.check()
+        self.leaf.restart(outage_s=0.3)
+        await self.search_until("unavailable")
+        await self.search_until("warm")
+        self.check()
+        self.assertEqual(self.leaf.counters.cold_excess_unwarned, 0)
+
+    async def test_leaf_that_turns_cold_without_warning(self) -> None:
+        """Guard against more than what was in progress at the first sign."""
+        await self.search_until("warm")
+        self.leaf.turn_cold(new_boot_id=False)
+        await self.search_until("cold")
+        await self.search_until("warm")
+        self.check()
+        unwarned = self.leaf.counters.cold_excess_unwarned
+        self.assertLessEqual(unwarned, self.leaf.settings.slots)
