Separate warm experiments from cold starts and sharpen the sign of cold

Cause: in trials on a scratch copy the straggler experiment measured leaves that the daemons still treated as cold, and the straggling leaf was sometimes one that got few requests. A good answer with an unchanged boot identifier counted as a sign of cold, although it shows nothing. Change: experiments other than cold start use warm leaves and a policy that trusts them soon, stated in their set-up; the busiest leaf straggles; the sign is a refusal, a report or a new boot identifier. Reasons of left-out services are counted.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/answer_check.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/answer_check.py
@@ -22,6 +22,9 @@
     snapshots = {hit["snapshot"] for hit in values["hits"]}
     if not snapshots <= {values["snapshot"]}:
         result.mixed_snapshots += 1
+    for entry in values["coverage"]["left_out"]:
+        reason = entry["reason"]
+        result.left_out[reason] = result.left_out.get(reason, 0) + 1
     if not is_consistent(values):
         result.untrue_coverage += 1
 
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/cold_state.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/cold_state.py
@@ -27,11 +27,13 @@
         self._good = 0
         self._since_s = now_s
         self._sign_s = now_s
+        self._shows_in_answers = False
         self._bucket = TokenBucket(settings.rate_per_s, settings.rate_burst)
 
-    def turn_without_warning(self) -> None:
-        """Expect the first sign only from a later answer."""
+    def turn_without_warning(self, *, shows_in_answers: bool) -> None:
+        """Give the first sign only later: by an answer, a refusal or a report."""
         self._sign_s = math.inf
+        self._shows_in_answers = shows_in_answers
 
     def is_cold(self, settings: ColdSettings, now_s: float) -> bool:
         """Tell whether the leaf is still cold."""
@@ -51,9 +53,11 @@
         return Burden.EXCESS
 
     def note_sign(self, now_s: float) -> None:
-        """Note that an answer showed the sender that the leaf is cold."""
+        """Note that a refusal or report showed that the leaf is cold."""
         self._sign_s = min(self._sign_s, now_s)
 
-    def note_good_answer(self) -> None:
+    def note_good_answer(self, now_s: float) -> None:
         """Count an answer that warms the leaf."""
         self._good += 1
+        if self._shows_in_answers:
+            self.note_sign(now_s)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf.py
@@ -151,7 +151,8 @@
     def turn_cold(self, *, new_boot_id: bool) -> None:
         """Turn cold without warning; the process keeps running."""
         self._cold = ColdState(self.settings.cold, now_s=self._loop.time())
-        self._cold.turn_without_warning()
+        # A new boot identifier is in the headers of every answer.
+        self._cold.turn_without_warning(shows_in_answers=new_boot_id)
         if new_boot_id:
             self.boot_id = secrets.token_hex(6)
 
@@ -167,6 +168,8 @@
         now_s = self._loop.time()
         if now_s - self._report.taken_s >= self.settings.report.lag_s:
             self._report = CachedReport(now_s, self._true_status())
+        if self._report.values["cold"]:
+            self._cold.note_sign(now_s)
         return self._report.values
 
     def _true_status(self) -> dict[str, Any]:
@@ -390,8 +393,7 @@
     def _finish(self, answer: WorkAnswer) -> WorkAnswer:
         self.counters.count_answer(answer.label)
         if answer.status == 200 and self.cold:
-            self._cold.note_good_answer()
-            self._cold.note_sign(self._loop.time())
+            self._cold.note_good_answer(self._loop.time())
         return answer
 
     def _down_answer(self) -> WorkAnswer:
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf_settings.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/leaf_settings.py
@@ -53,7 +53,7 @@
     good_answers: int = Field(default=15, ge=0)
     # Cold also ends after this time; 0 means that time does not warm a leaf.
     warm_after_s: float = Field(default=0.0, ge=0)
-    slow_factor: float = Field(default=2.0, ge=1)
+    slow_factor: float = Field(default=4.0, ge=1)
     outage_s: float = Field(default=2.0, ge=0)
     fall_mode: FallMode = FallMode.CLOSE
     # Requests that were on their way when the first sign was sent arrive
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/load_result.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/load_result.py
@@ -57,6 +57,8 @@
     offered: int = 0
     outcomes: dict[str, int] = field(default_factory=dict)
     reasons: dict[str, int] = field(default_factory=dict)
+    # Services left out of partial answers, by reason.
+    left_out: dict[str, int] = field(default_factory=dict)
     complete_in_time: int = 0
     late: int = 0
     foreign_answers: int = 0
@@ -144,6 +146,7 @@
         setattr(total, name, getattr(total, name) + getattr(part, name))
     add_counters(total.outcomes, part.outcomes)
     add_counters(total.reasons, part.reasons)
+    add_counters(total.left_out, part.left_out)
     total.runs += part.runs
     total.send_lag_max_ms = max(total.send_lag_max_ms, part.send_lag_max_ms)
     for number, second in enumerate(part.seconds):
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/cold_start.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/cold_start.py
@@ -47,7 +47,9 @@
         """Run one variant once."""
         policy = FIXED_LIMIT if variant == BASELINE else {}
         index = {"services": SERVICES, "slots": SLOTS}
-        async with Cluster(search_plan(policy, index=index)) as cluster:
+        async with Cluster(
+            search_plan(policy, starts_warm=False, index=index)
+        ) as cluster:
             plan = load_plan(
                 cluster, rate_per_s=RATE_PER_S, duration_s=3 * PHASE_S, seed=number + 1
             )
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
@@ -15,21 +15,30 @@
     from gypsumvane_devtools.cluster import Cluster
 
 INDEX = "stock"
+# Experiments whose subject is not cold starts use leaves that start warm, and
+# this policy lets the daemons trust them after a few answers.
+WARM_POLICY = {"warm_good_answers": 2, "cold_spacing_ms": 5}
+WARM_LEAVES = {"good_answers": 0}
 
 
 def search_plan(
     policy: dict[str, Any] | None = None,
     *,
     daemons: int = 4,
+    starts_warm: bool = True,
     index: dict[str, Any] | None = None,
     **cluster: Any,
 ) -> ClusterPlan:
     """Return a cluster with a search index sized like the Trust's stock."""
     stock = {"name": INDEX, "services": 20, **(index or {})}
+    policy = policy or {}
+    if starts_warm:
+        stock["cold"] = WARM_LEAVES
+        policy = {**WARM_POLICY, **policy}
     return ClusterPlan(
         indexes=[IndexPlan.model_validate(stock)],
         daemons=daemons,
-        fleet=FleetDocument(defaults=Policy.model_validate(policy or {})),
+        fleet=FleetDocument(defaults=Policy.model_validate(policy)),
         **cluster,
     )
 
@@ -45,6 +54,12 @@
     return LoadPlan.model_validate({**defaults, **values})
 
 
+async def busiest_leaf(cluster: Cluster) -> str:
+    """Return the leaf that has received the most requests."""
+    counters = await cluster.upstreams.counters(index=INDEX)
+    return max(counters, key=lambda leaf_id: counters[leaf_id]["begun"])
+
+
 async def searches_received(cluster: Cluster) -> int:
     """Return the partial searches that all leaves received."""
     counters = await cluster.upstreams.counters()
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/overload.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/overload.py
@@ -12,6 +12,7 @@
 from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
+from gypsumvane_devtools.leaf_settings import ColdSettings
 from gypsumvane_devtools.leaf_settings import ServiceTime
 from gypsumvane_devtools.load_plan import LoadKind
 from gypsumvane_devtools.load_process import run_load_process
@@ -21,6 +22,7 @@
 from gypsumvane_devtools.measure.figures import at_least
 from gypsumvane_devtools.measure.figures import at_most
 from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import WARM_POLICY
 from gypsumvane_devtools.measure.load_helpers import counter_sum
 from gypsumvane_devtools.measure.load_helpers import load_plan
 from gypsumvane_devtools.sample_plans import lookup_index
@@ -128,6 +130,7 @@
     """Return a cluster whose leaves limit the throughput."""
     searches = IndexPlan(
         name=INDEX,
+        cold=ColdSettings(good_answers=0),
         services=SERVICES,
         service_time=ServiceTime(mean_ms=MEAN_MS),
     )
@@ -141,7 +144,7 @@
     )
     return ClusterPlan(
         indexes=[searches, bookings],
-        fleet=FleetDocument(defaults=Policy.model_validate(policy)),
+        fleet=FleetDocument(defaults=Policy.model_validate({**WARM_POLICY, **policy})),
     )
 
 
