--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -189,6 +189,19 @@
         self.assertEqual(self.leaf.cancelled, [self.leaf.calls[0]["Request-Id"]])
         await eventually(lambda: self.service.idle("leaf-1"))
 
+    async def test_attempt_cancelled_at_once_frees_its_slot(self) -> None:
+        """Guard against a slot that is never freed: no request was sent."""
+        batch = self.batch()
+        pending = asyncio.ensure_future(
+            self.service.run_partial(batch, batch.requests[0])
+        )
+        # One turn: the attempt is submitted, but its call has not begun.
+        await asyncio.sleep(0)
+        self.service.cancel(batch.query_id, [1])
+        self.assertEqual((await pending).verdict, "not_run")
+        await eventually(lambda: self.service.idle("leaf-1"))
+        self.assertEqual((await self.search()).kind, "answered")
+
     async def test_unconfirmed_home_sends_nothing_to_a_cold_leaf(self) -> None:
         """Guard against two homes that both send to a cold leaf."""
         self.membership.share = "other_half"
