Free the slot of a call that is cancelled at once

Cause: a call that was abandoned in the loop step in which it was queued had its task cancelled before the task's first step. Such a task runs no code, so its `finally` never removed it from the calls in progress and the leaf lost one slot for ever. Hedging cancels losing attempts all the time, so under load leaf after leaf stopped receiving work.

Change: the slot is freed by a callback of the task.

The new unit test fails without the change.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -272,6 +272,9 @@
         loop = asyncio.get_running_loop()
         run.timers.append(loop.call_later(left_s, self._on_deadline, run))
         run.job = self._spawn(self._run(run))
+        # A job that is cancelled before its first step runs none of its own
+        # code, so that only a callback frees the slot in every case.
+        run.job.add_done_callback(lambda job: self._end_run(run))
 
     def _spawn(self, work: object) -> asyncio.Task[None]:
         job: asyncio.Task[None] = asyncio.create_task(work)  # type: ignore[arg-type]
@@ -288,11 +291,12 @@
             run.task.finish(self._failed(run, Reason.CANCELLED))
         else:
             self._on_answer(run, answer)
-        finally:
-            for timer in run.timers:
-                timer.cancel()
-            del self._runs[run.task]
-            self.pump()
+
+    def _end_run(self, run: _Run) -> None:
+        for timer in run.timers:
+            timer.cancel()
+        del self._runs[run.task]
+        self.pump()
 
     def _on_answer(self, run: _Run, answer: LeafAnswer) -> None:
         now_s = self._clock.monotonic_s()
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -341,6 +341,19 @@
         self.assertEqual([len(reply.results) for reply in replies], [10])
         self.assertEqual(replies[0].results[0].reason, "not_home")
 
+    async def test_cancel_before_the_call_begins(self) -> None:
+        """Guard against a slot that a call cancelled at once holds for ever."""
+        await self.search()
+        search = asyncio.create_task(self.search())
+        # The search queues its call in this step, and the call's own task
+        # takes its first step only after the cancellation.
+        await asyncio.sleep(0)
+        self.assertFalse(self.service.idle("leaf-1"))
+        self.service.cancel("query-1", [1])
+        self.assertEqual((await search).reason, "cancelled")
+        await eventually(lambda: self.service.idle("leaf-1"))
+        self.assertEqual(len(self.leaf.calls), 1)
+
     async def test_cancel_ends_an_attempt(self) -> None:
         """Guard against a losing attempt that keeps its slot."""
 
