Release held answers of connections that have closed

Cause: writing to a closed uvloop transport raises RuntimeError, which the release of held answers did not expect, so the control call failed with status 500 and the answers behind it were lost.

Change: the error is ignored like the OSError of a closed connection.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/proxy_link.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/proxy_link.py
@@ -220,7 +220,8 @@
         held = self.held
         self.held = []
         for entry in reversed(held) if crossed else held:
-            with suppress(OSError):
+            # A transport that has closed meanwhile raises RuntimeError.
+            with suppress(OSError, RuntimeError):
                 await entry.connection.write_answer(entry.data)
         return len(held)
 
