Run bookings at the service that holds the booked record

Cause: the service of a booking was chosen by its idempotency key, but lookups use the body's key, so a booking could reach a service without the record. Change: the service named by the root decides; an unknown one is refused as not run. The tests of bookings pass.

--- a/packages/gypsumvane-core/src/gypsumvane_core/booking_target.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/booking_target.py
@@ -7,7 +7,7 @@
 
 from xxhash import xxh64_intdigest
 
-from gypsumvane_core.key_service import service_of_key as rendezvous
+from gypsumvane_core.key_service import service_of_key as choose_service
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,7 +26,7 @@
     if not index.partition_maps:
         return None
     services = index.partition_maps[max(index.partition_maps)]
-    return rendezvous(key, services) if services else None
+    return choose_service(key, services) if services else None
 
 
 def draw_of_key(key: str) -> float:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
@@ -76,8 +76,11 @@
         index = self._documents.catalogue.index(request.index)
         if index is None or not index.non_idempotent:
             return Reason.UNKNOWN_INDEX
-        service = service_of_key(index, request.key)
-        if service is None:
+        # The root names the service that holds the record of the body's key, the
+        # one that a lookup of this key asks.
+        service = request.service or service_of_key(index, request.key)
+        known = {leaf.service for leaf in index.leaves}
+        if service is None or service not in known:
             return Reason.UNKNOWN_SERVICE
         order = LeafOrder(
             domains_out=self._documents.catalogue.domains_out(),
--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -386,10 +386,21 @@
             await daemon.kernel.stop()
 
     async def book(
-        self, vm_id: str, key: str, *, body: bytes = b"{}", left_ms: int = 1000
+        self,
+        vm_id: str,
+        key: str,
+        *,
+        body: bytes = b"{}",
+        left_ms: int = 1000,
+        service: str = "",
     ) -> Outcome:
         """Send one booking to a daemon."""
         request = BookingRequest(
-            key=key, index="ledger", route="run", body=body, deadline_left_ms=left_ms
+            key=key,
+            index="ledger",
+            route="run",
+            service=service,
+            body=body,
+            deadline_left_ms=left_ms,
         )
         return await self.daemons[vm_id].bookings.run(request)
--- a/packages/gypsumvane-daemon/tests/test_daemon_booking_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_booking_service.py
@@ -61,6 +61,12 @@
         outcome = await self.fleet.book("vm-2", "key-1")
         self.assertIsInstance(outcome, Completed)
 
+    async def test_named_service_decides(self) -> None:
+        """Guard against a booking at a service that lacks the booked record."""
+        unknown = await self.fleet.book("vm-2", "key-1", service="elsewhere")
+        self.assertEqual(unknown, Refused(Reason.UNKNOWN_SERVICE))
+        self.assertEqual(self.world.runs["key-1"], 0)
+
     async def test_key_is_free_after_all_leaves_refused(self) -> None:
         """Guard against a claim that blocks a key which never ran."""
         self.world.faults["leaf"] = ["not_run"] * 2
