--- a/packages/gypsumvane-core/tests/test_core_membership.py
+++ b/packages/gypsumvane-core/tests/test_core_membership.py
@@ -87,6 +87,19 @@
         self.assertFalse(self.state.acknowledge([]))
         self.assertTrue(self.state.acknowledge([leaf]))
 
+    def test_leaf_that_comes_back_must_be_idle_once(self) -> None:
+        """Guard against an acknowledgement for the view in between."""
+        leaf = next(f"svc{n}" for n in range(99) if self.is_own_leaf(f"svc{n}"))
+        self.answer(sent_s=1000, epoch=1, acknowledged_epoch=1, confirmation_age_ms=0)
+        self.assertIs(self.state.grade(leaf), Grade.FULL)
+        self.state.adopt(View(epoch=2, members=(self.other,)))
+        again = replace(self.own, joined_epoch=3)
+        self.state.adopt(View(epoch=3, members=(again, self.other)))
+        self.assertTrue(self.is_own_leaf(leaf))
+        self.assertFalse(self.state.acknowledge([]))
+        self.assertIs(self.state.grade(leaf), Grade.NONE)
+        self.assertTrue(self.state.acknowledge([leaf]))
+
     def is_own_leaf(self, leaf: str) -> bool:
         return self.state.home_of(leaf) == "vm-1"
 
