Test homes that follow one another and record the decisions on bookings

Copies on which a new owner sends without waiting, forgets former owners or answers after its lease ended passed the stateful test, because its tries seldom met such homes. Directed tests now cover each of these, and the stateful test isolates homes, books reserved keys and checks that no run follows when every try of a key was answered NOT_RUN.

The fake peer network swallowed the cancellation of its caller, so that a daemon with a round of leases in progress never stopped; it now passes the cancellation on, and a paused daemon receives requests only when it resumes.

--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -236,12 +236,22 @@
             raise PeerError("fault", sent=False)
         handler = target.peers._handlers[type(message)]
         context = PeerContext(Hello(own), None, 0)  # type: ignore[arg-type]
-        task: Any = asyncio.ensure_future(handler(message, context))
+
+        async def deliver() -> Any:
+            # A paused daemon finds the request when it resumes.
+            await world.step(vm_id)
+            return await handler(message, context)
+
+        task: Any = asyncio.ensure_future(deliver())
         try:
             async with asyncio.timeout(timeout_s):
                 reply = await asyncio.shield(task)
-        except (TimeoutError, asyncio.CancelledError) as error:
+        except TimeoutError as error:
             raise PeerError("no reply", sent=True) from error
+        except asyncio.CancelledError as error:
+            if not task.cancelled():
+                raise
+            raise PeerError("the peer was killed", sent=True) from error
         if fault == "lost" or self.fleet.daemons.get(vm_id) is not target:
             raise PeerError("fault", sent=True)
         if isinstance(message, LeafRunRequest):
@@ -380,8 +390,15 @@
         if not cut_off:
             self.world.cut_off.discard(vm_id)
 
+    def resume(self) -> None:
+        """Let all paused daemons go on."""
+        for event in self.world.paused.values():
+            event.set()
+        self.world.paused.clear()
+
     async def stop(self) -> None:
         """Stop all daemons."""
+        self.resume()
         for daemon in self.daemons.values():
             await daemon.kernel.stop()
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_booking_faults.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_booking_faults.py
@@ -62,12 +62,16 @@
         self.loop.run_until_complete(self.fleet.start(*VMS))
         self.keys = ["key-0", "key-1", "key-2"]
         self.tries: list[Try] = []
+        # Verdicts of all tries that ended, by key.
+        self.ended: dict[str, list[Verdict]] = {}
 
-    @rule(vm_id=vm_ids)
-    def reserve(self, vm_id: str) -> None:
+    @rule(vm_id=vm_ids, through=vm_ids, wait_s=waits)
+    def book_reserved(self, vm_id: str, through: str, wait_s: float) -> None:
         daemon = self.fleet.daemons.get(vm_id)
         if daemon is not None:
             self.keys += daemon.bookings.reserve(1)
+            self.send(through, self.keys[-1], 1000)
+            self.pass_time(wait_s)
 
     @rule(vm_id=vm_ids, key=key_choice, left_ms=deadlines, wait_s=waits)
     def book(self, vm_id: str, key: int, left_ms: int, wait_s: float) -> None:
@@ -97,14 +101,22 @@
             rival.overlapped = True
         task = self.loop.create_task(self.fleet.book(vm_id, key, left_ms=left_ms))
         self.tries.append(Try(key, task, self.world.runs[key], bool(rivals)))
+        self.ended.setdefault(key, [])
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 1.0, 5.0]))
     def pass_time(self, seconds: float) -> None:
         self.loop.run_until_complete(asyncio.sleep(seconds))
         for entry in [entry for entry in self.tries if entry.task.done()]:
             self.tries.remove(entry)
+            verdict = Verdict.MAY_HAVE_RUN
             if not entry.task.cancelled():
+                verdict = entry.task.result().verdict
                 self.check(entry, entry.task.result())
+            self.ended[entry.key].append(verdict)
+        in_progress = {entry.key for entry in self.tries}
+        for key, verdicts in self.ended.items():
+            if key not in in_progress and set(verdicts) == {Verdict.NOT_RUN}:
+                assert not self.world.runs[key], "a run after NOT_RUN"
 
     @rule(
         fault=st.sampled_from(
@@ -136,6 +148,15 @@
         for vm_id, daemon in self.fleet.daemons.items():
             daemon.membership.own_homes = {"*": vm_id}
 
+    @rule(vm_id=vm_ids, other=vm_ids)
+    def isolate(self, vm_id: str, other: str) -> None:
+        """Cut a home from the store while another daemon takes over."""
+        daemon = self.fleet.daemons.get(vm_id)
+        if daemon is not None:
+            daemon.membership.own_homes = {"*": vm_id}
+            self.world.cut_off.add(vm_id)
+            self.world.homes["*"] = other
+
     @rule()
     def store_outage(self) -> None:
         self.world.cut_off = set() if self.world.cut_off else set(VMS)
@@ -172,6 +193,7 @@
 
     @rule(vm_id=vm_ids)
     def start(self, vm_id: str) -> None:
+        """Start a daemon again, as another incarnation."""
         if vm_id not in self.fleet.daemons:
             self.loop.run_until_complete(self.fleet.start(vm_id))
 
@@ -190,9 +212,7 @@
     def teardown(self) -> None:
         if not hasattr(self, "loop"):
             return
-        for event in self.world.paused.values():
-            event.set()
-        self.world.paused.clear()
+        self.fleet.resume()
         self.world.cut_off = set()
         self.pass_time(10.0)
         self.loop.run_until_complete(self.fleet.stop())
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_claim_leases.py
@@ -0,0 +1,125 @@
+"""Tests of NOT_RUN from a home that the store does not reach."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from booking_fleet import Fleet
+from booking_fleet import virtual_loop
+from gypsumvane_core.outcome import Refused
+from gypsumvane_core.reason import Reason
+from gypsumvane_core.verdict import Verdict
+
+OTHERS = {"vm-2", "vm-3"}
+
+
+class ClaimLeaseTest(unittest.TestCase):
+    """Check homes that follow one another, in virtual time."""
+
+    def setUp(self) -> None:
+        self.loop = virtual_loop()
+        self.fleet = Fleet()
+        self.world = self.fleet.world
+        self.loop.run_until_complete(self.fleet.start("vm-1", "vm-2", "vm-3"))
+        self.pass_time(1.0)
+
+    def tearDown(self) -> None:
+        self.loop.run_until_complete(self.fleet.stop())
+        self.loop.close()
+
+    def pass_time(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    def isolate_vm_1(self, *, home: str) -> None:
+        """Let vm-1 believe to be home without store; another one is home."""
+        self.world.cut_off = {"vm-1"}
+        self.fleet.daemons["vm-1"].membership.own_homes = {"*": "vm-1"}
+        self.world.homes["*"] = home
+
+    def begin(self, vm_id: str, key: str) -> asyncio.Task[object]:
+        """Begin a try with a long deadline."""
+        work = self.fleet.book(vm_id, key, left_ms=6000)
+        return self.loop.create_task(work)
+
+    def assert_true_answer(self, vm_id: str, key: str) -> None:
+        """Book and compare a NOT_RUN with the runs."""
+        outcome = self.loop.run_until_complete(self.fleet.book(vm_id, key))
+        if outcome.verdict is Verdict.NOT_RUN:
+            self.assertEqual(self.world.runs[key], 0)
+
+    def test_long_outage_still_refuses_as_not_run(self) -> None:
+        """Guard against MAY_HAVE_RUN for keys that certainly did not run."""
+        self.world.cut_off = {"vm-1"} | OTHERS
+        self.pass_time(60.0)
+        outcome = self.loop.run_until_complete(self.fleet.book("vm-2", "key-1"))
+        self.assertEqual(outcome, Refused(Reason.STORE_UNAVAILABLE))
+
+    def test_new_owner_waits_for_the_former_lease(self) -> None:
+        """Guard against a run while another home answers NOT_RUN."""
+        self.isolate_vm_1(home="vm-2")
+        self.pass_time(0.8)
+        task = self.begin("vm-2", "key-1")
+        self.pass_time(0.1)
+        self.assert_true_answer("vm-1", "key-1")
+        self.loop.run_until_complete(task)
+        self.assertEqual(self.world.runs["key-1"], 1)
+        self.assert_true_answer("vm-1", "key-1")
+
+    def test_owner_remembers_all_former_owners(self) -> None:
+        """Guard against a short owner that hides the one before it."""
+        self.isolate_vm_1(home="vm-2")
+        self.pass_time(0.6)
+        self.loop.run_until_complete(self.fleet.kill("vm-2"))
+        self.loop.run_until_complete(self.fleet.start("vm-2"))
+        self.world.homes["*"] = "vm-3"
+        self.pass_time(0.6)
+        task = self.begin("vm-3", "key-1")
+        self.pass_time(0.1)
+        self.assert_true_answer("vm-1", "key-1")
+        self.loop.run_until_complete(task)
+
+    def test_ended_lease_is_not_prolonged(self) -> None:
+        """Guard against a stale copy that counts again after a pause."""
+        self.isolate_vm_1(home="vm-2")
+        self.pass_time(5.0)
+        self.loop.run_until_complete(self.begin("vm-2", "key-1"))
+        self.assertEqual(self.world.runs["key-1"], 1)
+        self.world.homes["*"] = "vm-1"
+        self.pass_time(2.0)
+        self.assert_true_answer("vm-1", "key-1")
+
+    def test_lost_reply_of_the_home_is_never_not_run(self) -> None:
+        """Guard against NOT_RUN while the home still works on the request."""
+        self.world.paused["vm-1"] = asyncio.Event()
+        outcome = self.loop.run_until_complete(self.fleet.book("vm-2", "key-1"))
+        self.assertEqual(outcome.verdict, Verdict.MAY_HAVE_RUN)
+        self.fleet.resume()
+        self.pass_time(3.0)
+        self.assertEqual(self.world.runs["key-1"], 1)
+
+    def test_reserved_key_of_a_former_process_on_the_same_vm(self) -> None:
+        """Guard against a restarted daemon that disowns a key that ran."""
+        key = self.fleet.daemons["vm-3"].bookings.reserve(1)[0]
+        self.loop.run_until_complete(self.fleet.book("vm-2", key))
+        self.loop.run_until_complete(self.fleet.kill("vm-3"))
+        self.loop.run_until_complete(self.fleet.start("vm-3"))
+        for vm_id in ("vm-1", "vm-3"):
+            self.assert_true_answer(vm_id, key)
+        self.assertEqual(self.world.runs[key], 1)
+
+    def test_late_give_up_ends_no_newer_ownership(self) -> None:
+        """Guard against a delayed write that gives away a bucket in use."""
+        self.world.faults["put"] = ["late"] * 8
+        self.world.homes["*"] = "vm-2"
+        self.pass_time(0.2)
+        self.world.homes["*"] = "vm-1"
+        self.fleet.daemons["vm-2"].membership.own_homes = {"*": "vm-2"}
+        self.pass_time(0.25)
+        self.world.cut_off = {"vm-1"}
+        self.pass_time(0.3)
+        task = self.begin("vm-2", "key-1")
+        self.pass_time(0.3)
+        self.assert_true_answer("vm-1", "key-1")
+        self.loop.run_until_complete(task)
