Take an owner of a claim bucket as ended only by a gone fact

Cause: a view that named another incarnation of the VM counted as proof that the owner had ended; with an old view that is false, and a key could run twice. Change: the bookings ask membership.is_gone. The state machine of bookings under faults passes.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/claimed_runs.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claimed_runs.py
@@ -206,14 +206,9 @@
         return float(self._documents.catalogue.fleet().defaults.claim_retention_s)
 
     def _is_gone(self, owner: BucketOwner) -> bool:
-        member = self._membership.member(owner.vm_id)
-        if member is None:
-            # It may be paused; a later start on the same VM would show.
-            return False
-        if member.incarnation != owner.incarnation:
-            return True
-        live = self._membership.live_members()
-        return all(other.incarnation != owner.incarnation for other in live)
+        # A view that names another incarnation of the VM proves nothing, because
+        # the view may be older than this owner.
+        return self._membership.is_gone(owner.incarnation)
 
 
 def _in_progress(*, reused: bool) -> Outcome:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/service_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/service_ports.py
@@ -54,6 +54,9 @@
     def member(self, vm_id: str) -> Member | None:
         """Return a member of the view."""
 
+    def is_gone(self, incarnation: str) -> bool:
+        """Return whether a daemon process has certainly ended."""
+
     def home_of(self, leaf_id: str) -> str | None:
         """Return the VM that is home of a leaf."""
 
--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -85,6 +85,8 @@
     bodies: dict[str, bytes] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
     homes: dict[str, str] = field(default_factory=dict)
+    # Incarnations of killed daemons.
+    ended: set[str] = field(default_factory=set)
     # Faults for the next calls, by operation: put, get, leaf, peer.
     faults: dict[str, list[str]] = field(default_factory=dict)
     # Virtual machines whose store calls fail.
@@ -174,6 +176,9 @@
     def member(self, vm_id: str) -> Member | None:
         return self.world.members.get(vm_id)
 
+    def is_gone(self, incarnation: str) -> bool:
+        return incarnation in self.world.ended
+
     def home_of(self, leaf_id: str) -> str | None:
         return self.home_of_key(leaf_id)
 
@@ -382,6 +387,7 @@
     async def kill(self, vm_id: str) -> None:
         """End a daemon without its last writes."""
         daemon = self.daemons.pop(vm_id)
+        self.world.ended.add(daemon.identity.incarnation)
         cut_off = vm_id in self.world.cut_off
         self.world.cut_off.add(vm_id)
         for task in daemon.bookings._work:
