Measure the restart of every daemon in turn

Cause: no experiment showed the planned stop under load. Change: the experiment planned_stop restarts each daemon gracefully and counts requests cut off.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
@@ -12,6 +12,7 @@
 from gypsumvane_devtools.measure.daemon_killed import DaemonKilledExperiment
 from gypsumvane_devtools.measure.failure_domain import FailureDomainExperiment
 from gypsumvane_devtools.measure.overload import OverloadExperiment
+from gypsumvane_devtools.measure.planned_stop import PlannedStopExperiment
 from gypsumvane_devtools.measure.retries import RetriesExperiment
 from gypsumvane_devtools.measure.store_calls import StoreCallsExperiment
 from gypsumvane_devtools.measure.straggler import StragglerExperiment
@@ -23,6 +24,7 @@
     StragglerExperiment,
     ColdStartExperiment,
     DaemonKilledExperiment,
+    PlannedStopExperiment,
     FailureDomainExperiment,
     ConfigurationChangeExperiment,
     OverloadExperiment,
