Ask for a status report after a slow answer

A doubtful answer now holds new calls until a status report has come, at most 20 ms. A new test against the stand-in leaf fails without the rule. The poll also clears its wake-up before the report is asked for; a request during a poll was lost.

--- a/packages/gypsumvane-core/src/gypsumvane_core/service_time.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/service_time.py
@@ -13,6 +13,9 @@
 # this margin, so that jitter of very short calls does not count.
 SLOW_FACTOR = 3.0
 SLOW_MARGIN_S = 0.005
+# From this multiple an answer is reason enough to ask for a status report:
+# one in fifteen usual answers passes it, and most of a leaf at half speed.
+DOUBTFUL_FACTOR = 1.5
 
 
 class ServiceTime:
@@ -31,6 +34,10 @@
         )
         return sample_s >= threshold_s
 
+    def is_doubtful(self, sample_s: float) -> bool:
+        """Return whether an answer may show a sudden slowdown."""
+        return 0.0 < self.baseline_s * DOUBTFUL_FACTOR <= sample_s
+
     def add(self, sample_s: float) -> None:
         """Take over the time of one answer."""
         if self.baseline_s == 0.0:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -56,6 +56,9 @@
 # for it with `takeover_margin_ms` before another home may send.
 DEADLINE_GRACE_S = 0.2
 STATUS_FAILURES_MAX = 3
+# After a slow answer nothing is sent until a status report has come, at most
+# for this time: a leaf that turned cold must not get a second call meanwhile.
+DOUBT_HOLD_S = 0.02
 
 
 @dataclass(slots=True, eq=False)
@@ -103,6 +106,7 @@
         self._connected = False
         # Set to ask for a status report at once.
         self._probe = asyncio.Event()
+        self._doubt_until_s = float("-inf")
         self._version = ""
 
     # Life cycle.
@@ -220,6 +224,8 @@
         return Reason.NOT_HOME if state is UpstreamState.UNKNOWN else None
 
     def _send_wait_s(self, now_s: float) -> float | None:
+        if now_s < self._doubt_until_s:
+            return None
         allowance = self._authority.allowance
         leaf_id = self.leaf.leaf_id
         # Half of 1 rounded down, the share of an unconfirmed home, is 0.
@@ -322,6 +328,7 @@
             return
         before = (self.trust.state, self.trust.limit)
         if isinstance(outcome, Completed):
+            self._check_slowdown(now_s - run.sent.sent_s, now_s)
             self.trust.on_good_answer(run.sent, now_s)
         elif outcome.reason is Reason.UPSTREAM_SHED:
             self.trust.on_shed(now_s, retry_after_s=answer.retry_after_ms / 1000)
@@ -331,6 +338,13 @@
             self.publish()
             self._probe.set()
 
+    def _check_slowdown(self, took_s: float, now_s: float) -> None:
+        if not self.trust.service_time.is_doubtful(took_s):
+            return
+        if self.trust.state in (UpstreamState.WARMING, UpstreamState.WARM):
+            self._doubt_until_s = now_s + DOUBT_HOLD_S
+            self._probe.set()
+
     def _on_error(self, run: _Run, error: LeafCallError) -> None:
         if error.unreachable:
             self._on_unreachable(str(error.message))
@@ -389,6 +403,7 @@
 
     async def _poll(self) -> None:
         while True:
+            self._probe.clear()
             self._apply_connection_limit()
             if self._connections_allowed() >= 1:
                 await self._poll_once()
@@ -399,7 +414,6 @@
     async def _wait_for_next_poll(self) -> None:
         unavailable = self.trust.state is UpstreamState.UNAVAILABLE
         interval_s = OUTAGE_STATUS_INTERVAL_S if unavailable else STATUS_INTERVAL_S
-        self._probe.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(interval_s):
                 await self._probe.wait()
@@ -416,6 +430,7 @@
             return
         self._status_failures = 0
         self._connected = True
+        self._doubt_until_s = float("-inf")
         self._read_status(answer)
         if self.trust.limit:
             await self._client.open_ahead(self._connections_wanted())
--- a/packages/gypsumvane-daemon/tests/test_daemon_cold_leaf.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_cold_leaf.py
@@ -17,6 +17,7 @@
 from gypsumvane_devtools.leaf_server import LeafServer
 from gypsumvane_devtools.leaf_settings import ColdSettings
 from gypsumvane_devtools.leaf_settings import LeafSettings
+from gypsumvane_devtools.leaf_settings import ServiceTime
 from gypsumvane_devtools.run_ledger import RunLedger
 from upstream_fakes import FakeDocuments
 from upstream_fakes import FakeMembership
@@ -36,6 +37,8 @@
             failure_domain="a",
             partition_maps={1: ["shelf"]},
             cold=ColdSettings(rate_per_s=60, good_answers=8),
+            # A constant time, so that each answer of the cold leaf is slow.
+            service_time=ServiceTime(sigma=0),
         )
         self.leaf = Leaf(leaf_settings, RunLedger())
         self.server = LeafServer(self.leaf)
@@ -120,6 +123,14 @@
         self.check()
         self.assertEqual(self.leaf.counters.cold_excess_unwarned, 0)
 
+    async def test_slow_answer_under_low_load_is_checked(self) -> None:
+        """Guard against full load on a leaf whose slow answers were no sign."""
+        await self.search_until("warm")
+        self.leaf.turn_cold(new_boot_id=False)
+        await asyncio.wait_for(self._search("cold"), 20)
+        await self.search_until("warm")
+        self.check()
+
     async def test_leaf_that_turns_cold_without_warning(self) -> None:
         """Guard against more than what was in progress at the first sign."""
         await self.search_until("warm")
