Wait for the calls of an earlier assignment of a leaf

A daemon that lost a leaf and became its home again started a new worker that did not count the calls still in progress, so the leaf could get more than its slots. The new worker sends nothing until they have ended. The test of a lost home now covers the return.

--- a/packages/gypsumvane-core/tests/test_core_root_admission.py
+++ b/packages/gypsumvane-core/tests/test_core_root_admission.py
@@ -31,7 +31,6 @@
         self.first = self.admission.offer(request(), 0.0).admitted[0]
 
     def finish(self) -> AdmissionRequest | None:
-        """Finish the first request and return the one that begins."""
         step = self.admission.finish(self.first, 0.01, in_time=True)
         if not step.admitted:
             return None
@@ -39,7 +38,6 @@
         return self.first.request
 
     def fill(self, *requests: AdmissionRequest) -> list[tuple[str, Reason]]:
-        """Offer requests and return the refused callers with reasons."""
         steps = [self.admission.offer(r, 0.0) for r in requests]
         return [(t.request.caller_id, t.reason) for s in steps for t in s.refused]
 
@@ -138,7 +136,6 @@
     )
 
     def run(self) -> Load:
-        """Play the load and count complete answers in time."""
         draw = random.Random(self.seed)
         self._draw = draw
         self._free = self.servers
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -91,6 +91,8 @@
         self.policy = policy
         self.trust = UpstreamTrust(policy, leaf.slots)
         self.snapshots: list[int] = []
+        # The worker of an earlier assignment; its calls still take slots.
+        self.predecessor: LeafWorker | None = None
         self._clock = clock
         self._authority = authority
         self._next_request_id = next_request_id
@@ -148,8 +150,13 @@
 
     @property
     def idle(self) -> bool:
-        """Return whether no call is in progress."""
-        return not self._runs
+        """Return whether no call is in progress, also of earlier assignments."""
+        return not self._runs and self._is_predecessor_idle()
+
+    def _is_predecessor_idle(self) -> bool:
+        if self.predecessor is not None and self.predecessor.idle:
+            self.predecessor = None
+        return self.predecessor is None
 
     # Requests.
 
@@ -226,6 +233,8 @@
     def _send_wait_s(self, now_s: float) -> float | None:
         if now_s < self._doubt_until_s:
             return None
+        if not self._is_predecessor_idle():
+            return None
         allowance = self._authority.allowance
         leaf_id = self.leaf.leaf_id
         # Half of 1 rounded down, the share of an unconfirmed home, is 0.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_service.py
@@ -251,6 +251,7 @@
                 count=self._metrics.count,
                 publish=self._publish,
             )
+            worker.predecessor = self._closing.get(leaf.leaf_id)
             self._workers[leaf.leaf_id] = worker
         worker.configure(leaf, policy)
         out = leaf.failure_domain in catalogue.domains_out()
--- a/packages/gypsumvane-daemon/tests/test_daemon_admission_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_admission_service.py
@@ -32,7 +32,6 @@
         self.addAsyncCleanup(kernel.stop)
 
     def request(self, left_s: float = 5.0) -> AdmissionRequest:
-        """Build a search."""
         return AdmissionRequest(
             priority=Priority.SEARCH,
             caller_id="a",
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -67,7 +67,6 @@
         self.addAsyncCleanup(self.kernel.stop)
 
     def leaf_model(self, **changes: object) -> dict[str, object]:
-        """Return the topology of the leaf."""
         model: dict[str, object] = {
             "leaf_id": "leaf-1",
             "service": "shelf",
@@ -78,7 +77,6 @@
         return model | changes
 
     def batch(self, count: int = 1, **changes: object) -> PartialBatch:
-        """Return a search batch for the leaf."""
         batch = PartialBatch(
             query_id="query-1",
             index="stock",
@@ -96,12 +94,10 @@
         return batch
 
     async def search(self, **changes: object) -> PartialResult:
-        """Run one partial search."""
         batch = self.batch(**changes)
         return await self.service.run_partial(batch, batch.requests[0])
 
     async def run_once(self, deadline_left_ms: int = 2000) -> LeafRunReply:
-        """Run one non-idempotent request."""
         return await self.service.run_once(
             LeafRunRequest(
                 key="key-1",
@@ -236,6 +232,10 @@
         assert self.membership.release_check is not None
         self.assertFalse(self.membership.release_check("leaf-1"))
         self.assertEqual((await self.search()).reason, "not_home")
+        self.membership.set_home("vm-1")
+        second = await self.search(deadline_left_ms=100)
+        self.assertEqual((second.verdict, second.reason), ("not_run", "deadline"))
+        self.assertEqual(len(self.leaf.calls), 1)
         release.set()
         self.assertEqual((await first).kind, "answered")
         await eventually(lambda: self.service.idle("leaf-1"))
--- a/packages/gypsumvane-daemon/tests/upstream_fakes.py
+++ b/packages/gypsumvane-daemon/tests/upstream_fakes.py
@@ -56,27 +56,22 @@
         """Do nothing."""
 
     def home_of(self, leaf_id: str) -> str | None:
-        """Return the VM that is home of all leaves."""
         return self.home
 
     def allowance(self, leaf_id: str, limit: int) -> int:
-        """Return the settable share of a limit."""
         shares = {"full": limit, "half": (limit + 1) // 2, "other_half": limit // 2}
         return shares.get(self.share, 0)
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Remember a listener."""
         self._listeners.append(listener)
 
     def set_release_check(self, check: Callable[[str], bool]) -> None:
-        """Remember the check."""
         self.release_check = check
 
     def add_contributor(self, contributor: object) -> None:
         """Do nothing; there are no heartbeats."""
 
     def set_home(self, home: str | None) -> None:
-        """Assign all leaves to another VM."""
         self.home = home
         for listener in self._listeners:
             listener()
@@ -98,11 +93,9 @@
         """Do nothing."""
 
     def on_change(self, listener: Callable[[str], None]) -> None:
-        """Remember a listener."""
         self._listeners.append(listener)
 
     def put(self, name: str, body: dict[str, object]) -> None:
-        """Apply the next revision of a document."""
         revision = self.catalogue.revisions().get(name, 0) + 1
         self.catalogue.apply(
             Document(
@@ -119,7 +112,6 @@
             listener(name)
 
     def put_index(self, leaves: list[dict[str, object]]) -> None:
-        """Apply an index of one service."""
         self.put(
             "index/stock",
             {
@@ -131,7 +123,6 @@
         )
 
     def put_policy(self, **values: int) -> None:
-        """Apply fleet defaults."""
         self.put("fleet", {"defaults": values})
 
 
@@ -155,7 +146,6 @@
     _runner: web.AppRunner | None = None
 
     async def start(self) -> None:
-        """Listen on a free port."""
         app = web.Application()
         for path in ("/v1/search", "/v1/lookup", "/v1/run"):
             app.router.add_post(path, self._work)
@@ -168,12 +158,10 @@
         self.address = "127.0.0.1:" + str(self._runner.addresses[0][1])
 
     async def stop(self) -> None:
-        """Close the listener and all connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
     def headers(self, request: web.Request) -> dict[str, str]:
-        """Return the headers of a correct response."""
         headers = {"Boot-Id": self.boot_id, "Upstream-Version": "v1"}
         headers["Request-Id"] = request.headers.get("Request-Id", "")
         if self.snapshot:
@@ -183,7 +171,6 @@
         return headers
 
     def refusal(self, request: web.Request, status: int, error: str) -> web.Response:
-        """Return a refusal made before anything ran."""
         headers = self.headers(request) | {"Verdict": "not-run"}
         return web.json_response({"error": error}, status=status, headers=headers)
 
