--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import cast
@@ -28,6 +29,7 @@
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
+from gypsumvane_daemon.store_objects import StoreError
 from gypsumvane_daemon.view_store import ViewStore
 
 if TYPE_CHECKING:
@@ -168,6 +170,14 @@
         """Return the live member on a VM."""
         return next((m for m in self.live_members() if m.vm_id == vm_id), None)
 
+    def is_gone(self, incarnation: str) -> bool:
+        """Return whether a process is known to have ended for good.
+
+        A member with another incarnation on the same VM does not show this:
+        the view may be older than the process.
+        """
+        return incarnation in self.state.gone
+
     def is_leaving(self, vm_id: str) -> bool:
         """Return whether the member on a VM is leaving."""
         member = self.member(vm_id)
@@ -209,6 +219,9 @@
             for m in self.live_members()
             if not state.is_leaving(m) and not state.suspected(m)
         ]
+        if not members and self.can_serve():
+            # The caller reached this daemon and no other one stays.
+            members = [replace(state.own, leaving=False)]
         return order_entry_addresses(
             members,
             failure_domain=failure_domain,
@@ -358,12 +371,7 @@
         while True:
             try:
                 await self._view_step()
-            except PeerError as error:
-                self._metrics.count("join_failures", reason="peer")
-                logger.debug("joining failed", extra={"cause": str(error)})
-            except Exception as error:
-                if not hasattr(error, "may_have_applied"):
-                    raise
+            except StoreError:
                 self._metrics.count("view_failures", reason="store")
             self._wake_writer.clear()
             try:
@@ -387,8 +395,12 @@
 
     async def _join(self) -> None:
         for vm_id in self._sponsors():
-            if await self._ask_sponsor(vm_id):
-                return
+            try:
+                if await self._ask_sponsor(vm_id):
+                    return
+            except PeerError:
+                # A paused sponsor must not keep this daemon from the others.
+                self._metrics.count("join_failures", reason="peer")
         await self._views.create()
 
     def _sponsors(self) -> list[str]:
