--- a/packages/gypsumvane-core/src/gypsumvane_core/booking_machine.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/booking_machine.py
@@ -25,7 +25,7 @@
     UNRESOLVED = "unresolved"
 
 
-_TRANSITIONS: list[Any] = [
+TRANSITIONS: list[Any] = [
     {"trigger": "claim", "source": "new", "dest": "claimed"},
     {"trigger": "send", "source": "claimed", "dest": "sent"},
     # A leaf that certainly did not run the request gives the try back.
@@ -54,7 +54,7 @@
         Machine(
             model=self,
             states=[state.value for state in BookingState],
-            transitions=_TRANSITIONS,
+            transitions=TRANSITIONS,
             initial=BookingState.NEW.value,
             auto_transitions=False,
         )
--- a/packages/gypsumvane-core/src/gypsumvane_core/document_edits.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_edits.py
@@ -7,6 +7,7 @@
 from gypsumvane_core.document_models import DomainsDocument
 from gypsumvane_core.document_models import MoveDocument
 from gypsumvane_core.document_models import MoveState
+from gypsumvane_core.move_transitions import may_follow
 
 
 def take_domain_out(body: bytes | None, entry: DomainOut) -> bytes:
@@ -59,12 +60,11 @@
     except ValueError:
         return
     new = MoveDocument.model_validate_json(new_body)
-    if old.move_id != new.move_id or old.state is new.state:
+    if old.move_id != new.move_id or may_follow(old.state, new.state):
         return
     if old.state is MoveState.TAKEN_BACK:
         raise ValueError(f"move {old.move_id} is taken back; this is final")
-    if old.state is MoveState.DONE and new.state is MoveState.RUNNING:
-        raise ValueError(f"move {old.move_id} is done")
+    raise ValueError(f"move {old.move_id} is {old.state.value}")
 
 
 def _parse_domains(body: bytes | None) -> DomainsDocument:
--- a/packages/gypsumvane-core/src/gypsumvane_core/life_cycle.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/life_cycle.py
@@ -26,7 +26,7 @@
 _ALL = list(LifeState)
 _BEFORE_LEAVING = _ALL[: _ALL.index(LifeState.LEAVING)]
 _BEFORE_STOPPED = _ALL[: _ALL.index(LifeState.STOPPED)]
-_TRANSITIONS: list[Any] = [
+TRANSITIONS: list[Any] = [
     ["join", LifeState.STARTING, LifeState.JOINING],
     ["serve", LifeState.JOINING, LifeState.SERVING],
     # The daemon was removed from the view and joins again.
@@ -47,7 +47,7 @@
         self._machine = Machine(
             model=self,
             states=LifeState,
-            transitions=_TRANSITIONS,
+            transitions=TRANSITIONS,
             initial=LifeState.STARTING,
             auto_transitions=False,
             after_state_change="_report",
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_transitions.py
@@ -0,0 +1,33 @@
+"""Which states of a version move may follow each other."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from gypsumvane_core.document_models import MoveState
+
+
+class MoveEvent(StrEnum):
+    """Name the events that end a move."""
+
+    TAKE_BACK = "take_back"
+    FINISH = "finish"
+
+
+# Event, states in which it applies, next state. A move that is taken back stays
+# so; another move of the index has another move id.
+TRANSITIONS: tuple[tuple[MoveEvent, tuple[MoveState, ...], MoveState], ...] = (
+    (
+        MoveEvent.TAKE_BACK,
+        (MoveState.RUNNING, MoveState.DONE),
+        MoveState.TAKEN_BACK,
+    ),
+    (MoveEvent.FINISH, (MoveState.RUNNING,), MoveState.DONE),
+)
+
+
+def may_follow(old: MoveState, new: MoveState) -> bool:
+    """Return whether a revision of the same move may change the state."""
+    if old is new:
+        return True
+    return any(old in sources and new is target for _, sources, target in TRANSITIONS)
