--- a/packages/gypsumvane-cli/src/gypsumvane_cli/command.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/command.py
@@ -76,6 +76,7 @@
     code = _CODES.get(answer.outcome, ExitCode.NOT_ACCEPTED)
     if answer.outcome == "conflict":
         author = answer.body.get("author") or "another operator"
-        revision = answer.body.get("revision")
-        raise CommandError(code, f"conflict: {author} made revision {revision}")
+        text = f"conflict: {author} made revision {answer.body.get('revision')}"
+        reason = answer.body.get("reason")
+        raise CommandError(code, f"{text} ({reason})" if reason else text)
     raise CommandError(code, f"{answer.outcome}: {answer.message}")
--- a/packages/gypsumvane-cli/tests/test_cli_config.py
+++ b/packages/gypsumvane-cli/tests/test_cli_config.py
@@ -64,6 +64,14 @@
             address=address,
         )
 
+    async def test_conflict_names_the_other_change(self) -> None:
+        """Guard against a conflict whose cause must be looked up."""
+        other = {"author": "ana", "revision": 8, "reason": "power work"}
+        answer = Scripted(409, {"outcome": "conflict", **other})
+        self.server.script(f"PUT {FLEET}", answer)
+        self.assertEqual(await self.set_fleet(), ExitCode.CONFLICT)
+        self.assertIn("ana made revision 8 (power work)", self.err.getvalue())
+
     async def test_set_sends_revision_and_prints_where_in_force(self) -> None:
         """Guard against a change that is sent without its condition."""
         self.server.script(f"PUT {FLEET}", Scripted(200, ACCEPTED))
