--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_status.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_status.py
@@ -80,6 +80,8 @@
             "index": index.name,
             "service": leaf.service,
             "failure_domain": leaf.failure_domain,
+            "address": leaf.address,
+            "version": leaf.version,
             "domain_out": leaf.failure_domain in documents.catalogue.domains_out(),
             "leaving": leaf.leaving,
             "slots": leaf.slots,
--- a/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
@@ -175,6 +175,8 @@
         self.assertEqual(explained["slots_at_asked_vm"], 2)
         self.assertEqual((explained["state"], explained["queued"]), ("warm", 1))
 
+        self.assertEqual(explained["address"], "127.0.0.1:80")
+        self.assertEqual(explained["version"], "v1")
     async def test_digest_is_contributed_to_heartbeats(self) -> None:
         """Guard against daemons that never compare their documents."""
         self.assertEqual(self.membership.contributors, [self.daemon.documents])
