Warn when a failure domain that is taken out has no leaf

A misspelled name was accepted without a sign, and the domain that was meant stayed in. The change is still made, because a domain may be new; the answer has a list of warnings, which the client prints.

--- a/packages/gypsumvane-cli/src/gypsumvane_cli/change_flags.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/change_flags.py
@@ -61,4 +61,5 @@
     if "in_force" in body:
         lines.append(f"in force: {' '.join(body['in_force']) or '-'}")
         lines.append(f"not reached: {' '.join(body['not_reached']) or '-'}")
+    lines += [f"warning: {text}" for text in body.get("warnings", [])]
     return lines
--- a/packages/gypsumvane-cli/tests/test_cli_commands.py
+++ b/packages/gypsumvane-cli/tests/test_cli_commands.py
@@ -76,6 +76,13 @@
         self.assertEqual(len(self.server.received), 2)
 
     async def test_domain_list(self) -> None:
+    async def test_warnings_are_printed(self) -> None:
+        """Guard against a misspelled failure domain that nobody notices."""
+        answer = {**ACCEPTED, "warnings": ["no leaf is in failure domain a"]}
+        self.server.script("POST /v1/domains/a/out", Scripted(200, answer))
+        self.assertEqual(await self.run_client("domain", "out", "a", *REASON), 0)
+        self.assertIn("warning: no leaf is in failure domain a", self.out.getvalue())
+
         """Guard against a list without reasons."""
         out = [{"failure_domain": "a", "reason": "power work"}]
         answer = {"revision": 1, "out": out}
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_answers.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_answers.py
@@ -17,6 +17,8 @@
 from gypsumvane_core.document_change import ChangeUnknown
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from gypsumvane_core.document import Document
     from gypsumvane_daemon.applied_documents import InForce
     from gypsumvane_daemon.document_spread import PeerRevision
@@ -30,10 +32,15 @@
 }
 
 
-def change_response(outcome: ChangeOutcome) -> Response:
-    """Return the outcome of a change."""
+def change_response(
+    outcome: ChangeOutcome, *, warnings: Sequence[str] = ()
+) -> Response:
+    """Return the outcome of a change, with warnings when it is accepted."""
     status, kind = _OUTCOMES[type(outcome)]
-    return json_response({"outcome": kind, **asdict(outcome)}, status=status)
+    answer = {"outcome": kind, **asdict(outcome)}
+    if warnings and isinstance(outcome, ChangeAccepted):
+        answer["warnings"] = list(warnings)
+    return json_response(answer, status=status)
 
 
 def document_head(document: Document, in_force: InForce | None) -> dict[str, Any]:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_documents.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_documents.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from aiohttp.web import Request
     from aiohttp.web import UrlDispatcher
@@ -137,8 +138,16 @@
             change,
             action=f"out:{domain}",
             produce=partial(take_domain_out, entry=entry),
+            warnings=self._warnings(domain),
         )
 
+    def _warnings(self, domain: str) -> list[str]:
+        """Warn of a name that may be misspelled; it may also be a new domain."""
+        indexes = self._documents().catalogue.indexes()
+        if any(x.failure_domain == domain for index in indexes for x in index.leaves):
+            return []
+        return [f"no leaf is in failure domain {domain}; check the name"]
+
     async def _bring_in(self, request: Request) -> Response:
         domain = request.match_info["domain"]
         change = await read_model(request, ReasonedChange)
@@ -154,6 +163,7 @@
         *,
         action: str,
         produce: Callable[[bytes | None], bytes],
+        warnings: Sequence[str] = (),
     ) -> Response:
         edit = DocumentEdit(
             name=DOMAINS,
@@ -163,4 +173,4 @@
             fingerprint=xxh64_hexdigest(f"{action}:{change.reason}".encode()),
             produce=produce,
         )
-        return change_response(await self._documents().edit(edit))
+        return change_response(await self._documents().edit(edit), warnings=warnings)
--- a/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
@@ -135,7 +135,8 @@
         shown = await self.run_client("config", "show", "fleet")
         self.assertEqual(shown["body"], {"defaults": {"page_size_max": 9}})
         self.assertEqual([vm["reached"] for vm in shown["vms"]], [True, False])
-        await self.run_client("domain", "out", "a", "--reason=power work")
+        out = await self.run_client("domain", "out", "a", "--reason=power work")
+        self.assertIn("no leaf is in failure domain a", out["warnings"][0])
         listed = await self.run_client("domain", "list")
         self.assertEqual(listed["out"][0]["failure_domain"], "a")
         await self.run_client("domain", "in", "a", "--reason=power is back")
@@ -168,15 +169,17 @@
             "partition_maps": {"7": ["stock-1"]},
         }
         await self.set_document("index/stock", index)
+        out = await self.run_client("domain", "out", "a", "--reason=power work")
+        self.assertNotIn("warnings", out)
         brief = UpstreamBrief(leaf_id="stock-1a", state="warm", limit=2, queued=1)
         self.upstreams.briefs["stock-1a"] = brief
         explained = await self.run_client("leaf", "explain", "stock-1a")
         self.assertEqual(explained["home"], "vm-1")
+        self.assertEqual(explained["address"], "127.0.0.1:80")
+        self.assertEqual(explained["version"], "v1")
         self.assertEqual(explained["slots_at_asked_vm"], 2)
         self.assertEqual((explained["state"], explained["queued"]), ("warm", 1))
 
-        self.assertEqual(explained["address"], "127.0.0.1:80")
-        self.assertEqual(explained["version"], "v1")
     async def test_digest_is_contributed_to_heartbeats(self) -> None:
         """Guard against daemons that never compare their documents."""
         self.assertEqual(self.membership.contributors, [self.daemon.documents])
