--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/domain_list.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/domain_list.py
@@ -7,11 +7,12 @@
 from gypsumvane_cli.command import Command
 from gypsumvane_cli.command import require_success
 from gypsumvane_cli.exit_code import ExitCode
+from gypsumvane_cli.output import format_time
 
 if TYPE_CHECKING:
     from gypsumvane_cli.command import CommandContext
 
-COLUMNS = ("failure_domain", "reason", "author", "since_unix_s")
+COLUMNS = ("failure_domain", "reason", "author", "since")
 
 
 class DomainList(Command):
@@ -24,6 +25,9 @@
         """Print the failure domains."""
         answer = await context.client.read("/v1/domains")
         require_success(answer)
-        rows = answer.body["out"]
+        rows = [
+            {**item, "since": format_time(item["since_unix_s"])}
+            for item in answer.body["out"]
+        ]
         context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
         return ExitCode.DONE
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/move_lines.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/move_lines.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from datetime import UTC
-from datetime import datetime
 from typing import Any
 
+from gypsumvane_cli.output import format_time
+
 
 def move_lines(body: dict[str, Any]) -> list[str]:
     """Return the move and where it is in force."""
@@ -14,7 +14,8 @@
     lines = [
         f"{move['index']}: move {move['move_id']} {move['from_version']} -> "
         f"{move['to_version']}: {move_state(body)}",
-        f"from {_time(move['start_unix_s'])} to {_time(move['complete_by_unix_s'])}, "
+        f"from {format_time(move['start_unix_s'])} to "
+        f"{format_time(move['complete_by_unix_s'])}, "
         f"canary share {move['canary_share']}",
     ]
     reason = status.get("state_reason") or move.get("state_reason")
@@ -39,10 +40,6 @@
     return str(body["move"]["state"])
 
 
-def _time(unix_s: float) -> str:
-    return datetime.fromtimestamp(unix_s, tz=UTC).isoformat(timespec="seconds")
-
-
 def _route_line(route: dict[str, Any]) -> str:
     return (
         f"route {route['route']}: new version {route['new_answers']} answers "
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/output.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/output.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from datetime import UTC
+from datetime import datetime
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TextIO
@@ -40,6 +42,11 @@
         print(line, file=self._stream)
 
 
+def format_time(unix_s: float) -> str:
+    """Return a time in ISO 8601, in UTC."""
+    return datetime.fromtimestamp(unix_s, tz=UTC).isoformat(timespec="seconds")
+
+
 def _table(columns: Sequence[str], rows: Sequence[dict[str, Any]]) -> list[str]:
     cells = [list(columns)]
     cells += [[_cell(row.get(column)) for column in columns] for row in rows]
--- a/packages/gypsumvane-cli/tests/test_cli_commands.py
+++ b/packages/gypsumvane-cli/tests/test_cli_commands.py
@@ -75,7 +75,6 @@
             self.assertEqual(await self.run_client(*arguments), ExitCode.INVALID)
         self.assertEqual(len(self.server.received), 2)
 
-    async def test_domain_list(self) -> None:
     async def test_warnings_are_printed(self) -> None:
         """Guard against a misspelled failure domain that nobody notices."""
         answer = {**ACCEPTED, "warnings": ["no leaf is in failure domain a"]}
@@ -83,8 +82,10 @@
         self.assertEqual(await self.run_client("domain", "out", "a", *REASON), 0)
         self.assertIn("warning: no leaf is in failure domain a", self.out.getvalue())
 
-        """Guard against a list without reasons."""
-        out = [{"failure_domain": "a", "reason": "power work"}]
+    async def test_domain_list(self) -> None:
+        """Guard against a list without reasons or with times nobody can read."""
+        entry = {"failure_domain": "a", "reason": "power work"}
+        out = [{**entry, "since_unix_s": 3600.5}]
         answer = {"revision": 1, "out": out}
         self.server.script("GET /v1/domains", Scripted(200, answer))
         self.assertEqual(await self.run_client("domain", "list"), ExitCode.DONE)
