--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_start.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_start.py
@@ -24,6 +24,8 @@
 
     from gypsumvane_cli.command import CommandContext
 
+REQUIRED = ("move_id", "from_version", "to_version", "complete_by")
+
 
 class MoveStart(Command):
     """Schedule the move of an index to another version."""
@@ -55,6 +57,9 @@
     async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
         """Send the move and print where it is in force."""
         index = check_name(arguments[0])
+        for name in REQUIRED:
+            if not context.flag(name):
+                raise invalid(f"--{name} is missing")
         move = self._move(index, context)
         fields = change_fields(context)
         body = {**fields, **move.model_dump(exclude={"index", "state", "state_reason"})}
--- a/packages/gypsumvane-cli/tests/test_cli_commands.py
+++ b/packages/gypsumvane-cli/tests/test_cli_commands.py
@@ -51,10 +51,11 @@
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
         self.out = io.StringIO()
+        self.err = io.StringIO()
 
     async def run_client(self, *arguments: str) -> ExitCode:
         """Run the client in a thread."""
-        with redirect_stderr(io.StringIO()):
+        with redirect_stderr(self.err):
             return await asyncio.to_thread(
                 main,
                 ["--operator_address", self.server.address, *arguments],
@@ -90,6 +91,7 @@
         self.server.script("GET /v1/domains", Scripted(200, answer))
         self.assertEqual(await self.run_client("domain", "list"), ExitCode.DONE)
         self.assertIn("power work", self.out.getvalue())
+        self.assertIn("1970-01-01T01:00:00+00:00", self.out.getvalue())
 
     async def test_move_start(self) -> None:
         """Guard against times and shares that are sent wrongly."""
@@ -107,6 +109,14 @@
         self.assertEqual(body["complete_by_unix_s"], 7200)
         self.assertNotIn("canary_share", body)
 
+    async def test_move_start_names_the_missing_flag(self) -> None:
+        """Guard against a message that does not say which flag is missing."""
+        flags = ("--move_id=m1", "--from_version=v1", "--to_version=v2")
+        code = await self.run_client("move", "start", "stock", *flags, *REASON)
+        self.assertEqual(code, ExitCode.INVALID)
+        self.assertIn("--complete_by is missing", self.err.getvalue())
+        self.assertEqual(self.server.received, [])
+
     async def test_move_take_back_and_show(self) -> None:
         """Guard against VMs whose old revision is shown as in force."""
         self.server.script("POST /v1/moves/stock/take-back", Scripted(200, ACCEPTED))
