--- a/packages/gypsumvane-core/src/gypsumvane_core/document_change.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_change.py
@@ -39,6 +39,8 @@
     produce: Callable[[bytes | None], bytes]
     # None: the edit is made on any revision.
     expected_revision: int | None = None
+    # Why the same request with another change id is refused, if it is.
+    repeat_problem: str = ""
 
     @classmethod
     def of(cls, change: DocumentChange) -> DocumentEdit:
--- a/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
@@ -64,6 +64,10 @@
             return RecentChange(change_id=change_id, revision=self.revision)
         return None
 
+    def holds(self, fingerprint: str) -> bool:
+        """Return whether one of the latest changes was this request."""
+        return any(item.fingerprint == fingerprint for item in self.recent_changes)
+
 
 def encode_stored(
     document: Document,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
@@ -108,6 +108,9 @@
             return _repeated(edit, earlier)
         if edit.expected_revision not in (None, current.revision):
             return _conflict(edit, current)
+        if edit.repeat_problem and _was_made(edit, current):
+            message = edit.repeat_problem
+            return ChangeInvalid(change_id=edit.change_id, message=message)
         try:
             body = edit.produce(current.body)
             document = self._document(edit, revision=current.revision + 1, body=body)
@@ -190,6 +193,10 @@
     return ChangeAccepted(change_id=edit.change_id, revision=earlier.revision)
 
 
+def _was_made(edit: DocumentEdit, current: _Current) -> bool:
+    return current.stored is not None and current.stored.holds(edit.fingerprint)
+
+
 def _conflict(edit: DocumentEdit, current: _Current) -> ChangeConflict:
     stored = current.stored
     return ChangeConflict(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
@@ -106,6 +106,7 @@
             start,
             action=f"start:{start.move_id}",
             produce=partial(start_move, move=move),
+            repeat_problem=f"move {start.move_id} was started before",
         )
 
     async def _take_back(self, request: Request) -> Response:
@@ -126,6 +127,7 @@
         *,
         action: str,
         produce: Callable[[bytes | None], bytes],
+        repeat_problem: str = "",
     ) -> Response:
         edit = DocumentEdit(
             name=MOVE_PREFIX + index,
@@ -134,5 +136,6 @@
             reason=change.reason,
             fingerprint=xxh64_hexdigest(action.encode()),
             produce=produce,
+            repeat_problem=repeat_problem,
         )
         return change_response(await self._documents().edit(edit))
--- a/packages/gypsumvane-daemon/tests/test_daemon_operator_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_operator_api.py
@@ -122,6 +122,28 @@
         status, _ = await self.call("POST", "/v1/moves/stock/start", second)
         self.assertEqual(status, 200)
 
+    async def test_move_id_is_used_once(self) -> None:
+        """Guard against a taken back move that starts again after another one."""
+        start = {
+            **REASON,
+            "from_version": "v1",
+            "to_version": "v2",
+            "start_unix_s": 1000,
+            "complete_by_unix_s": 2000,
+        }
+        for move_id in ("m1", "m2"):
+            sent = {**start, "move_id": move_id, "change_id": f"start-{move_id}"}
+            # The repetition is one change, not another start.
+            for _ in range(2):
+                status, _ = await self.call("POST", "/v1/moves/stock/start", sent)
+                self.assertEqual(status, 200)
+            back = {**REASON, "change_id": f"back-{move_id}"}
+            await self.call("POST", "/v1/moves/stock/take-back", back)
+        again = {**start, "move_id": "m1", "change_id": "again"}
+        status, body = await self.call("POST", "/v1/moves/stock/start", again)
+        self.assertEqual((status, body["outcome"]), (400, "invalid"))
+        self.assertEqual(body["message"], "move m1 was started before")
+
     async def test_store_calls_and_metrics(self) -> None:
         """Guard against store calls that nobody counts."""
         _, body = await self.call("GET", "/v1/store-calls")
