--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/vm_list.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/vm_list.py
@@ -32,6 +32,8 @@
         """Print the VMs."""
         answer = await context.client.read("/v1/vms")
         require_success(answer)
-        rows = answer.body["vms"]
-        context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
+        body = answer.body
+        state = body.get("asked_vm_state") or "unknown"
+        note = f"asked {body['asked_vm']} ({state}), epoch {body['epoch'] or '-'}"
+        context.output.show_table(body, columns=COLUMNS, rows=body["vms"], notes=[note])
         return ExitCode.DONE
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/output.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/output.py
@@ -34,9 +34,10 @@
         *,
         columns: Sequence[str],
         rows: Sequence[dict[str, Any]],
+        notes: Sequence[str] = (),
     ) -> None:
-        """Print a value as JSON, or some of its rows as a table."""
-        self.show(value, *_table(columns, rows))
+        """Print a value as JSON, or some of its rows as a table and notes below."""
+        self.show(value, *_table(columns, rows), *notes)
 
     def _print(self, line: str) -> None:
         print(line, file=self._stream)
--- a/packages/gypsumvane-cli/tests/test_cli_commands.py
+++ b/packages/gypsumvane-cli/tests/test_cli_commands.py
@@ -165,8 +165,10 @@
     async def test_vm_list_and_leaf_explain(self) -> None:
         """Guard against tables that leave columns out."""
         vms = [{"vm_id": "vm-1", "live": True, "leaving": False}]
-        self.server.script("GET /v1/vms", Scripted(200, {"vms": vms}))
+        asked = {"asked_vm": "vm-1", "asked_vm_state": "serving", "epoch": 3}
+        self.server.script("GET /v1/vms", Scripted(200, {**asked, "vms": vms}))
         self.assertEqual(await self.run_client("vm", "list"), ExitCode.DONE)
+        self.assertIn("asked vm-1 (serving), epoch 3", self.out.getvalue())
         self.assertRegex(self.out.getvalue(), r"vm-1 +- +yes +no")
         leaf = {"leaf_id": "stock-1a", "home": "vm-1", "brief": None}
         self.server.script("GET /v1/leaves/stock-1a", Scripted(200, leaf))
