--- a/packages/gypsumvane-cli/tests/test_cli_commands.py
+++ b/packages/gypsumvane-cli/tests/test_cli_commands.py
@@ -51,10 +51,11 @@
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
         self.out = io.StringIO()
+        self.err = io.StringIO()
 
     async def run_client(self, *arguments: str) -> ExitCode:
         """Run the client in a thread."""
-        with redirect_stderr(io.StringIO()):
+        with redirect_stderr(self.err):
             return await asyncio.to_thread(
                 main,
                 ["--operator_address", self.server.address, *arguments],
@@ -75,13 +76,22 @@
             self.assertEqual(await self.run_client(*arguments), ExitCode.INVALID)
         self.assertEqual(len(self.server.received), 2)
 
+    async def test_warnings_are_printed(self) -> None:
+        """Guard against a misspelled failure domain that nobody notices."""
+        answer = {**ACCEPTED, "warnings": ["no leaf is in failure domain a"]}
+        self.server.script("POST /v1/domains/a/out", Scripted(200, answer))
+        self.assertEqual(await self.run_client("domain", "out", "a", *REASON), 0)
+        self.assertIn("warning: no leaf is in failure domain a", self.out.getvalue())
+
     async def test_domain_list(self) -> None:
-        """Guard against a list without reasons."""
-        out = [{"failure_domain": "a", "reason": "power work"}]
+        """Guard against a list without reasons or with times nobody can read."""
+        entry = {"failure_domain": "a", "reason": "power work"}
+        out = [{**entry, "since_unix_s": 3600.5}]
         answer = {"revision": 1, "out": out}
         self.server.script("GET /v1/domains", Scripted(200, answer))
         self.assertEqual(await self.run_client("domain", "list"), ExitCode.DONE)
         self.assertIn("power work", self.out.getvalue())
+        self.assertIn("1970-01-01T01:00:00+00:00", self.out.getvalue())
 
     async def test_move_start(self) -> None:
         """Guard against times and shares that are sent wrongly."""
@@ -99,6 +109,14 @@
         self.assertEqual(body["complete_by_unix_s"], 7200)
         self.assertNotIn("canary_share", body)
 
+    async def test_move_start_names_the_missing_flag(self) -> None:
+        """Guard against a message that does not say which flag is missing."""
+        flags = ("--move_id=m1", "--from_version=v1", "--to_version=v2")
+        code = await self.run_client("move", "start", "stock", *flags, *REASON)
+        self.assertEqual(code, ExitCode.INVALID)
+        self.assertIn("--complete_by is missing", self.err.getvalue())
+        self.assertEqual(self.server.received, [])
+
     async def test_move_take_back_and_show(self) -> None:
         """Guard against VMs whose old revision is shown as in force."""
         self.server.script("POST /v1/moves/stock/take-back", Scripted(200, ACCEPTED))
@@ -147,8 +165,10 @@
     async def test_vm_list_and_leaf_explain(self) -> None:
         """Guard against tables that leave columns out."""
         vms = [{"vm_id": "vm-1", "live": True, "leaving": False}]
-        self.server.script("GET /v1/vms", Scripted(200, {"vms": vms}))
+        asked = {"asked_vm": "vm-1", "asked_vm_state": "serving", "epoch": 3}
+        self.server.script("GET /v1/vms", Scripted(200, {**asked, "vms": vms}))
         self.assertEqual(await self.run_client("vm", "list"), ExitCode.DONE)
+        self.assertIn("asked vm-1 (serving), epoch 3", self.out.getvalue())
         self.assertRegex(self.out.getvalue(), r"vm-1 +- +yes +no")
         leaf = {"leaf_id": "stock-1a", "home": "vm-1", "brief": None}
         self.server.script("GET /v1/leaves/stock-1a", Scripted(200, leaf))
