--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/failure_domain.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/failure_domain.py
@@ -15,6 +15,7 @@
 from gypsumvane_devtools.measure.figures import at_least
 from gypsumvane_devtools.measure.figures import at_most
 from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import counter_sum
 from gypsumvane_devtools.measure.load_helpers import highest_counter
 from gypsumvane_devtools.measure.load_helpers import load_plan
 from gypsumvane_devtools.measure.load_helpers import search_plan
@@ -57,6 +58,7 @@
             await asyncio.sleep(OUT_AFTER_S)
             accepted_s = await change_domain(cluster, "out")
             await cluster.upstreams.act("mark_out", failure_domain=DOMAIN)
+            before = await counter_sum(cluster, "begun", failure_domain=DOMAIN)
             await asyncio.sleep(OUT_S)
             last_s = await highest_counter(
                 cluster, "last_after_out_s", failure_domain=DOMAIN
@@ -66,6 +68,7 @@
             result = await running
         return {
             "accepted_ms": accepted_s * 1000,
+            "calls_before": before,
             "last_work_after_s": last_s,
             "complete_share": result.share_complete_in_time(),
             "p99_ms": result.latency_ms["p99"],
