--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -29,6 +29,7 @@
 from gypsumvane_daemon.upstream_client import LeafCall
 from gypsumvane_daemon.upstream_client import LeafCallError
 from gypsumvane_daemon.upstream_client import UpstreamClient
+from gypsumvane_daemon.upstream_client import is_header_value
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -196,6 +197,8 @@
         reason = self._standing_refusal()
         if reason is not None:
             return reason
+        if not is_header_value(task.caller_id + task.idempotency_key):
+            return Reason.BAD_REQUEST
         now_s = self._clock.monotonic_s()
         if task.deadline_s <= now_s:
             return Reason.DEADLINE
@@ -272,9 +275,9 @@
         loop = asyncio.get_running_loop()
         run.timers.append(loop.call_later(left_s, self._on_deadline, run))
         run.job = self._spawn(self._run(run))
-        # A job that is cancelled before its first step runs none of its own
-        # code, so that only a callback frees the slot in every case.
-        run.job.add_done_callback(lambda job: self._end_run(run))
+        # A job that is cancelled before its first step runs no code of its own,
+        # so the slot is freed by a callback.
+        run.job.add_done_callback(lambda job: self._end(run))
 
     def _spawn(self, work: object) -> asyncio.Task[None]:
         job: asyncio.Task[None] = asyncio.create_task(work)  # type: ignore[arg-type]
@@ -292,7 +295,8 @@
         else:
             self._on_answer(run, answer)
 
-    def _end_run(self, run: _Run) -> None:
+    def _end(self, run: _Run) -> None:
+        """Free the slot of a call that has ended."""
         for timer in run.timers:
             timer.cancel()
         del self._runs[run.task]
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -124,6 +124,12 @@
         self.assertEqual(sent["Snapshot"], "7")
         self.assertTrue(0 < int(sent["Deadline-Ms"]) <= 1000)
 
+    async def test_header_values_cannot_add_a_request(self) -> None:
+        """Guard against a caller's text that ends the header it is put in."""
+        result = await self.search(caller_id="a\r\n\r\nPOST /v1/run HTTP/1.1")
+        self.assertEqual((result.verdict, result.reason), ("not_run", "bad_request"))
+        self.assertEqual(self.leaf.calls, [])
+
     async def test_foreign_request_id_is_dropped(self) -> None:
         """Guard against an answer to another request."""
 
@@ -189,6 +195,19 @@
         self.assertEqual(self.leaf.cancelled, [self.leaf.calls[0]["Request-Id"]])
         await eventually(lambda: self.service.idle("leaf-1"))
 
+    async def test_attempt_cancelled_at_once_frees_its_slot(self) -> None:
+        """Guard against a slot that is never freed: no request was sent."""
+        batch = self.batch()
+        pending = asyncio.ensure_future(
+            self.service.run_partial(batch, batch.requests[0])
+        )
+        # One turn: the attempt is submitted, but its call has not begun.
+        await asyncio.sleep(0)
+        self.service.cancel(batch.query_id, [1])
+        self.assertEqual((await pending).verdict, "not_run")
+        await eventually(lambda: self.service.idle("leaf-1"))
+        self.assertEqual((await self.search()).kind, "answered")
+
     async def test_unconfirmed_home_sends_nothing_to_a_cold_leaf(self) -> None:
         """Guard against two homes that both send to a cold leaf."""
         self.membership.share = "other_half"
@@ -341,19 +360,6 @@
         self.assertEqual([len(reply.results) for reply in replies], [10])
         self.assertEqual(replies[0].results[0].reason, "not_home")
 
-    async def test_cancel_before_the_call_begins(self) -> None:
-        """Guard against a slot that a call cancelled at once holds for ever."""
-        await self.search()
-        search = asyncio.create_task(self.search())
-        # The search queues its call in this step, and the call's own task
-        # takes its first step only after the cancellation.
-        await asyncio.sleep(0)
-        self.assertFalse(self.service.idle("leaf-1"))
-        self.service.cancel("query-1", [1])
-        self.assertEqual((await search).reason, "cancelled")
-        await eventually(lambda: self.service.idle("leaf-1"))
-        self.assertEqual(len(self.leaf.calls), 1)
-
     async def test_cancel_ends_an_attempt(self) -> None:
         """Guard against a losing attempt that keeps its slot."""
 
