Announce a change of homes that a grade question applied

Cause: `refresh` applies gone facts that are due and returned whether homes may have changed. Questions about grades call it too and dropped the answer, so whenever a leaf's pump or poll came first, the change was never announced and the successor did not start to serve the leaf, although it was its home with full authority.

Change: the change is kept until `take_home_change` announces it.

--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -84,6 +84,8 @@
     _granted: set[str] = field(default_factory=set)
     # Granted leaves that must be idle once before the next acknowledgement.
     _releasing: set[str] = field(default_factory=set)
+    # A gone fact was applied and the change of homes is not announced yet.
+    _homes_changed: bool = False
 
     def __post_init__(self) -> None:
         self.gone = GoneFacts(call_max_s=self.times.leaf_call_max_s)
@@ -130,13 +132,23 @@
         self.refresh()
         return new
 
-    def refresh(self) -> bool:
-        """Apply gone facts that are due and return whether homes may change."""
-        matured = self.gone.mature(self.clock.monotonic_s())
-        if matured:
+    def refresh(self) -> None:
+        """Apply gone facts that are due."""
+        if self.gone.mature(self.clock.monotonic_s()):
             self.authority.note_gone()
             self._update_handover()
-        return matured
+            self._homes_changed = True
+
+    def take_home_change(self) -> bool:
+        """Return whether gone facts changed homes since the last call.
+
+        Questions about grades apply due facts too, so the change is kept until
+        it is taken here.
+        """
+        self.refresh()
+        changed = self._homes_changed
+        self._homes_changed = False
+        return changed
 
     def take_listing(
         self, listing: int, vm_ids: Iterable[str], *, sent_at_s: float
--- a/packages/gypsumvane-core/tests/test_core_membership.py
+++ b/packages/gypsumvane-core/tests/test_core_membership.py
@@ -77,6 +77,15 @@
         self.assertFalse(self.state.take_listing(2, ["vm-1"], sent_at_s=1000.5))
         self.assertTrue(self.state.take_listing(3, ["vm-1"], sent_at_s=1001))
 
+    def test_change_of_homes_is_announced_after_a_question(self) -> None:
+        """Guard against a leaf whose new home never starts to serve it."""
+        self.state.add_gone([self.other.incarnation])
+        self.assertFalse(self.state.take_home_change())
+        self.clock.advance(self.state.times.leaf_call_max_s)
+        self.state.grade("svc1")
+        self.assertTrue(self.state.take_home_change())
+        self.assertFalse(self.state.take_home_change())
+
     def test_skipped_view_ends_full_authority(self) -> None:
         """Guard against a home that missed that it was replaced."""
         leaf = next(f"svc{n}" for n in range(99) if self.is_own_leaf(f"svc{n}"))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -583,7 +583,7 @@
     async def _watch_state_loop(self) -> None:
         while True:
             self._store.set_watching(self._should_watch())
-            if self.state.refresh():
+            if self.state.take_home_change():
                 self._changed()
             self._note_confirmation()
             await asyncio.sleep(self._interval_s / 2)
