Omit a leaving daemon from its own address lists

Cause: a daemon knew of its peers that they are leaving, but not of itself, so callers that asked it for addresses got its own address first until it stopped serving, kept that list and were then refused as `not_ready`.

Change: the daemon counts itself as leaving from the announcement on.

--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -359,6 +359,8 @@
 
     def is_leaving(self, member: Member) -> bool:
         """Return whether a member announced that it is leaving."""
+        if member.incarnation == self.own.incarnation:
+            return member.leaving or self.leaving_since_s is not None
         return member.leaving or member.incarnation in self.leaving
 
     def suspected(self, member: Member) -> bool:
--- a/packages/gypsumvane-core/tests/test_core_membership.py
+++ b/packages/gypsumvane-core/tests/test_core_membership.py
@@ -86,6 +86,13 @@
         self.assertTrue(self.state.take_home_change())
         self.assertFalse(self.state.take_home_change())
 
+    def test_leaving_daemon_knows_that_it_leaves(self) -> None:
+        """Guard against a daemon that sends callers to itself while it leaves."""
+        self.assertFalse(self.state.is_leaving(self.own))
+        self.state.leaving_since_s = self.clock.monotonic_s()
+        self.assertTrue(self.state.is_leaving(self.own))
+        self.assertFalse(self.state.is_leaving(self.other))
+
     def test_skipped_view_ends_full_authority(self) -> None:
         """Guard against a home that missed that it was replaced."""
         leaf = next(f"svc{n}" for n in range(99) if self.is_own_leaf(f"svc{n}"))
