Mark the ports of a harness for other harnesses

Cause: daemons have addresses before they start and while they are down, and a harness in another process took a port that looked free at that moment; one of the parallel system test runs failed with "address already in use".

Change: each port that is given out is marked by a UDP socket that stays bound as long as the harness process lives.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/free_port.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/free_port.py
@@ -10,18 +10,32 @@
 PORT_FIRST = 20_000
 PORT_LAST = 32_000
 _draw = random.SystemRandom()
-_given: set[int] = set()
+# A bound UDP socket marks a port for the other harnesses on this machine, as
+# long as this process lives: a daemon may be down for a while and its port
+# then looks free.
+_marks: dict[int, socket.socket] = {}
 
 
 def free_address(host: str = "127.0.0.1") -> str:
     """Return an address with a free port that was not given out before."""
     while True:
         port = _draw.randint(PORT_FIRST, PORT_LAST)
-        if port not in _given and can_bind(host, port):
-            _given.add(port)
+        if port not in _marks and can_bind(host, port) and mark(host, port):
             return f"{host}:{port}"
 
 
+def mark(host: str, port: int) -> bool:
+    """Mark a port as given out; False when another process has marked it."""
+    holder = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        holder.bind((host, port))
+    except OSError:
+        holder.close()
+        return False
+    _marks[port] = holder
+    return True
+
+
 def can_bind(host: str, port: int) -> bool:
     """Tell whether a port is free now."""
     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
