--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster_plan.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster_plan.py
@@ -30,6 +30,9 @@
     kind: IndexKind = IndexKind.SEARCH
     services: int
     replicas: int = 2
+    # Leaves of `new_version` that each service has beside its replicas.
+    new_replicas: int = 0
+    new_version: str = "v2"
     slots: int = 2
     connections_max: int = 25
     connect_ms: float = 6.0
@@ -53,7 +56,7 @@
                 service, replica, domains[(number + replica) % len(domains)], seed
             )
             for number, service in enumerate(names)
-            for replica in range(self.replicas)
+            for replica in range(self.replicas + self.new_replicas)
         ]
 
     def _leaf(self, service: str, replica: int, domain: str, seed: int) -> LeafSettings:
@@ -63,6 +66,7 @@
             index=self.name,
             service=service,
             failure_domain=domain,
+            version=self.new_version if replica >= self.replicas else "v1",
             listing=self.listing,
             records=self.records,
             seed=seed,
--- /dev/null
+++ b/tests/caller_load.py
@@ -0,0 +1,176 @@
+"""Callers that search without a pause while a test injects faults."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+
+from gypsumvane_devtools.address_book import AddressBook
+from gypsumvane_devtools.answer_check import check_answer
+from gypsumvane_devtools.listing import Listing
+from gypsumvane_devtools.load_result import LoadResult
+from gypsumvane_devtools.polling import wait_until
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from gypsumvane_devtools.cluster import Cluster
+
+QUERIES = ("speaker", "mixer cable", "line array", "stage box xlr", "truss rack")
+LIMIT_S = 45.0
+HITS = 10
+CALL_LIMIT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class LostAnswer:
+    """Record a request whose connection ended without an answer."""
+
+    address: str
+    error: str
+
+
+class CallerLoad:
+    """Search from several callers, each with one request at a time."""
+
+    def __init__(self, cluster: Cluster, index: str, *, callers: int) -> None:
+        self.result = LoadResult()
+        self.outcomes: Counter[str] = Counter()
+        self.asked: Counter[tuple[int, int]] = Counter()
+        self.lost: list[LostAnswer] = []
+        self.wrong_hits = 0
+        self.answers = 0
+        self.incomplete: list[dict[str, Any]] = []
+        self._cluster = cluster
+        self._index = index
+        self._callers = callers
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = False
+        # Requests that each caller has begun.
+        self._sent = [0] * callers
+        self._session: aiohttp.ClientSession
+        plan = next(entry for entry in cluster.plan.indexes if entry.name == index)
+        self._listing = Listing(index, plan.listing, plan.records, cluster.plan.seed)
+
+    async def __aenter__(self) -> CallerLoad:
+        """Start the callers."""
+        self._session = aiohttp.ClientSession()
+        self._tasks = [
+            asyncio.create_task(self._call_always(number))
+            for number in range(self._callers)
+        ]
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Let each caller finish its request."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
+        await self._session.close()
+
+    async def more(self, answers: int) -> None:
+        """Wait until the callers got so many more answers."""
+        wanted = self.answers + answers
+        await self._until(lambda: self.answers >= wanted, f"{answers} more answers")
+
+    async def anew(self) -> None:
+        """Wait until no request is in progress that began before this call."""
+        before = list(self._sent)
+
+        def all_began_twice() -> bool:
+            # The request after the one in progress has ended as well, so that
+            # cancellations of losing attempts have arrived.
+            return all(
+                now >= then + 2 for now, then in zip(self._sent, before, strict=True)
+            )
+
+        await self._until(all_began_twice, "earlier requests ended")
+
+    async def complete_again(self, answers: int = 30) -> None:
+        """Wait until so many answers in a row are complete."""
+        start = self.answers
+
+        def in_a_row() -> bool:
+            last = max(start, self._last_incomplete)
+            return self.answers - last >= answers
+
+        await self._until(in_a_row, "answers are complete again")
+
+    @property
+    def _last_incomplete(self) -> int:
+        return self.incomplete[-1]["number"] if self.incomplete else 0
+
+    async def _until(self, condition: Any, what: str) -> None:
+        def checked() -> bool:
+            for task in self._tasks:
+                if task.done():
+                    task.result()
+            return bool(condition())
+
+        await wait_until(checked, what, limit_s=LIMIT_S, interval_s=0.02)
+
+    async def _call_always(self, number: int) -> None:
+        domains = self._cluster.plan.domains
+        first = self._cluster.caller_addresses()
+        book = AddressBook(
+            self._session,
+            first_addresses=first[number % len(first) :] + first,
+            failure_domain=domains[number % len(domains)],
+            clock=asyncio.get_running_loop().time,
+        )
+        while not self._stopping:
+            addresses = await book.addresses()
+            sent = self._sent[number]
+            request_id = f"caller-{number}-{sent}"
+            query = QUERIES[(number + sent) % len(QUERIES)]
+            self._sent[number] += 1
+            await self._call(addresses, request_id, query)
+
+    async def _call(self, addresses: list[str], request_id: str, query: str) -> None:
+        # A caller tries the next address when one cannot be connected to.
+        for address in addresses:
+            try:
+                values = await self._search(address, request_id, query)
+            except aiohttp.ClientConnectorError:
+                continue
+            except (aiohttp.ClientError, TimeoutError) as error:
+                self.lost.append(LostAnswer(address, repr(error)))
+                return
+            self._count({**values, "address": address}, request_id, query)
+            return
+        await asyncio.sleep(0.05)
+
+    async def _search(
+        self, address: str, request_id: str, query: str
+    ) -> dict[str, Any]:
+        url = f"http://{address}/v1/indexes/{self._index}/search"
+        headers = {"Request-Id": request_id, "Caller-Id": request_id.rpartition("-")[0]}
+        timeout = aiohttp.ClientTimeout(total=CALL_LIMIT_S)
+        body = {"query": query, "limit": HITS}
+        async with self._session.post(
+            url, json=body, headers=headers, timeout=timeout
+        ) as answer:
+            return dict(await answer.json())
+
+    def _count(self, values: dict[str, Any], request_id: str, query: str) -> None:
+        self.answers += 1
+        self.outcomes[values["outcome"]] += 1
+        check_answer(values, request_id, self.result)
+        if values["outcome"] != "complete":
+            self.incomplete.append({"number": self.answers, **values})
+            return
+        self.asked[values["snapshot"], values["coverage"]["asked"]] += 1
+        expected = self._listing.search(query, snapshot=values["snapshot"], limit=HITS)
+        found = [hit["id"] for hit in values["hits"]]
+        whole = values["total"] == expected.total
+        if not whole or found != [hit.id for hit in expected.hits]:
+            self.wrong_hits += 1
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -7,6 +7,11 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from tests.system_run import RunCounts  # noqa: E402
+from tests.system_run import run_classes  # noqa: E402
+
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
 
@@ -23,32 +28,49 @@
     }
 
 
-def load_suite() -> unittest.TestSuite:
-    """Collect the tests of each package and of the whole system."""
+def load_package_suite() -> unittest.TestSuite:
+    """Collect the tests of each package."""
     suite = unittest.TestSuite()
-    starts = [*sorted(ROOT.glob("packages/*/tests")), ROOT / "tests"]
-    for start in starts:
+    for start in sorted(ROOT.glob("packages/*/tests")):
         # Each folder of tests has its own loader, because a loader keeps the
         # top-level directory of its first discovery.
-        top = ROOT if start == ROOT / "tests" else start
         suite.addTest(
-            unittest.TestLoader().discover(str(start), top_level_dir=str(top))
+            unittest.TestLoader().discover(str(start), top_level_dir=str(start))
         )
     return suite
 
 
+def load_system_suite() -> unittest.TestSuite:
+    """Collect the tests of the whole system."""
+    start = str(ROOT / "tests")
+    return unittest.TestLoader().discover(start, top_level_dir=str(ROOT))
+
+
+def run_packages() -> RunCounts:
+    """Run the tests of the packages in this process."""
+    result = unittest.TextTestRunner(verbosity=1).run(load_package_suite())
+    return RunCounts(
+        tests=result.testsRun,
+        failed=[test.id() for test, _ in result.failures + result.errors],
+        skipped=len(result.skipped),
+    )
+
+
 def main() -> int:
     """Run everything; known failures are printed but do not fail the run."""
     known = known_red_tests()
-    result = unittest.TextTestRunner(verbosity=1).run(load_suite())
-    failures = [test.id() for test, _ in result.failures + result.errors]
+    runs = [run_packages(), run_classes(load_system_suite())]
+    tests = sum(run.tests for run in runs)
+    failures = [name for run in runs for name in run.failed]
+    skipped = sum(run.skipped for run in runs)
     unexpected = [name for name in failures if name not in known]
     for name in failures:
-        if name in known:
-            print(f"known failure: {name}")
-    passed = result.testsRun - len(failures) - len(result.skipped)
-    print(f"{passed} passed, {len(unexpected)} failed, {len(result.skipped)} skipped")
-    return 1 if unexpected or result.testsRun == 0 else 0
+        label = "known failure" if name in known else "failure"
+        print(f"{label}: {name}")
+    passed = tests - len(failures) - skipped
+    print(f"{passed} passed, {len(unexpected)} failed, {skipped} skipped")
+    empty = any(run.tests == 0 for run in runs)
+    return 1 if unexpected or empty else 0
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/system_run.py
@@ -0,0 +1,89 @@
+"""Run the system test classes in parallel worker processes."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+WORKERS = 4
+# A class that takes longer hangs; its processes end with the worker.
+CLASS_LIMIT_S = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class RunCounts:
+    """Count the tests of a run and name those that failed."""
+
+    tests: int
+    failed: list[str]
+    skipped: int
+
+
+def class_names(suite: unittest.TestSuite) -> list[str]:
+    """Return the names of the classes in a suite, in their order."""
+    names: dict[str, None] = {}
+    for entry in suite:
+        if isinstance(entry, unittest.TestSuite):
+            names.update(dict.fromkeys(class_names(entry)))
+        else:
+            names[f"{type(entry).__module__}.{type(entry).__qualname__}"] = None
+    return list(names)
+
+
+def run_classes(suite: unittest.TestSuite) -> RunCounts:
+    """Run each class of a suite in its own process."""
+    with ThreadPoolExecutor(WORKERS) as pool:
+        counts = list(pool.map(run_class, class_names(suite)))
+    return RunCounts(
+        tests=sum(entry.tests for entry in counts),
+        failed=[name for entry in counts for name in entry.failed],
+        skipped=sum(entry.skipped for entry in counts),
+    )
+
+
+def run_class(name: str) -> RunCounts:
+    """Run one class; a worker without a result counts as one failed test."""
+    with tempfile.TemporaryDirectory(prefix="gypsumvane-run-") as directory:
+        result_path = Path(directory) / "result.json"
+        output, ended = run_worker(name, result_path)
+        counts = read_result(name, result_path)
+    if counts.failed or not ended:
+        print(output, flush=True)
+    print(f"{name}: {counts.tests} run, {len(counts.failed)} failed", flush=True)
+    return counts
+
+
+def run_worker(name: str, result_path: Path) -> tuple[str, bool]:
+    """Run the worker process and return its output and whether it ended well."""
+    command = [sys.executable, "-m", "tests.system_worker", name, str(result_path)]
+    try:
+        worker = subprocess.run(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            timeout=CLASS_LIMIT_S,
+            check=False,
+        )
+    except subprocess.TimeoutExpired as error:
+        output = (error.output or b"").decode(errors="replace")
+        return f"{output}\n{name} ran longer than {CLASS_LIMIT_S:g} s", False
+    output = worker.stdout.decode(errors="replace")
+    if worker.returncode != 0:
+        output += f"\nthe worker of {name} ended with status {worker.returncode}"
+    return output, worker.returncode == 0
+
+
+def read_result(name: str, result_path: Path) -> RunCounts:
+    """Return the result that a worker wrote."""
+    if not result_path.exists():
+        return RunCounts(tests=1, failed=[f"{name} (no result)"], skipped=0)
+    values = json.loads(result_path.read_text(encoding="utf-8"))
+    if values["tests"] == 0 and not values["failed"]:
+        return RunCounts(tests=1, failed=[f"{name} (no tests ran)"], skipped=0)
+    return RunCounts(**values)
--- /dev/null
+++ b/tests/test_system_bookings.py
@@ -0,0 +1,380 @@
+"""Non-idempotent requests run at most once and verdicts are true."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+
+from gypsumvane_core.claim import BUCKET_COUNT
+from gypsumvane_core.claim import bucket_of
+from gypsumvane_core.document_models import FleetDocument
+from gypsumvane_core.document_models import Policy
+from gypsumvane_devtools.cluster_plan import ClusterPlan
+from gypsumvane_devtools.cluster_plan import ProxyPlan
+from gypsumvane_devtools.sample_plans import lookup_index
+from tests.system_case import SHORT_KEEP
+from tests.system_case import SystemCase
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.control_client import Reply
+
+INDEX = "bookings"
+SERVICES = 2
+DEADLINE = {"Deadline-Ms": "3000"}
+
+
+def bookings_plan(*, proxies: bool) -> ClusterPlan:
+    """Return a small booking ledger."""
+    ledger = lookup_index(
+        INDEX,
+        services=SERVICES,
+        replicas=2,
+        slots=3,
+        connections_max=100,
+        non_idempotent=True,
+    )
+    return ClusterPlan(
+        indexes=[ledger],
+        daemons=4,
+        daemon_settings=SHORT_KEEP,
+        fleet=FleetDocument(defaults=Policy(deadline_ms=3000)),
+        proxies=ProxyPlan(leaves=proxies),
+    )
+
+
+class BookingCase(SystemCase):
+    """Book, reserve keys and compare answers with the ledger."""
+
+    keys_made: ClassVar[int] = 0
+
+    plan = bookings_plan(proxies=False)
+
+    async def heal(self) -> None:
+        """Wait until each claim bucket takes bookings again."""
+        await super().heal()
+        # A new owner of a bucket refuses until former owners' leases ended.
+        for bucket in range(BUCKET_COUNT):
+            await self.book_taken(self.fresh_key(bucket))
+        await self.cluster.upstreams.act("reset_counters")
+
+    def fresh_key(self, bucket: int) -> str:
+        """Return a new key of a claim bucket."""
+        while True:
+            BookingCase.keys_made += 1
+            key = f"fresh-{BookingCase.keys_made}"
+            if bucket_of(key) == bucket:
+                return key
+
+    async def book(self, key: str, *, daemon: int = 0, item: str = "") -> Reply:
+        """Send a booking with enough time for its claim."""
+        headers = {"Idempotency-Key": key, **DEADLINE}
+        body = {"key": item or f"record-{key}", "items": 1}
+        return await self.cluster.request(
+            "run", INDEX, body, daemon=daemon, headers=headers
+        )
+
+    async def book_taken(self, key: str, *, daemon: int = 0) -> Reply:
+        """Repeat a booking until it is not refused before it ran."""
+        reply = await self.book(key, daemon=daemon)
+
+        async def taken() -> bool:
+            nonlocal reply
+            if reply.values["verdict"] == "not_run":
+                reply = await self.book(key, daemon=daemon)
+            return reply.values["verdict"] != "not_run"
+
+        try:
+            await self.until(taken, f"{key} is taken")
+        except TimeoutError as error:
+            error.add_note(f"last reply: {reply.values}")
+            raise
+        return reply
+
+    async def reserve(self, count: int, *, daemon: int) -> list[str]:
+        """Reserve keys at a daemon."""
+        address = self.cluster.daemons[daemon].addresses.callers
+        path = "/v1/idempotency-keys"
+        reply = await self.cluster.client.call("POST", address, path, {"count": count})
+        self.assertEqual(reply.status, 200, reply.values)
+        return list(reply.values["keys"])
+
+    async def check_verdicts(self, verdicts: dict[str, list[str]]) -> None:
+        """Compare the verdicts of each key with what ran."""
+        runs = await self.cluster.upstreams.runs_by_key()
+        for key, found in verdicts.items():
+            self.assertLessEqual(runs.get(key, 0), 1, key)
+            if "ran" in found:
+                self.assertEqual(runs.get(key, 0), 1, (key, found))
+            if set(found) == {"not_run"}:
+                self.assertEqual(runs.get(key, 0), 0, (key, found))
+
+    async def wait_begun(self, count: int) -> None:
+        """Wait until the leaves have begun so many requests."""
+
+        async def begun() -> bool:
+            return await self.cluster.upstreams.begun() >= count
+
+        await self.until(begun, f"{count} requests began")
+
+    async def wait_ran(self, key: str) -> None:
+        """Wait until a key has run."""
+
+        async def ran() -> bool:
+            return await self.runs_of(key) > 0
+
+        await self.until(ran, f"{key} has run")
+
+    async def warm(self) -> None:
+        """Look up until each leaf has an open connection."""
+        for number in range(8):
+            await self.cluster.request(
+                "lookup", INDEX, {"key": f"unknown-{number}"}, daemon=number % 4
+            )
+
+
+class BookingTest(BookingCase):
+    """Check bookings while connections and the store fail."""
+
+    plan = bookings_plan(proxies=True)
+
+    async def test_key_through_all_daemons_runs_once(self) -> None:
+        """Guard against a doubled run of one key sent to several VMs (R8)."""
+        for turn in range(5):
+            key = f"race-{turn}"
+            replies = await asyncio.gather(
+                *(self.book(key, daemon=number) for number in range(4))
+            )
+            verdicts = [reply.values["verdict"] for reply in replies]
+            self.assertIn("ran", verdicts)
+            self.assertNotIn("not_run", verdicts)
+            self.assertEqual(await self.runs_of(key), 1)
+            repeat = await self.book(key, daemon=turn % 4)
+            records = {
+                reply.values["record"]["run_id"]
+                for reply in [*replies, repeat]
+                if reply.values["verdict"] == "ran"
+            }
+            self.assertEqual(len(records), 1)
+            self.assertTrue(repeat.values["replayed"])
+
+    async def test_key_with_another_body_is_refused(self) -> None:
+        """Guard against a result that is returned for another booking (R8)."""
+        await self.book_taken("reused")
+        other = await self.book("reused", daemon=1, item="other")
+        self.assertEqual(other.status, 409)
+        self.assertEqual(other.values["reason"], "key_reused")
+        self.assertEqual(await self.runs_of("reused"), 1)
+
+    async def test_cut_before_the_request_arrives(self) -> None:
+        """Guard against a second run after a cut that hides the first (R7, R8)."""
+        await self.warm()
+        await self.add_leaf_rule("cut_before", match="/v1/run")
+        first = await self.book("cut-before")
+        self.assertNotEqual(first.values["verdict"], "ran")
+        self.assertEqual(await self.runs_of("cut-before"), 0)
+        await self.clear_proxy()
+        repeat = await self.book("cut-before", daemon=2)
+        verdicts = [first.values["verdict"], repeat.values["verdict"]]
+        await self.check_verdicts({"cut-before": verdicts})
+
+    async def test_cut_after_the_request_arrived(self) -> None:
+        """Guard against NOT_RUN and a second run after a lost answer (R7, R8)."""
+        # The run takes effect while the connection is already lost.
+        slow = {"service_time": {"mean_ms": 200.0, "sigma": 0.0}}
+        await self.cluster.upstreams.set(slow)
+        for kind in ("cut_after", "lose_answer"):
+            await self.add_leaf_rule(kind, match="/v1/run", delay_ms=100)
+            first = await self.book(kind)
+            await self.clear_proxy()
+            self.assertEqual(first.values["verdict"], "may_have_run", first.values)
+            for number in range(4):
+                repeat = await self.book(kind, daemon=number)
+                self.assertNotEqual(repeat.values["verdict"], "not_run")
+            await self.wait_ran(kind)
+            self.assertEqual(await self.runs_of(kind), 1)
+
+    async def test_half_open_connection(self) -> None:
+        """Guard against NOT_RUN when an upstream falls silent (R7)."""
+        await self.warm()
+        await self.add_leaf_rule("half_open", match="/v1/run")
+        first = await self.book("half-open")
+        self.assertNotEqual(first.values["verdict"], "ran")
+        await self.clear_proxy()
+        repeat = await self.book("half-open", daemon=1)
+        verdicts = [first.values["verdict"], repeat.values["verdict"]]
+        await self.check_verdicts({"half-open": verdicts})
+
+    async def test_failure_while_running(self) -> None:
+        """Guard against NOT_RUN for a request that failed while it ran (R7)."""
+        await self.cluster.upstreams.set({"fault": {"mode": "fail", "route": "run"}})
+        first = await self.book("failed")
+        self.assertEqual(first.values["verdict"], "may_have_run", first.values)
+        await self.cluster.upstreams.set({"fault": {"mode": "none"}})
+        repeat = await self.book("failed", daemon=3)
+        self.assertEqual(repeat.values["verdict"], "may_have_run", repeat.values)
+        self.assertEqual(await self.runs_of("failed"), 0)
+
+    async def test_lost_store_answers(self) -> None:
+        """Guard against a claim that a lost store answer hides (R7, R8)."""
+        store = self.cluster.store
+        await store.post("/control/lose-answers", count=6, prefix="claims")
+        keys = [f"lost-store-{number}" for number in range(8)]
+        replies = await asyncio.gather(
+            *(self.book(key, daemon=n % 4) for n, key in enumerate(keys))
+        )
+        verdicts = {
+            key: [reply.values["verdict"]]
+            for key, reply in zip(keys, replies, strict=True)
+        }
+        await self.check_verdicts(verdicts)
+        counters = await store.get("/control/counters")
+        self.assertGreater(counters["lost_answers"], 0)
+        self.assertIn(["ran"], list(verdicts.values()))
+
+    async def test_slow_store(self) -> None:
+        """Guard against untrue verdicts while claims take longer than calls (R7)."""
+        await self.cluster.store.post("/control/slow", ms=700)
+        keys = [f"slow-store-{number}" for number in range(8)]
+        headers = {"Deadline-Ms": "900"}
+        replies = await asyncio.gather(
+            *(
+                self.cluster.request(
+                    "run",
+                    INDEX,
+                    {"key": key},
+                    daemon=number % 4,
+                    headers={"Idempotency-Key": key, **headers},
+                )
+                for number, key in enumerate(keys)
+            )
+        )
+        await self.cluster.store.post("/control/slow", ms=0)
+        verdicts = {
+            key: [reply.values["verdict"]]
+            for key, reply in zip(keys, replies, strict=True)
+        }
+        for key in keys:
+            repeat = await self.cluster.request(
+                "run", INDEX, {"key": key}, headers={"Idempotency-Key": key, **DEADLINE}
+            )
+            verdicts[key].append(repeat.values["verdict"])
+        await self.check_verdicts(verdicts)
+
+    async def test_store_outage(self) -> None:
+        """Guard against lost bookings and untrue refusals in an outage (R7, R8)."""
+        known = await self.book_taken("known")
+        self.assertEqual(known.values["verdict"], "ran")
+        reserved = [(await self.reserve(1, daemon=n))[0] for n in range(4)]
+        for silent in (False, True):
+            await self.cluster.store.post("/control/outage", on=True, silent=silent)
+            key = f"outage-{silent}"
+            refused = await self.book(key)
+            self.assertEqual(refused.values["verdict"], "not_run", refused.values)
+            self.assertEqual(await self.runs_of(key), 0)
+        for number, key in enumerate(reserved):
+            taken = await self.book(key, daemon=(number + 1) % 4)
+            self.assertEqual(taken.values["verdict"], "ran", taken.values)
+            repeat = await self.book(key, daemon=(number + 2) % 4)
+            self.assertEqual(repeat.values["verdict"], "ran", repeat.values)
+            self.assertEqual(await self.runs_of(key), 1)
+        again = await self.book("known", daemon=1)
+        self.assertNotEqual(again.values["verdict"], "not_run")
+        self.assertEqual(await self.runs_of("known"), 1)
+
+
+class BookingDaemonTest(BookingCase):
+    """Check bookings while daemons are killed, paused and replaced."""
+
+    async def slow_leaves(self) -> None:
+        """Let a run take so long that a daemon can be lost meanwhile."""
+        await self.cluster.upstreams.set(
+            {"service_time": {"mean_ms": 300.0, "sigma": 0.0}}
+        )
+
+    async def begin(self, keys: list[str], *, daemon: int) -> list[asyncio.Task[Any]]:
+        """Send bookings and return while they run."""
+        before = await self.cluster.upstreams.begun()
+        tasks = [asyncio.create_task(self.book(key, daemon=daemon)) for key in keys]
+        await self.wait_begun(before + 1)
+        return tasks
+
+    async def test_daemon_killed_during_a_run(self) -> None:
+        """Guard against a second run after the claim's holder is lost (R8)."""
+        for victim in (1, 2, 3):
+            keys = [f"kill-{victim}-{number}" for number in range(4)]
+            await self.slow_leaves()
+            tasks = await self.begin(keys, daemon=0)
+            await self.cluster.kill_daemon(victim, vm_lost=victim != 2)
+            replies = await asyncio.gather(*tasks)
+            verdicts = {
+                key: [reply.values["verdict"]]
+                for key, reply in zip(keys, replies, strict=True)
+            }
+            await self.heal()
+            for key in keys:
+                repeat = await self.book(key, daemon=victim)
+                verdicts[key].append(repeat.values["verdict"])
+            await self.check_verdicts(verdicts)
+
+    async def test_daemon_paused_past_its_lease(self) -> None:
+        """Guard against a run by a holder that resumes after its lease (R8)."""
+        for victim in (1, 2):
+            keys = [f"pause-{victim}-{number}" for number in range(4)]
+            await self.slow_leaves()
+            tasks = await self.begin(keys, daemon=0)
+            self.cluster.daemons[victim].process.pause()
+            others = sorted(f"vm-{n}" for n in range(4) if n != victim)
+            await self.wait_members(others, daemon=0)
+            replies = await asyncio.gather(*tasks)
+            verdicts = {
+                key: [reply.values["verdict"]]
+                for key, reply in zip(keys, replies, strict=True)
+            }
+            repeats = await asyncio.gather(*(self.book(key) for key in keys))
+            self.cluster.daemons[victim].process.resume()
+            for key, repeat in zip(keys, repeats, strict=True):
+                verdicts[key].append(repeat.values["verdict"])
+            await self.wait_settled()
+            for key in keys:
+                last = await self.book(key, daemon=victim)
+                verdicts[key].append(last.values["verdict"])
+            await self.check_verdicts(verdicts)
+
+    async def test_home_killed_while_the_store_is_down(self) -> None:
+        """Guard against untrue verdicts after two faults at once (R7, R8)."""
+        await self.slow_leaves()
+        own = [f"two-faults-{number}" for number in range(4)]
+        reserved = await self.reserve(2, daemon=0)
+        lost = await self.reserve(2, daemon=3)
+        verdicts: dict[str, list[str]] = {}
+        tasks = await self.begin([*own, lost[0]], daemon=0)
+        await self.cluster.store.post("/control/outage", on=True)
+        await self.cluster.kill_daemon(3, vm_lost=True)
+        replies = await asyncio.gather(*tasks)
+        for key, reply in zip([*own, lost[0]], replies, strict=True):
+            verdicts[key] = [reply.values["verdict"]]
+        taken = await self.book_taken(reserved[0], daemon=1)
+        verdicts[reserved[0]] = [taken.values["verdict"]]
+        unused = await self.book(lost[1], daemon=1)
+        verdicts[lost[1]] = [unused.values["verdict"]]
+        self.assertNotEqual(unused.values["verdict"], "ran")
+        await self.heal()
+        for key in verdicts:
+            repeat = await self.book(key, daemon=2)
+            verdicts[key].append(repeat.values["verdict"])
+        await self.check_verdicts(verdicts)
+        # The key of a lost process never runs.
+        self.assertEqual(await self.runs_of(lost[1]), 0)
+
+    async def test_refused_connections_leave_the_key_usable(self) -> None:
+        """Guard against a key that is lost although nothing was sent (R7)."""
+        await self.cluster.upstreams.act("kill")
+        first = await self.book("refused")
+        self.assertEqual(first.values["verdict"], "not_run", first.values)
+        self.assertEqual(await self.runs_of("refused"), 0)
+        await self.cluster.upstreams.act("start")
+        taken = await self.book_taken("refused", daemon=1)
+        self.assertEqual(taken.values["verdict"], "ran", taken.values)
+        self.assertEqual(await self.runs_of("refused"), 1)
--- /dev/null
+++ b/tests/test_system_membership.py
@@ -0,0 +1,188 @@
+"""Daemons that are killed, paused or replaced cost no limits and no truth."""
+
+from __future__ import annotations
+
+from gypsumvane_core.document_models import FleetDocument
+from gypsumvane_core.document_models import Policy
+from gypsumvane_devtools.cluster_plan import ClusterPlan
+from gypsumvane_devtools.cluster_plan import IndexPlan
+from gypsumvane_devtools.cluster_plan import ProxyPlan
+from tests.system_case import SHORT_KEEP
+from tests.system_case import SystemCase
+
+INDEX = "stock"
+
+
+class MembershipCase(SystemCase):
+    """Search while daemons fail."""
+
+    plan = ClusterPlan(
+        indexes=[IndexPlan(name=INDEX, services=6)],
+        daemons=4,
+        daemon_settings=SHORT_KEEP,
+        fleet=FleetDocument(defaults=Policy(deadline_ms=800)),
+        proxies=ProxyPlan(store=True, peers=True),
+    )
+    warm_index = INDEX
+
+    def others(self, *lost: int) -> list[str]:
+        """Return the names of the daemons that are left."""
+        return [f"vm-{number}" for number in range(4) if number not in lost]
+
+    async def check_leaves(self) -> None:
+        """Check that limits held and cold leaves were spared."""
+        await self.check_limits()
+        self.assertEqual(await self.counter_sum("cold_excess"), 0)
+
+
+class DaemonLossTest(MembershipCase):
+    """Kill daemons."""
+
+    async def test_vm_lost(self) -> None:
+        """Guard against leaves without a home after a VM is lost."""
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            await self.cluster.kill_daemon(3, vm_lost=True)
+            await self.wait_members(self.others(3), daemon=0)
+            await load.complete_again(60)
+            await self.cluster.start_daemon(3)
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_process_killed_on_a_listed_vm(self) -> None:
+        """Guard against a suspected home that is never replaced."""
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            await self.cluster.kill_daemon(2, vm_lost=False)
+            await self.wait_members(self.others(2), daemon=0)
+            await load.complete_again(60)
+            await self.cluster.start_daemon(2)
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_two_daemons_lost_at_once(self) -> None:
+        """Guard against a cluster that does not survive two lost VMs."""
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            await self.cluster.kill_daemon(1, vm_lost=True)
+            await self.cluster.kill_daemon(2, vm_lost=False)
+            await self.wait_members(self.others(1, 2), daemon=0)
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_home_killed_while_the_store_is_down(self) -> None:
+        """Guard against two faults at once: a lost VM and no store."""
+        await self.cluster.store.post("/control/outage", on=True, silent=True)
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            await self.cluster.kill_daemon(1, vm_lost=True)
+            await self.wait_members(self.others(1), daemon=0)
+            await load.complete_again(60)
+            await self.cluster.store.post("/control/outage", on=False)
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_process_killed_while_the_store_is_down(self) -> None:
+        """Guard against a home that is lost for the whole length of an outage."""
+        await self.cluster.store.post("/control/outage", on=True)
+        async with self.load(INDEX) as load:
+            await load.more(20)
+            await self.cluster.kill_daemon(2, vm_lost=False)
+            # The other leaf of each service has another home.
+            await load.complete_again(60)
+            await self.cluster.start_daemon(2)
+            await load.complete_again(60)
+            # The view is frozen until the store is back.
+            await self.cluster.store.post("/control/outage", on=False)
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_store_outage(self) -> None:
+        """Guard against homes that stop because the store is down."""
+        for silent in (False, True):
+            async with self.load(INDEX) as load:
+                await self.cluster.store.post("/control/outage", on=True, silent=silent)
+                await load.more(200)
+                await self.cluster.store.post("/control/outage", on=False)
+                await load.more(100)
+            self.check_truthful(load)
+            self.assertEqual(load.incomplete, [])
+        await self.check_leaves()
+
+
+class DaemonPauseTest(MembershipCase):
+    """Pause daemons, whose leases lapse meanwhile."""
+
+    async def test_paused_and_resumed(self) -> None:
+        """Guard against two homes that exceed a leaf's limits after a pause."""
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            self.cluster.daemons[1].process.pause()
+            await load.complete_again(60)
+            self.cluster.daemons[1].process.resume()
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_paused_replaced_in_the_view_and_resumed(self) -> None:
+        """Guard against work by a home that was replaced while it was paused."""
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            self.cluster.daemons[2].process.pause()
+            await self.wait_members(self.others(2), daemon=0)
+            await load.complete_again(60)
+            self.cluster.daemons[2].process.resume()
+            await load.more(60)
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_paused_during_a_store_outage(self) -> None:
+        """Guard against two faults at once: a paused home and no store."""
+        async with self.load(INDEX) as load:
+            await self.cluster.store.post("/control/outage", on=True)
+            await load.more(40)
+            self.cluster.daemons[3].process.pause()
+            await load.more(100)
+            self.cluster.daemons[3].process.resume()
+            await load.more(60)
+            await self.cluster.store.post("/control/outage", on=False)
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_cut_off_from_peers(self) -> None:
+        """Guard against two homes of one leaf after a half-open partition."""
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            await self.add_rule("peer-vm-1", "half_open")
+            await load.more(100)
+            await self.clear_proxy()
+            await self.cluster.proxy.post("/control/links/peer-vm-1/cut")
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        await self.check_leaves()
+
+    async def test_cut_off_from_the_store(self) -> None:
+        """Guard against a daemon that stops serving without its own store link."""
+        async with self.load(INDEX) as load:
+            await self.add_rule("store-vm-1", "refuse")
+            await self.cluster.proxy.post("/control/links/store-vm-1/cut")
+            await load.more(200)
+            await self.clear_proxy()
+            await load.complete_again()
+        self.check_truthful(load)
+        self.assertEqual(load.incomplete, [])
+        await self.check_leaves()
--- /dev/null
+++ b/tests/test_system_moves.py
@@ -0,0 +1,235 @@
+"""Good versions are completed; bad versions are taken back and stay so."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import Any
+
+from gypsumvane_devtools.cluster_plan import ClusterPlan
+from gypsumvane_devtools.cluster_plan import IndexPlan
+from tests.system_case import SHORT_KEEP
+from tests.system_case import SystemCase
+
+OLD = "v1"
+NEW = "v2"
+CANARY = 0.1
+LENGTH_S = 10.0
+FAIL = {"fault": {"mode": "fail"}}
+SLOW = {"fault": {"mode": "slow", "slow_factor": 20.0}}
+
+
+def index_plan(name: str) -> IndexPlan:
+    """Return an index with leaves of both versions."""
+    return IndexPlan(name=name, services=2, replicas=2, new_replicas=2)
+
+
+class MoveCase(SystemCase):
+    """Move indexes to another version under load."""
+
+    async def start_move(self, index: str, *, length_s: float = LENGTH_S) -> None:
+        """Start a move now and wait until every daemon applies it."""
+        now_s = time.time()
+        body = {
+            "change_id": f"start-{index}",
+            "reason": "test of a version move",
+            "move_id": f"move-{index}",
+            "from_version": OLD,
+            "to_version": NEW,
+            "start_unix_s": now_s,
+            "complete_by_unix_s": now_s + length_s,
+            "canary_share": CANARY,
+        }
+        path = f"/v1/moves/{index}/start"
+        reply = await self.cluster.operate("POST", path, body)
+        self.assertEqual(reply.status, 200, reply.values)
+        await self.wait_in_force(f"move/{index}", reply.values["revision"])
+
+    async def move(self, index: str, daemon: int) -> dict[str, Any]:
+        """Return a move as one daemon knows it."""
+        path = f"/v1/moves/{index}"
+        return (await self.cluster.operate("GET", path, daemon=daemon)).values
+
+    async def states(self, index: str) -> list[str]:
+        """Return the state that each running daemon applies."""
+        found = [await self.move(index, number) for number in self.running()]
+        return [values["status"]["state"] for values in found]
+
+    async def wait_state(self, index: str, state: str) -> None:
+        """Wait until every running daemon applies a state."""
+
+        async def applied() -> bool:
+            return set(await self.states(index)) == {state}
+
+        await self.until(applied, f"the move of {index} is {state} everywhere")
+
+    async def wait_recorded(self, index: str, state: str) -> None:
+        """Wait until the document in the store holds a state."""
+
+        async def recorded() -> bool:
+            path = f"/v1/objects/config/documents/move/{index}"
+            stored = await self.cluster.store.get(path)
+            return bool(stored["body"]["state"] == state)
+
+        await self.until(recorded, f"the document of {index} says {state}")
+
+    async def check_unused(self, load: Any, index: str, version: str) -> None:
+        """Check that a version gets no new work."""
+        await load.anew()
+        await self.cluster.upstreams.act("reset_counters", index=index, version=version)
+        await load.more(100)
+        received = await self.received("search", index=index, version=version)
+        self.assertEqual(received, 0)
+
+    async def check_canary(self, index: str) -> None:
+        """Check that the new version got no more than its canary share.
+
+        Requests draw a version at random, so that the count may exceed the
+        mean by six standard deviations; hedges add a tenth.
+        """
+        new = await self.received("search", index=index, version=NEW)
+        old = await self.received("search", index=index, version=OLD)
+        queries = (new + old) / 2
+        mean = CANARY * queries
+        bound = 2 * 1.1 * (mean + 6 * math.sqrt(mean + 1))
+        self.assertLessEqual(new, bound, (new, old))
+
+
+class MoveTest(MoveCase):
+    """Check single moves."""
+
+    plan = ClusterPlan(
+        indexes=[index_plan(name) for name in ("good", "fails", "slow", "later")],
+        daemons=3,
+        domains=["a", "b", "c"],
+        daemon_settings=SHORT_KEEP,
+    )
+
+    async def test_good_version(self) -> None:
+        """Guard against a good version that is taken back or never done."""
+        await self.start_move("good")
+        await self.cluster.upstreams.act("restart", index="good", version=NEW)
+        async with self.load("good") as load:
+            await self.wait_recorded("good", "done")
+            for number in self.running():
+                values = await self.move("good", number)
+                for vm_id, share in values["status"]["applied"].items():
+                    self.assertEqual(share, 1.0, (number, vm_id))
+            await self.wait_state("good", "done")
+            await self.check_unused(load, "good", OLD)
+        self.check_truthful(load)
+        self.assertEqual(load.outcomes["failed"], 0)
+        self.assertEqual(await self.counter_sum("cold_excess"), 0)
+
+    async def test_version_that_fails_at_once(self) -> None:
+        """Guard against traffic for a version that fails (R5)."""
+        await self.cluster.upstreams.set(FAIL, index="fails", version=NEW)
+        # Long, so that the share does not rise before the fault shows.
+        await self.start_move("fails", length_s=600.0)
+        async with self.load("fails") as load:
+            await self.wait_state("fails", "taken_back")
+            await self.check_canary("fails")
+            await self.check_unused(load, "fails", NEW)
+            await self.wait_recorded("fails", "taken_back")
+            # A restarted daemon and a good version do not bring it back.
+            await self.cluster.upstreams.set(
+                {"fault": {"mode": "none"}}, index="fails", version=NEW
+            )
+            await self.cluster.kill_daemon(2, vm_lost=True)
+            await self.cluster.store.post("/control/outage", on=True)
+            await self.cluster.start_daemon(2)
+            await self.check_unused(load, "fails", NEW)
+            await self.cluster.store.post("/control/outage", on=False)
+            await self.wait_settled()
+            await self.check_unused(load, "fails", NEW)
+            await self.wait_state("fails", "taken_back")
+        self.check_truthful(load)
+
+    async def test_version_that_is_slow(self) -> None:
+        """Guard against traffic for a version that answers slowly (R5)."""
+        await self.cluster.upstreams.set(SLOW, index="slow", version=NEW)
+        await self.start_move("slow", length_s=600.0)
+        async with self.load("slow") as load:
+            await self.wait_state("slow", "taken_back")
+            await self.check_canary("slow")
+            await self.check_unused(load, "slow", NEW)
+            await self.wait_recorded("slow", "taken_back")
+        self.check_truthful(load)
+
+    async def test_version_that_fails_later(self) -> None:
+        """Guard against a fault that shows only while the share rises (R5)."""
+        await self.start_move("later", length_s=40.0)
+        async with self.load("later") as load:
+
+            async def rises() -> bool:
+                values = await self.move("later", 0)
+                return bool(values["status"]["share"] > 2 * CANARY)
+
+            await self.until(rises, "the share rises")
+            await self.cluster.store.post("/control/outage", on=True)
+            await self.cluster.upstreams.set(FAIL, index="later", version=NEW)
+            await self.wait_state("later", "taken_back")
+            await self.check_unused(load, "later", NEW)
+            await self.cluster.store.post("/control/outage", on=False)
+            await self.wait_recorded("later", "taken_back")
+        self.check_truthful(load)
+
+
+class MoveFaultTest(MoveCase):
+    """Check moves during other faults."""
+
+    plan = ClusterPlan(
+        indexes=[index_plan(name) for name in ("outage", "domain", "operator")],
+        daemons=4,
+        daemon_settings=SHORT_KEEP,
+    )
+
+    async def test_store_down_in_the_middle(self) -> None:
+        """Guard against a move that an outage stops or ends wrongly."""
+        await self.start_move("outage")
+        async with self.load("outage") as load:
+            await self.cluster.store.post("/control/outage", on=True)
+
+            async def complete() -> bool:
+                found = [await self.move("outage", n) for n in self.running()]
+                return all(values["status"]["share"] == 1.0 for values in found)
+
+            await self.until(complete, "the share is 1 on every daemon")
+            self.assertNotIn("taken_back", await self.states("outage"))
+            await self.check_unused(load, "outage", OLD)
+            await self.cluster.store.post("/control/outage", on=False)
+            await self.wait_state("outage", "done")
+        self.check_truthful(load)
+
+    async def test_failure_domain_out_during_a_move(self) -> None:
+        """Guard against two faults at once: a domain out during a move (R4, R5)."""
+        await self.start_move("domain", length_s=15.0)
+        async with self.load("domain") as load:
+            await load.more(20)
+            revision = await self.change_domain("b", "out", "move-out")
+            await self.wait_in_force("domains", revision)
+            await load.anew()
+            await self.cluster.upstreams.act("mark_out", failure_domain="b")
+            await load.more(100)
+            out = await self.counter_sum("received_while_out", failure_domain="b")
+            self.assertEqual(out, 0)
+            await self.cluster.upstreams.act("mark_in", failure_domain="b")
+            revision = await self.change_domain("b", "in", "move-in")
+            await self.wait_in_force("domains", revision)
+            await self.wait_state("domain", "done")
+            await load.complete_again()
+        self.check_truthful(load)
+        self.assertEqual(await self.counter_sum("cold_excess"), 0)
+
+    async def test_operator_takes_a_move_back(self) -> None:
+        """Guard against a move that goes on after an operator took it back (R5)."""
+        await self.start_move("operator", length_s=600.0)
+        async with self.load("operator") as load:
+            await load.more(30)
+            body = {"change_id": "back-1", "reason": "test of taking back"}
+            path = "/v1/moves/operator/take-back"
+            reply = await self.cluster.operate("POST", path, body, daemon=2)
+            self.assertEqual(reply.status, 200, reply.values)
+            await self.wait_state("operator", "taken_back")
+            await self.check_unused(load, "operator", NEW)
+        self.check_truthful(load)
--- /dev/null
+++ b/tests/test_system_stop.py
@@ -0,0 +1,158 @@
+"""A planned stop is a graceful shutdown that cuts off no request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from gypsumvane_devtools.cluster_plan import ClusterPlan
+from gypsumvane_devtools.cluster_plan import IndexPlan
+from gypsumvane_devtools.sample_plans import lookup_index
+from tests.system_case import SHORT_KEEP
+from tests.system_case import SystemCase
+
+if TYPE_CHECKING:
+    from tests.caller_load import CallerLoad
+
+INDEX = "stock"
+
+
+class GracefulStopTest(SystemCase):
+    """Stop and restart daemons under load."""
+
+    plan = ClusterPlan(
+        indexes=[
+            IndexPlan(name=INDEX, services=4),
+            lookup_index(
+                "bookings",
+                services=2,
+                replicas=2,
+                slots=3,
+                connections_max=100,
+                non_idempotent=True,
+            ),
+        ],
+        daemons=4,
+        daemon_settings=SHORT_KEEP,
+    )
+    warm_index = INDEX
+
+    async def restart_in_turn(self, load: CallerLoad) -> None:
+        """Stop each daemon gracefully and start it again."""
+        for number in range(4):
+            self.assertEqual(await self.cluster.stop_daemon(number), 0)
+            await load.more(20)
+            await self.cluster.start_daemon(number)
+            await self.wait_settled()
+            await load.more(20)
+
+    async def check_stop(self, load: CallerLoad) -> None:
+        """Check that no request was cut off and no leaf overloaded."""
+        self.check_truthful(load)
+        self.assertEqual(load.lost, [])
+        self.assertEqual(load.outcomes["failed"], 0)
+        self.assertEqual(await self.counter_sum("cold_excess"), 0)
+        await self.check_limits()
+
+    async def test_each_daemon_restarted_in_turn(self) -> None:
+        """Guard against requests that a planned stop cuts off (R10)."""
+        async with self.load(INDEX, callers=6) as load:
+            await load.more(40)
+            await self.restart_in_turn(load)
+            await load.complete_again()
+        await self.check_stop(load)
+        self.assertEqual(load.incomplete, [])
+
+    async def test_restart_in_turn_during_a_store_outage(self) -> None:
+        """Guard against two faults at once: restarts while the store is down (R10).
+
+        The view is frozen in an outage, so a restarted daemon is no home before
+        the store is back. The last member therefore has no successor; it goes
+        on serving until the store is back and only then stops.
+        """
+        async with self.load(INDEX, callers=6) as load:
+            await load.more(40)
+            await self.cluster.store.post("/control/outage", on=True)
+            for number in range(3):
+                self.assertEqual(await self.cluster.stop_daemon(number), 0)
+                await load.more(20)
+                await self.start_without_store(number)
+                await load.complete_again()
+            stopping = asyncio.create_task(self.cluster.stop_daemon(3))
+            await load.more(60)
+            await load.complete_again()
+            self.assertTrue(self.cluster.daemons[3].process.running)
+            await self.cluster.store.post("/control/outage", on=False)
+            self.assertEqual(await stopping, 0)
+            await self.cluster.start_daemon(3)
+            await self.wait_settled()
+            await load.complete_again()
+        await self.check_stop(load)
+        for values in load.incomplete:
+            if values["outcome"] == "refused":
+                self.assertEqual(values["verdict"], "not_run", values)
+
+    async def start_without_store(self, number: int) -> None:
+        """Start a daemon that may not become ready before the outage ends."""
+        daemon = self.cluster.daemons[number]
+        await self.cluster.live_list.post(
+            "/control/add", vm_id=daemon.vm_id, failure_domain=daemon.failure_domain
+        )
+        await daemon.start()
+        await self.wait_listening(number)
+
+    async def test_stop_while_bookings_run(self) -> None:
+        """Guard against a booking that a planned stop leaves unresolved (R8, R10)."""
+        slow = {"service_time": {"mean_ms": 200.0, "sigma": 0.0}}
+        await self.cluster.upstreams.set(slow, index="bookings")
+        for number in (1, 2, 3):
+            daemon = self.cluster.daemons[number]
+            address = daemon.addresses.callers
+            reply = await self.cluster.client.call(
+                "POST", address, "/v1/idempotency-keys", {"count": 1}
+            )
+            key = reply.values["keys"][0]
+            before = await self.cluster.upstreams.begun(index="bookings")
+            booking = asyncio.create_task(
+                self.cluster.run("bookings", {"key": f"r-{number}"}, key, daemon=number)
+            )
+
+            async def begun(before: int = before) -> bool:
+                found = await self.cluster.upstreams.begun(index="bookings")
+                return found > before
+
+            await self.until(begun, "the booking runs")
+            self.assertEqual(await self.cluster.stop_daemon(number), 0)
+            answer = await booking
+            self.assertEqual(answer.values["verdict"], "ran", answer.values)
+            self.assertEqual(await self.runs_of(key), 1)
+            await self.cluster.start_daemon(number)
+            await self.wait_settled()
+
+    async def all_know_leaving(self, number: int) -> bool:
+        """Return whether every daemon knows that one is leaving."""
+        vm_id = self.cluster.daemons[number].vm_id
+        replies = [await self.vms(asked) for asked in range(4)]
+        return all(
+            any(vm["vm_id"] == vm_id and vm["leaving"] for vm in values["vms"])
+            for values in replies
+        )
+
+    async def test_leaving_daemon_is_not_listed(self) -> None:
+        """Guard against callers that are sent to a daemon that leaves (R10)."""
+        daemon = self.cluster.daemons[2]
+        async with self.load(INDEX) as load:
+            stopping = asyncio.create_task(self.cluster.stop_daemon(2))
+            await self.until(lambda: self.all_know_leaving(2), "vm-2 is leaving")
+            # The leaving daemon itself answers callers until it stops.
+            for number in range(4):
+                reply = await self.cluster.client.call(
+                    "GET",
+                    self.cluster.daemons[number].addresses.callers,
+                    "/v1/entry-addresses?failure_domain=c",
+                )
+                self.assertEqual(reply.status, 200)
+                self.assertNotIn(daemon.addresses.callers, reply.values["addresses"])
+            self.assertEqual(await stopping, 0)
+            await load.more(20)
+        self.assertEqual(load.lost, [])
