--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -135,7 +135,6 @@
     def refresh(self) -> None:
         """Apply gone facts that are due."""
         if self.gone.mature(self.clock.monotonic_s()):
-            self.authority.note_gone()
             self._update_handover()
             self._homes_changed = True
 
--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -85,6 +85,8 @@
     bodies: dict[str, bytes] = field(default_factory=dict)
     members: dict[str, Member] = field(default_factory=dict)
     homes: dict[str, str] = field(default_factory=dict)
+    # Incarnations of killed daemons.
+    ended: set[str] = field(default_factory=set)
     # Faults for the next calls, by operation: put, get, leaf, peer.
     faults: dict[str, list[str]] = field(default_factory=dict)
     # Virtual machines whose store calls fail.
@@ -174,6 +176,9 @@
     def member(self, vm_id: str) -> Member | None:
         return self.world.members.get(vm_id)
 
+    def is_gone(self, incarnation: str) -> bool:
+        return incarnation in self.world.ended
+
     def home_of(self, leaf_id: str) -> str | None:
         return self.home_of_key(leaf_id)
 
@@ -236,12 +241,22 @@
             raise PeerError("fault", sent=False)
         handler = target.peers._handlers[type(message)]
         context = PeerContext(Hello(own), None, 0)  # type: ignore[arg-type]
-        task: Any = asyncio.ensure_future(handler(message, context))
+
+        async def deliver() -> Any:
+            # A paused daemon finds the request when it resumes.
+            await world.step(vm_id)
+            return await handler(message, context)
+
+        task: Any = asyncio.ensure_future(deliver())
         try:
             async with asyncio.timeout(timeout_s):
                 reply = await asyncio.shield(task)
-        except (TimeoutError, asyncio.CancelledError) as error:
+        except TimeoutError as error:
             raise PeerError("no reply", sent=True) from error
+        except asyncio.CancelledError as error:
+            if not task.cancelled():
+                raise
+            raise PeerError("the peer was killed", sent=True) from error
         if fault == "lost" or self.fleet.daemons.get(vm_id) is not target:
             raise PeerError("fault", sent=True)
         if isinstance(message, LeafRunRequest):
@@ -372,6 +387,7 @@
     async def kill(self, vm_id: str) -> None:
         """End a daemon without its last writes."""
         daemon = self.daemons.pop(vm_id)
+        self.world.ended.add(daemon.identity.incarnation)
         cut_off = vm_id in self.world.cut_off
         self.world.cut_off.add(vm_id)
         for task in daemon.bookings._work:
@@ -380,16 +396,34 @@
         if not cut_off:
             self.world.cut_off.discard(vm_id)
 
+    def resume(self) -> None:
+        """Let all paused daemons go on."""
+        for event in self.world.paused.values():
+            event.set()
+        self.world.paused.clear()
+
     async def stop(self) -> None:
         """Stop all daemons."""
+        self.resume()
         for daemon in self.daemons.values():
             await daemon.kernel.stop()
 
     async def book(
-        self, vm_id: str, key: str, *, body: bytes = b"{}", left_ms: int = 1000
+        self,
+        vm_id: str,
+        key: str,
+        *,
+        body: bytes = b"{}",
+        left_ms: int = 1000,
+        service: str = "",
     ) -> Outcome:
         """Send one booking to a daemon."""
         request = BookingRequest(
-            key=key, index="ledger", route="run", body=body, deadline_left_ms=left_ms
+            key=key,
+            index="ledger",
+            route="run",
+            service=service,
+            body=body,
+            deadline_left_ms=left_ms,
         )
         return await self.daemons[vm_id].bookings.run(request)
