Refuse runs at admission with a verdict that covers earlier tries

Cause: admission answered NOT_RUN for a repeat of a key that may have run, so a caller could book again under another key. Change: the bookings answer for a run that is not admitted: the recorded result, NOT_RUN when it is certain that no try ran, else MAY_HAVE_RUN; the store is awaited 250 ms at most. New tests cover a fresh key, a key that ran and a store outage.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
@@ -59,6 +59,8 @@
 # The home answers this much before the caller's deadline.
 ANSWER_MARGIN_MS = 10
 STOP_TIMEOUT_S = 2.0
+# A refusal waits this long for the store's word on earlier tries of the key.
+REFUSE_TIMEOUT_S = 0.25
 
 
 class BookingService(Service):
@@ -166,6 +168,26 @@
         self._metrics.count("bookings", verdict=outcome.verdict)
         return outcome
 
+    async def refuse(self, request: BookingRequest, reason: Reason) -> Outcome:
+        """Answer for a request that is not run because of ``reason``.
+
+        An earlier try of its key may have run. Without certain knowledge of that
+        within REFUSE_TIMEOUT_S the verdict is MAY_HAVE_RUN.
+        """
+        try:
+            async with asyncio.timeout(REFUSE_TIMEOUT_S):
+                outcome = await self._refusal(self._completed(request), reason)
+        except TimeoutError:
+            outcome = Failed(reason=reason, verdict=Verdict.MAY_HAVE_RUN)
+        self._metrics.count("bookings", verdict=outcome.verdict)
+        return outcome
+
+    async def _refusal(self, request: BookingRequest, reason: Reason) -> Outcome:
+        key = ReservedKey.parse(request.key)
+        if key is not None and self._reserved.owns(key):
+            return await self._reserved.refuse(key, request, reason)
+        return await self._settle(request, reason)
+
     async def _serve(
         self, request: BookingRequest, context: PeerContext
     ) -> BookingReply:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_ports.py
@@ -17,6 +17,7 @@
     from gypsumvane_core.query_answer import SearchAnswer
     from gypsumvane_core.query_request import LookupRequest
     from gypsumvane_core.query_request import SearchRequest
+    from gypsumvane_core.reason import Reason
 
 
 class TicketPort(Protocol):
@@ -55,6 +56,9 @@
     async def run(self, request: BookingRequest) -> Outcome:
         """Run a request at most once."""
 
+    async def refuse(self, request: BookingRequest, reason: Reason) -> Outcome:
+        """Answer truthfully for a request that is not run."""
+
     def reserve(self, count: int) -> list[str]:
         """Return keys that this daemon reserves."""
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -19,6 +19,7 @@
 from gypsumvane_core.query_request import LookupRequest
 from gypsumvane_core.query_request import SearchRequest
 from gypsumvane_core.reason import Reason
+from gypsumvane_daemon.admission_service import AdmissionRefused
 from gypsumvane_daemon.caller_bodies import LookupBody
 from gypsumvane_daemon.caller_bodies import ReserveBody
 from gypsumvane_daemon.caller_bodies import RunBody
@@ -125,7 +126,14 @@
         body = parse_body(RunBody, call.body)
         if not call.headers.idempotency_key:
             raise CallerError(Reason.KEY_MISSING, f"{IDEMPOTENCY_KEY} is required")
-        ticket = await self._admit(call, Priority.RUN)
+        try:
+            ticket = await self._admit(call, Priority.RUN)
+        except AdmissionRefused as error:
+            # An earlier try of the key may have run, so that "not run" would be
+            # false for the booking as a whole.
+            booking = self._booking(call, body)
+            outcome = await self._links.bookings.refuse(booking, error.reason)
+            return run_reply(outcome, request_id=call.request_id)
         in_time = False
         try:
             outcome = await self._links.bookings.run(self._booking(call, body))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/reserved_runs.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/reserved_runs.py
@@ -81,6 +81,17 @@
             return await self.recover(key, request)
         return await self._first_try(key, request, deadline)
 
+    async def refuse(
+        self, key: ReservedKey, request: BookingRequest, reason: Reason
+    ) -> Outcome:
+        """Answer for a key of this process that is not run now."""
+        use = self._ring.use_of(key)
+        if use is KeyUse.USED:
+            return self._repeat(self._entries[key.sequence], request)
+        if use is KeyUse.FORGOTTEN:
+            return await self.recover(key, request)
+        return Refused(reason=reason)
+
     async def recover(self, key: ReservedKey, request: BookingRequest) -> Outcome:
         """Answer for a key whose issuer is lost or has forgotten it."""
         unresolved = Failed(reason=Reason.KEY_UNRESOLVED, verdict=Verdict.MAY_HAVE_RUN)
--- a/packages/gypsumvane-daemon/tests/caller_fakes.py
+++ b/packages/gypsumvane-daemon/tests/caller_fakes.py
@@ -11,6 +11,8 @@
 from gateway_fakes import FakeService
 from gateway_fakes import GatewayRig
 from gypsumvane_core.outcome import Completed
+from gypsumvane_core.outcome import Failed
+from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.admission_service import AdmissionRefused
 from gypsumvane_daemon.caller_api import CallerApi
 
@@ -93,6 +95,9 @@
         await asyncio.sleep(self.delay_s)
         return self.outcome
 
+    async def refuse(self, request: BookingRequest, reason: Reason) -> Outcome:
+        return Failed(reason=reason, verdict=Verdict.MAY_HAVE_RUN)
+
     def reserve(self, count: int) -> list[str]:
         return [f"key-{number}" for number in range(count)]
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_booking_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_booking_service.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from booking_fleet import Fleet
+from gypsumvane_core.messages import BookingRequest
 from gypsumvane_core.outcome import Completed
 from gypsumvane_core.outcome import Failed
 from gypsumvane_core.outcome import Refused
@@ -67,6 +69,21 @@
         self.assertEqual(unknown, Refused(Reason.UNKNOWN_SERVICE))
         self.assertEqual(self.world.runs["key-1"], 0)
 
+    async def test_refusal_never_denies_an_earlier_run(self) -> None:
+        """Guard against "not run" by admission for a key that ran before."""
+        bookings = self.fleet.daemons["vm-3"].bookings
+        fresh = BookingRequest(key="key-2", index="ledger", route="run", body=b"{}")
+        ran = replace(fresh, key="key-1")
+        await self.fleet.book("vm-2", "key-1")
+        refused = await bookings.refuse(fresh, Reason.QUEUE_FULL)
+        self.assertEqual(refused, Refused(Reason.QUEUE_FULL))
+        repeated = await bookings.refuse(ran, Reason.QUEUE_FULL)
+        # The record of the run may not be in the store yet.
+        self.assertIsNot(repeated.verdict, Verdict.NOT_RUN)
+        self.world.cut_off = {"vm-1", "vm-2", "vm-3"}
+        unknown = await bookings.refuse(ran, Reason.QUEUE_FULL)
+        self.assertEqual(unknown.verdict, Verdict.MAY_HAVE_RUN)
+
     async def test_key_is_free_after_all_leaves_refused(self) -> None:
         """Guard against a claim that blocks a key which never ran."""
         self.world.faults["leaf"] = ["not_run"] * 2
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -110,6 +110,16 @@
         self.assertEqual((status, answer["reason"]), (429, "queue_full"))
         self.assertEqual([leaf.asked for leaf in self.rig.leaves_of("s0")], [0, 0])
 
+    async def test_refused_run_tells_about_earlier_tries(self) -> None:
+        """Guard against "not run" for a key whose earlier try may have run."""
+        self.rig.admission.reason = Reason.QUEUE_FULL
+        status, answer = await self.post(RUN, {"key": "x"}, Idempotency_Key="k1")
+        self.assertEqual(
+            (answer["outcome"], answer["verdict"]), ("failed", "may_have_run")
+        )
+        self.assertGreaterEqual(status, 400)
+        self.assertEqual(self.rig.bookings.requests, [])
+
     async def test_run_passes_the_callers_key_and_verdict(self) -> None:
         """Guard against a booking that loses its key or its verdict."""
         status, answer = await self.post(RUN, {"key": "x"}, Idempotency_Key="k1")
