Read and write peer frames by pycapnp's accessors

Cause: the codec used getattr and setattr on pycapnp's structs and passed decoded fields by keyword. Attribute access first looks the name up among the Python attributes and takes about twice as long as the accessors.

Change: `_get` and `_set` with the planned names, fields in the order of the dataclass. The frames are the same bytes.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_codec.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_codec.py
@@ -83,13 +83,15 @@
 
 
 def _fill(builder: Any, message: Any) -> None:
+    # The methods take half the time of setattr and getattr.
+    assign = builder._set
     for plan in _PLANS[type(message)]:
         value = getattr(message, plan.name)
         if plan.is_list:
             if not value:
                 continue
             if plan.nested is None:
-                setattr(builder, plan.wire_name, value)
+                assign(plan.wire_name, value)
                 continue
             items = builder.init(plan.wire_name, len(value))
             for item_builder, item in zip(items, value, strict=True):
@@ -100,20 +102,21 @@
             # pycapnp refuses subclasses such as members of an enumeration.
             if type(value) is not plan.scalar:
                 value = plan.scalar(value)
-            setattr(builder, plan.wire_name, value)
+            assign(plan.wire_name, value)
 
 
 def _read(reader: Any, cls: type) -> Any:
-    values = {}
+    get = reader._get
+    values = []
     for plan in _PLANS[cls]:
-        value = getattr(reader, plan.wire_name)
+        value = get(plan.wire_name)
         if plan.is_list:
             nested = plan.nested
             value = list(value) if nested is None else [_read(v, nested) for v in value]
         elif plan.nested is not None:
             value = _read(value, plan.nested)
-        values[plan.name] = value
-    return cls(**values)
+        values.append(value)
+    return cls(*values)
 
 
 def encode_frame(frame: Frame) -> bytes:
