Look at the membership 5 times a second while the daemon serves

Cause: the life cycle looked at the membership every 20 ms at all times, which was half of the wakeups of an idle daemon.

Change: the 20 ms apply while the daemon joins or leaves. While it serves, changes of members wake it at once, and 200 ms apply to what only comes with time: every other member is suspected, which takes 1.5 s to arise.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from typing import TYPE_CHECKING
 from typing import cast
@@ -24,6 +25,9 @@
 logger = logging.getLogger(__name__)
 
 POLL_S = 0.02
+# While the daemon serves, changes of members are announced and only suspicion
+# comes with time; it takes more than a second to arise.
+SERVING_POLL_S = 0.2
 # Peers may hand out lists with this daemon until a heartbeat has told them.
 ANNOUNCE_INTERVALS = 2
 
@@ -43,6 +47,7 @@
         self._idle_checks: list[Callable[[], bool]] = []
         self._task: asyncio.Task[None] | None = None
         self._leaving: asyncio.Task[None] | None = None
+        self._membership_changed = asyncio.Event()
 
     async def start(self, kernel: Kernel) -> None:
         """Begin to join."""
@@ -53,6 +58,7 @@
         except LookupError:
             self._documents = None
         self._cycle.apply("join")
+        self._membership.on_change(self._membership_changed.set)
         self._task = asyncio.create_task(self._follow_membership())
 
     async def stop(self) -> None:
@@ -120,7 +126,14 @@
                     self._cycle.apply("serve")
             elif self.state is LifeState.SERVING and not membership.can_keep_serving():
                 self._cycle.apply("lose_membership")
-            await asyncio.sleep(POLL_S)
+            await self._wait_for_membership()
+
+    async def _wait_for_membership(self) -> None:
+        serving = self.state is LifeState.SERVING
+        self._membership_changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SERVING_POLL_S if serving else POLL_S):
+                await self._membership_changed.wait()
 
     async def _wait_until(self, condition: Callable[[], bool]) -> None:
         # The conditions depend on time, so that no event announces them.
