Take the body of a leaf's answer without a coroutine when it is complete

Cause: a small body has mostly arrived together with its headers, yet reading it went through three coroutines of aiohttp for each call.

Change: when the parser has seen the end of the body, read what is there. An error of the connection is raised by both ways.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -171,7 +171,9 @@
         message, payload = await protocol.read()
         while message.code < 200:
             message, payload = await protocol.read()
-        body = await payload.read()
+        # A small body has mostly arrived with its headers.
+        whole = payload.is_eof()
+        body = payload.read_nowait() if whole else await payload.read()
         return _read_answer(message.code, message.headers, body)
 
     async def cancel(self, request_id: str) -> None:
