End a leaf call by one callback instead of two

Cause: each call's task had two callbacks at its end, and each of them takes a turn of the event loop.

Change: the callback that frees the slot also forgets the task. It runs for a task that is cancelled before its first step too, as before.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -274,7 +274,8 @@
         self._runs[task] = run
         loop = asyncio.get_running_loop()
         run.timers.append(loop.call_later(left_s, self._on_deadline, run))
-        run.job = self._spawn(self._run(run))
+        run.job = asyncio.create_task(self._run(run))
+        self._jobs.add(run.job)
         # A job that is cancelled before its first step runs no code of its own,
         # so the slot is freed by a callback.
         run.job.add_done_callback(lambda job: self._end(run))
@@ -299,6 +300,8 @@
         """Free the slot of a call that has ended."""
         for timer in run.timers:
             timer.cancel()
+        if run.job is not None:
+            self._jobs.discard(run.job)
         del self._runs[run.task]
         self.pump()
 
