--- a/packages/gypsumvane-cli/src/gypsumvane_cli/output.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/output.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from datetime import UTC
+from datetime import datetime
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TextIO
@@ -32,14 +34,20 @@
         *,
         columns: Sequence[str],
         rows: Sequence[dict[str, Any]],
+        notes: Sequence[str] = (),
     ) -> None:
-        """Print a value as JSON, or some of its rows as a table."""
-        self.show(value, *_table(columns, rows))
+        """Print a value as JSON, or some of its rows as a table and notes below."""
+        self.show(value, *_table(columns, rows), *notes)
 
     def _print(self, line: str) -> None:
         print(line, file=self._stream)
 
 
+def format_time(unix_s: float) -> str:
+    """Return a time in ISO 8601, in UTC."""
+    return datetime.fromtimestamp(unix_s, tz=UTC).isoformat(timespec="seconds")
+
+
 def _table(columns: Sequence[str], rows: Sequence[dict[str, Any]]) -> list[str]:
     cells = [list(columns)]
     cells += [[_cell(row.get(column)) for column in columns] for row in rows]
