--- a/tests/system_run.py
+++ b/tests/system_run.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
 # A class that takes longer hangs; its processes end with the worker.
 CLASS_LIMIT_S = 600.0
@@ -67,6 +68,7 @@
             command,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
+            cwd=ROOT,
             timeout=CLASS_LIMIT_S,
             check=False,
         )
