List only members that serve callers as entry addresses

Cause: a restarted daemon was listed as soon as it was in the view, before it served, and callers that got its address were refused as not_ready. Change: heartbeats say whether a daemon serves, and lists contain only those.

--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -65,6 +65,8 @@
     acknowledged_epoch: int = 0
     acknowledged: dict[str, int] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
+    # Other incarnations whose last heartbeat said that they serve callers.
+    ready: set[str] = field(default_factory=set)
     joins: dict[str, Member] = field(default_factory=dict)
     gone: GoneFacts = field(init=False)
     live_list: LiveList = field(default_factory=LiveList)
@@ -208,6 +210,10 @@
         self.acknowledged[sender] = max(known, heartbeat.acknowledged_epoch)
         if heartbeat.leaving_for_ms >= 0:
             self.leaving.add(sender)
+        if heartbeat.ready:
+            self.ready.add(sender)
+        else:
+            self.ready.discard(sender)
         self.add_gone(heartbeat.gone)
         self._update_handover()
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
@@ -53,6 +53,7 @@
         """Begin to join."""
         self._metrics = kernel.get(MetricsService)
         self._membership = kernel.get(MembershipService)
+        self._membership.set_ready_check(lambda: self.state is LifeState.SERVING)
         try:
             self._documents = cast("DocumentPort | None", kernel.find("documents"))
         except LookupError:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -76,6 +76,7 @@
         self._listeners: list[Callable[[], None]] = []
         self._contributors: list[HeartbeatContributor] = []
         self._release_check: Callable[[str], bool] = lambda _: True
+        self._ready_check: Callable[[], bool] = lambda: True
         self._tasks: list[asyncio.Task[None]] = []
         self._peer_tasks: dict[str, asyncio.Task[None]] = {}
         self._kicks: dict[str, asyncio.Event] = {}
@@ -207,6 +208,10 @@
         """Let another service fill and read its fields of heartbeats."""
         self._contributors.append(contributor)
 
+    def set_ready_check(self, check: Callable[[], bool]) -> None:
+        """Ask the check whether this daemon serves callers."""
+        self._ready_check = check
+
     def set_release_check(self, check: Callable[[str], bool]) -> None:
         """Ask the check whether no call to a leaf is in progress."""
         self._release_check = check
@@ -214,11 +219,7 @@
     def entry_addresses(self, failure_domain: str) -> EntryAddresses:
         """Return where a caller should connect."""
         state = self.state
-        members = [
-            m
-            for m in self.live_members()
-            if not state.is_leaving(m) and not state.suspected(m)
-        ]
+        members = [m for m in self.live_members() if self._serves_callers(m)]
         if not members and self.can_serve():
             # The caller reached this daemon and no other one stays.
             members = [replace(state.own, leaving=False)]
@@ -230,6 +231,15 @@
             keep_s=self._identity.settings.entry.keep_ms / 1000,
         )
 
+    def _serves_callers(self, member: Member) -> bool:
+        state = self.state
+        if state.is_leaving(member) or state.suspected(member):
+            return False
+        if member.incarnation == self._identity.incarnation:
+            return self._ready_check()
+        # A member that has just joined may not serve yet.
+        return member.incarnation in state.ready
+
     def can_serve(self) -> bool:
         """Return whether requests can be sent to homes.
 
@@ -489,7 +499,9 @@
 
     async def _heartbeat(self, vm_id: str) -> None:
         sent_at_s = self._clock.monotonic_s()
-        heartbeat = Heartbeat(**self.state.heartbeat(reply=False))
+        heartbeat = Heartbeat(
+            ready=self._ready_check(), **self.state.heartbeat(reply=False)
+        )
         for contributor in self._contributors:
             contributor.contribute(heartbeat, vm_id)
         try:
@@ -534,7 +546,9 @@
         sender = context.hello.vm_id
         self.state.receive(heartbeat)
         self._after_heartbeat(heartbeat, sender, known_gone)
-        reply = HeartbeatReply(**self.state.heartbeat(reply=True))
+        reply = HeartbeatReply(
+            ready=self._ready_check(), **self.state.heartbeat(reply=True)
+        )
         for contributor in self._contributors:
             contributor.contribute(reply, sender)
         return reply
