Refuse runs at a daemon that does not serve with a true verdict

Cause: a daemon that does not serve answered NOT_RUN for a run whose key may have run through another daemon. Change: the bookings answer, as for refusals of admission. The test of the callers' listener covers it.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -122,18 +122,16 @@
 
     async def run(self, request: web.Request) -> web.Response:
         """Run a non-idempotent request at most once."""
-        call = await self._read(request)
+        call = await self._read_call(request)
         body = parse_body(RunBody, call.body)
         if not call.headers.idempotency_key:
             raise CallerError(Reason.KEY_MISSING, f"{IDEMPOTENCY_KEY} is required")
+        if not self._links.lifecycle.serving:
+            return await self._refuse_run(call, body, Reason.NOT_READY)
         try:
             ticket = await self._admit(call, Priority.RUN)
         except AdmissionRefused as error:
-            # An earlier try of the key may have run, so that "not run" would be
-            # false for the booking as a whole.
-            booking = self._booking(call, body)
-            outcome = await self._links.bookings.refuse(booking, error.reason)
-            return run_reply(outcome, request_id=call.request_id)
+            return await self._refuse_run(call, body, error.reason)
         in_time = False
         try:
             outcome = await self._links.bookings.run(self._booking(call, body))
@@ -145,6 +143,18 @@
         finally:
             ticket.finish(in_time)
 
+    async def _refuse_run(
+        self, call: _Call, body: RunBody, reason: Reason
+    ) -> web.Response:
+        """Answer for a run that is not begun.
+
+        An earlier try of the key may have run, so that "not run" would be false
+        for the booking as a whole.
+        """
+        booking = self._booking(call, body)
+        outcome = await self._links.bookings.refuse(booking, reason)
+        return run_reply(outcome, request_id=call.request_id)
+
     async def reserve_keys(self, request: web.Request) -> web.Response:
         """Reserve idempotency keys at this daemon."""
         self._check_serving()
@@ -167,6 +177,9 @@
 
     async def _read(self, request: web.Request) -> _Call:
         self._check_serving()
+        return await self._read_call(request)
+
+    async def _read_call(self, request: web.Request) -> _Call:
         now_s = self._links.clock.monotonic_s()
         headers = read_headers(request.headers)
         index = request.match_info["index"]
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -146,6 +146,11 @@
         self.assertEqual((status, answer["verdict"]), (503, "not_run"))
         async with self.session.get(self.rig.url("/v1/ready")) as response:
             self.assertEqual(response.status, 503)
+        # An earlier try of a key may have run at another daemon.
+        _, answer = await self.post(RUN, {"key": "x"}, Idempotency_Key="k1")
+        self.assertEqual(
+            (answer["reason"], answer["verdict"]), ("not_ready", "may_have_run")
+        )
 
     async def test_keys_and_entry_addresses(self) -> None:
         """Guard against entry points that callers cannot use."""
