Keep a version that fails in part at its canary share

Cause: a route counted as proven after 20 good answers, whatever failed; in one trial a version with 31 failures in 75 answers left its canary. Change: each bad answer above the old version's rate asks for 20 more good ones. The new unit test fails on the former rule.

--- a/packages/gypsumvane-core/src/gypsumvane_core/move_tracker.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_tracker.py
@@ -23,6 +23,8 @@
     from gypsumvane_core.messages import MoveEvidence
 
 REASON_LENGTH_MAX = 200
+# Good answers that outweigh one bad answer above the rate of the old version.
+GOOD_PER_BAD_ANSWER = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +43,22 @@
 
     @property
     def proven(self) -> bool:
-        """Return whether the new version has given enough good answers."""
-        return self.good_new >= self.good_needed
+        """Return whether the new version has given enough good answers.
+
+        Bad answers above the rate of the old version must be outweighed, so that
+        a version that fails often never leaves its canary share.
+        """
+        needed = self.good_needed + GOOD_PER_BAD_ANSWER * self._excess_bad
+        return self.good_new >= needed
+
+    @property
+    def _excess_bad(self) -> float:
+        """Return how many bad answers exceed the rate of the old version."""
+        counts = self.counts
+        bad = counts.new_failures + counts.new_slow
+        old_bad = counts.old_failures + counts.old_slow
+        expected = counts.new_answers * old_bad / max(counts.old_answers, 1)
+        return max(0.0, bad - expected)
 
 
 class MoveTracker:
--- a/packages/gypsumvane-core/tests/test_core_move_tracker.py
+++ b/packages/gypsumvane-core/tests/test_core_move_tracker.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import settings
@@ -16,6 +17,7 @@
 from gypsumvane_core.move_evidence import EvidenceTable
 from gypsumvane_core.move_share import MoveSchedule
 from gypsumvane_core.move_tracker import MoveTracker
+from gypsumvane_core.move_tracker import RouteEvidence
 from gypsumvane_core.slow_threshold import SlowThreshold
 
 
@@ -105,6 +107,16 @@
             self.answer("search", "v2")
         self.assertIsNotNone(self.tracker.proven_at_unix_s)
 
+    def test_canary_does_not_end_while_many_answers_fail(self) -> None:
+        """Guard against full traffic for a version that fails in part."""
+        counts = MoveEvidence(
+            "m1", "search", old_answers=1000, new_answers=75, new_failures=31
+        )
+        evidence = RouteEvidence(counts, good_new=44, good_needed=20)
+        self.assertFalse(evidence.proven)
+        usual = replace(counts, old_failures=10, new_failures=1)
+        self.assertTrue(RouteEvidence(usual, good_new=74, good_needed=20).proven)
+
     def test_one_failing_route_is_not_diluted(self) -> None:
         """Guard against a fault on one route hidden by failures of others."""
         reasons = set()
