Avoid leaves that fail

Change: each root keeps the recent failure share of a leaf; from 30% on it gets only the few requests that show whether it has recovered. Also adds the experiment version_move.

--- a/packages/gypsumvane-core/src/gypsumvane_core/leaf_choice.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/leaf_choice.py
@@ -18,6 +18,12 @@
 COLD_STATES = frozenset({"unknown", "cold", "warming"})
 COLD_SHARE = 0.03
 LATENCY_MIN_MS = 1.0
+# Weight of the newest answer in the recent failure share of a leaf.
+FAILURE_WEIGHT = 0.2
+# One failure among good answers stays below this share, two in a row do not.
+FAILING_SHARE = 0.3
+# A failing leaf answers fast and would attract requests by its low load.
+FAILING_LOAD_FACTOR = 100.0
 
 
 class LeafChooser:
@@ -30,6 +36,19 @@
         self._random = random
         # Attempts of this root in progress; briefs lag behind them.
         self._in_progress: dict[str, int] = {}
+        # Recent share of failed answers, for leaves with any.
+        self._failures: dict[str, float] = {}
+
+    def record(self, leaf_id: str, *, failed: bool) -> None:
+        """Take over whether a leaf failed a request that reached it."""
+        share = self._failures.get(leaf_id, 0.0)
+        if not failed and not share:
+            return
+        share += FAILURE_WEIGHT * (failed - share)
+        if share < FAILURE_WEIGHT / 100:
+            del self._failures[leaf_id]
+        else:
+            self._failures[leaf_id] = share
 
     def begin(self, leaf_id: str) -> None:
         """Count an attempt in progress."""
@@ -69,7 +88,7 @@
         first, second = self._draw_two(candidates)
         if self._load(second.leaf_id) < self._load(first.leaf_id):
             first, second = second, first
-        if self._is_idle_cold(second.leaf_id) and self._random.random() < COLD_SHARE:
+        if self._needs_samples(second.leaf_id) and self._random.random() < COLD_SHARE:
             return second
         return first
 
@@ -81,14 +100,22 @@
 
     def _load(self, leaf_id: str) -> float:
         brief = self._brief_of(leaf_id)
-        waiting = self.in_progress(leaf_id) + 1
+        waiting: float = self.in_progress(leaf_id) + 1
+        if self._is_failing(leaf_id):
+            waiting *= FAILING_LOAD_FACTOR
         if brief is None:
             return waiting * LATENCY_MIN_MS
         waiting += brief.queued
         return waiting / max(brief.limit, 1) * max(brief.latency_ms, LATENCY_MIN_MS)
 
-    def _is_idle_cold(self, leaf_id: str) -> bool:
+    def _is_failing(self, leaf_id: str) -> bool:
+        return self._failures.get(leaf_id, 0.0) >= FAILING_SHARE
+
+    def _needs_samples(self, leaf_id: str) -> bool:
+        """Return whether only a few requests show how the leaf does."""
         if self.in_progress(leaf_id):
             return False
+        if self._is_failing(leaf_id):
+            return True
         brief = self._brief_of(leaf_id)
         return brief is None or (brief.state in COLD_STATES and not brief.queued)
--- a/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
@@ -47,6 +47,14 @@
     }
 )
 
+# Failures that say nothing about the leaf.
+NOT_OF_THE_LEAF = BEFORE_UPSTREAM | {
+    Reason.SNAPSHOT_GONE,
+    Reason.CANCELLED,
+    Reason.DEADLINE,
+    Reason.PEER_LOST,
+    Reason.BAD_REQUEST,
+}
 # Refusals while homes change hands; the same leaf may be asked again.
 HANDOVER = frozenset(
     {Reason.NOT_HOME, Reason.NO_HOME, Reason.PEER_UNAVAILABLE, Reason.STOPPING}
@@ -201,6 +209,7 @@
     def _on_accepted(self, attempt: Attempt, now_s: float, step: Step) -> None:
         part = self.state.parts[attempt.service]
         self._tools.chooser.end(attempt.leaf.leaf_id)
+        self._tools.chooser.record(attempt.leaf.leaf_id, failed=False)
         self._tools.delays.add(part.service, now_s - part.first_sent_at_s)
         self._record(attempt, now_s, failed=False)
         losers = self.state.cancel_part(part)
@@ -215,6 +224,8 @@
         part = self.state.parts[attempt.service]
         reason = part.reason or Reason.UPSTREAM_ERROR
         self._tools.count("gateway_attempts_failed", reason)
+        if reason not in NOT_OF_THE_LEAF:
+            self._tools.chooser.record(attempt.leaf.leaf_id, failed=True)
         if verdict is not Verdict.NOT_RUN and reason is not Reason.PEER_LOST:
             self._record(attempt, now_s, failed=True)
         if reason is Reason.SNAPSHOT_GONE:
--- a/packages/gypsumvane-core/tests/test_core_scatter_rules.py
+++ b/packages/gypsumvane-core/tests/test_core_scatter_rules.py
@@ -151,6 +151,23 @@
         self.assertEqual(self.count_choices(latency_ms=50), 0)
         self.assertTrue(400 < self.count_choices() < 600)
 
+    def test_failing_leaf_is_avoided_until_it_answers(self) -> None:
+        """Guard against requests drawn to a leaf because it fails fast."""
+        chooser = LeafChooser(lambda leaf_id: None, random.Random(1))
+        leaves = build_index().leaves[:2]
+        candidates = Candidates(known=leaves, possible=[])
+
+        def share_of_first() -> float:
+            chosen = [chooser.choose(candidates) for _ in range(1000)]
+            return chosen.count(leaves[0]) / len(chosen)
+
+        chooser.record(leaves[0].leaf_id, failed=True)
+        self.assertGreater(share_of_first(), 0.3)
+        chooser.record(leaves[0].leaf_id, failed=True)
+        self.assertLess(share_of_first(), 0.06)
+        chooser.record(leaves[0].leaf_id, failed=False)
+        self.assertGreater(share_of_first(), 0.3)
+
     def test_cold_leaf_gets_a_small_share(self) -> None:
         """Guard against a cold leaf that is overrun, or never warms up."""
         self.assertTrue(0 < self.count_choices(state="cold", limit=1) < 60)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
@@ -16,6 +16,7 @@
 from gypsumvane_devtools.measure.retries import RetriesExperiment
 from gypsumvane_devtools.measure.store_calls import StoreCallsExperiment
 from gypsumvane_devtools.measure.straggler import StragglerExperiment
+from gypsumvane_devtools.measure.version_move import VersionMoveExperiment
 
 if TYPE_CHECKING:
     from gypsumvane_devtools.measure.experiment import Experiment
@@ -31,5 +32,6 @@
     RetriesExperiment,
     BookingsExperiment,
     StoreCallsExperiment,
+    VersionMoveExperiment,
 ]
 EXPERIMENTS = {experiment.name: experiment for experiment in EXPERIMENT_CLASSES}
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
@@ -0,0 +1,170 @@
+"""Version moves: good versions on time, bad versions taken back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+
+from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.load_process import run_load_process
+from gypsumvane_devtools.measure.experiment import Experiment
+from gypsumvane_devtools.measure.figures import at_least
+from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.polling import wait_until
+
+if TYPE_CHECKING:
+    from gypsumvane_devtools.measure.figures import Check
+    from gypsumvane_devtools.measure.figures import FigureTable
+
+GOOD = "good"
+BAD = "fails during the canary"
+NEW = "v2"
+CANARY_SHARE = 0.1
+RATE_PER_S = 80.0
+DURATION_S = 30.0
+GOOD_LENGTH_S = 20.0
+BAD_LENGTH_S = 600.0
+FAULT_AFTER_S = 8.0
+WATCH_S = 8.0
+POLL_S = 0.05
+
+
+class VersionMoveExperiment(Experiment):
+    """Move an index to a good version, and to one that begins to fail."""
+
+    name: ClassVar[str] = "version_move"
+    target: ClassVar[str] = (
+        "good version done on time and reported as done only once true; bad version "
+        "at most its canary share before the fault shows, none 2 s after, taken back"
+    )
+    set_up: ClassVar[str] = (
+        f"4 services with 2 leaves of each version, 4 daemons, {RATE_PER_S:g} "
+        f"searches/s, canary share {CANARY_SHARE:g}; the good move lasts "
+        f"{GOOD_LENGTH_S:g} s; the bad version fails from {FAULT_AFTER_S:g} s on"
+    )
+
+    def variants(self) -> list[str]:
+        """Return the two kinds of versions."""
+        return [GOOD, BAD]
+
+    async def measure(self, variant: str, number: int) -> dict[str, float]:
+        """Run one kind once."""
+        index = {"services": 4, "new_replicas": 2}
+        async with Cluster(search_plan(index=index)) as cluster:
+            await cluster.warm_up(INDEX)
+            load = load_plan(
+                cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
+            )
+            running = asyncio.create_task(run_load_process(load))
+            measure = move_good if variant == GOOD else move_bad
+            values = await measure(cluster)
+            result = await running
+        return {**values, "complete_share": result.share_complete_in_time()}
+
+    def verdict(self, table: FigureTable) -> list[Check]:
+        """Compare with the target."""
+        return [
+            at_least("good moves done", table.lowest(GOOD, "done"), 1),
+            at_most(
+                "daemons below share 1 when done",
+                table.highest(GOOD, "incomplete_when_done"),
+                0,
+            ),
+            at_least("bad moves taken back", table.lowest(BAD, "taken_back"), 1),
+            at_most(
+                "seconds with new work after the fault",
+                table.highest(BAD, "last_work_after_s"),
+                2.0,
+            ),
+        ]
+
+
+async def move_good(cluster: Cluster) -> dict[str, float]:
+    """Move to a good version and return how late it was done."""
+    complete_by_s = await start_move(cluster, GOOD_LENGTH_S)
+
+    async def is_done() -> bool:
+        return await state_of(cluster) == "done"
+
+    await wait_until(is_done, "the move is done", limit_s=60.0, interval_s=POLL_S)
+    late_s = time.time() - complete_by_s
+    status = (await read_move(cluster))["status"]
+    below = sum(share < 1.0 for share in status["applied"].values())
+    return {"done": 1.0, "done_late_s": late_s, "incomplete_when_done": float(below)}
+
+
+async def move_bad(cluster: Cluster) -> dict[str, float]:
+    """Let the new version fail and return how long it still got work."""
+    await start_move(cluster, BAD_LENGTH_S)
+    await asyncio.sleep(FAULT_AFTER_S)
+    before = await received_share(cluster)
+    fault = {"fault": {"mode": "fail"}}
+    await cluster.upstreams.set(fault, index=INDEX, version=NEW)
+    last_s = await last_new_work_s(cluster)
+    state = await state_of(cluster)
+    return {
+        "new_share_before": before,
+        "last_work_after_s": last_s,
+        "taken_back": float(state == "taken_back"),
+    }
+
+
+async def start_move(cluster: Cluster, length_s: float) -> float:
+    """Start the move and return the time by which it should be complete."""
+    now_s = time.time()
+    body = {
+        "change_id": "measure-move",
+        "reason": "measurement of a version move",
+        "move_id": "measure-move",
+        "from_version": "v1",
+        "to_version": NEW,
+        "start_unix_s": now_s,
+        "complete_by_unix_s": now_s + length_s,
+        "canary_share": CANARY_SHARE,
+    }
+    reply = await cluster.operate("POST", f"/v1/moves/{INDEX}/start", body)
+    if reply.status >= 300:
+        raise RuntimeError(f"move refused: {reply.status} {reply.values}")
+    return now_s + length_s
+
+
+async def read_move(cluster: Cluster) -> dict[str, Any]:
+    """Return the move as the first daemon knows it."""
+    return (await cluster.operate("GET", f"/v1/moves/{INDEX}")).values
+
+
+async def state_of(cluster: Cluster) -> str:
+    """Return the state of the move at the first daemon."""
+    return str((await read_move(cluster))["status"]["state"])
+
+
+async def received(cluster: Cluster, version: str) -> int:
+    """Return the searches that the leaves of a version received."""
+    counters = await cluster.upstreams.counters(index=INDEX, version=version)
+    return sum(values["received"].get("search", 0) for values in counters.values())
+
+
+async def received_share(cluster: Cluster) -> float:
+    """Return the share of searches that the new version received."""
+    new = await received(cluster, NEW)
+    return new / max(1, new + await received(cluster, "v1"))
+
+
+async def last_new_work_s(cluster: Cluster) -> float:
+    """Return when the new version received its last search, counted from now."""
+    began_s = time.monotonic()
+    count = await received(cluster, NEW)
+    last_s = 0.0
+    while time.monotonic() - began_s < WATCH_S:
+        newer = await received(cluster, NEW)
+        if newer > count:
+            last_s = time.monotonic() - began_s
+        count = newer
+        await asyncio.sleep(POLL_S)
+    return last_s
