--- a/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
@@ -100,11 +100,15 @@
         refresh_routes: Callable[[], IndexRoutes],
         services_of: Callable[[tuple[str, ...]], Iterable[str]],
         tools: ScatterTools,
+        extra_routes: IndexRoutes | None = None,
     ) -> None:
         self.state = state
         self.answer_by_s = answer_by_s
         self._policy = policy
         self._routes = routes
+        # Leaves for hedges and retries; a version under test gets first tries
+        # only, so that its share of all calls stays as scheduled.
+        self._extra_routes = extra_routes
         self._refresh_routes = refresh_routes
         self._services_of = services_of
         self._tools = tools
@@ -311,6 +315,13 @@
         self._tools.count("gateway_hedges", "delay")
 
     def _choose(self, part: ServicePart) -> LeafModel | None:
+        if part.tried and self._extra_routes is not None:
+            candidates = self._extra_routes.candidates(
+                part.service, self.state.snapshot
+            )
+            leaf = self._tools.chooser.choose(candidates, part.tried)
+            if leaf is not None:
+                return leaf
         candidates = self._routes.candidates(part.service, self.state.snapshot)
         return self._tools.chooser.choose(candidates, part.tried)
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_index.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_index.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.document_models import MoveState
 from gypsumvane_core.extra_budget import ExtraBudget
 from gypsumvane_core.hedge_delay import HedgeDelays
 from gypsumvane_core.index_routes import IndexRoutes
@@ -78,6 +79,21 @@
             return VersionChoice(version=version)
         return VersionChoice(version=version, avoided=move.to_version)
 
+    def extra_routes(
+        self, document: IndexDocument, version: VersionChoice
+    ) -> IndexRoutes | None:
+        """Return the routes of hedges and retries where they differ.
+
+        A request for the new version of a running move is hedged and repeated
+        at the old version.
+        """
+        move = self._catalogue.move(self.name)
+        if move is None or move.state is not MoveState.RUNNING:
+            return None
+        if version.version != move.to_version:
+            return None
+        return self.routes(document, self.version_choice(move.from_version))
+
     def routes(self, document: IndexDocument, version: VersionChoice) -> IndexRoutes:
         """Return the routes, computed again when they are old."""
         kept = self._routes.get(version)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
@@ -234,6 +234,7 @@
             ),
             services_of=plan.services_of,
             tools=self._tools(plan),
+            extra_routes=plan.index.extra_routes(plan.document, plan.version),
         )
         template = PartialBatch(
             query_id=query_id,
--- a/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
@@ -129,6 +129,33 @@
             count = self.rig.metrics.value("gateway_results_dropped", reason=reason)
             self.assertGreater(count, 0)
 
+    async def test_new_version_is_repeated_at_the_old_one(self) -> None:
+        """Guard against retries that raise the share of a version under test."""
+        body = index_body()
+        body["leaves"] += [
+            leaf | {"leaf_id": f"{leaf['leaf_id']}-{number}", "version": "v2"}
+            for leaf in body["leaves"]
+            for number in (1, 2)
+            if leaf["leaf_id"].endswith("-a")
+        ]
+        self.rig.apply_index(body)
+        move = {
+            "move_id": "m1",
+            "index": "stock",
+            "from_version": "v1",
+            "to_version": "v2",
+            "start_unix_s": 1.0,
+            "complete_by_unix_s": 2.0,
+        }
+        self.rig.documents.apply("move/stock", move)
+        self.rig.moves.version = "v2"
+        new = [v for k, v in self.rig.upstreams.leaves.items() if len(k) > 4]
+        for leaf in new:
+            leaf.kind, leaf.verdict, leaf.reason = "failed", "ran", "upstream_error"
+        answer = await self.search()
+        self.assertIs(answer.outcome, AnswerOutcome.COMPLETE)
+        self.assertEqual(sum(leaf.asked for leaf in new), answer.coverage.asked)
+
     async def test_query_restarts_once_when_the_snapshot_is_gone(self) -> None:
         """Guard against mixed snapshots, and against restarts without end."""
         self.rig.apply_index(index_body(snapshots=(1, 2, 3)))
