--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
@@ -33,6 +33,7 @@
 FAULT_AFTER_S = 8.0
 WATCH_S = 8.0
 POLL_S = 0.05
+SETTLE_S = 1.0
 
 
 class VersionMoveExperiment(Experiment):
@@ -102,6 +103,9 @@
 async def move_bad(cluster: Cluster) -> dict[str, float]:
     """Let the new version fail and return how long it still got work."""
     await start_move(cluster, BAD_LENGTH_S)
+    await asyncio.sleep(SETTLE_S)
+    # Without a move every version gets work, which does not count here.
+    await cluster.upstreams.act("reset_counters", index=INDEX)
     await asyncio.sleep(FAULT_AFTER_S)
     before = await received_share(cluster)
     fault = {"fault": {"mode": "fail"}}
