Send no extras to the old version at a share of 1

Cause: hedges of the new version's requests went to the old version while the move still ran at a share of 1, for example with the store down; the system test of a move through an outage received 2 such calls. Change: extras go to the old version only while a request can still draw it. The gateway test covers both.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -40,6 +41,7 @@
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.document_models import IndexDocument
     from gypsumvane_core.document_models import Policy
+    from gypsumvane_core.index_routes import IndexRoutes
     from gypsumvane_core.query_answer import LookupAnswer
     from gypsumvane_core.query_answer import SearchAnswer
     from gypsumvane_core.query_attempt import Attempt
@@ -66,6 +68,9 @@
     snapshot_required=False,
 )
 
+# A request with this draw uses the new version of a move only at a share of 1.
+HIGHEST_DRAW = math.nextafter(1.0, 0.0)
+
 
 class GatewayService(Service):
     """Search all services of an index, or look a key up in one."""
@@ -216,6 +221,15 @@
             )
         return document
 
+    def _extra_routes(self, plan: QueryPlan) -> IndexRoutes | None:
+        """Return the routes of hedges and retries where they differ."""
+        moves = self._moves
+        last = moves.choose_version(plan.index.name, plan.kind.route, HIGHEST_DRAW)
+        if last == plan.version.version:
+            # The share is 1; the old version gets no work any more.
+            return None
+        return plan.index.extra_routes(plan.document, plan.version)
+
     async def _run(self, plan: QueryPlan) -> QueryState:
         self._query_count += 1
         query_id = f"{self._identity.incarnation}-{self._query_count}"
@@ -234,7 +248,7 @@
             ),
             services_of=plan.services_of,
             tools=self._tools(plan),
-            extra_routes=plan.index.extra_routes(plan.document, plan.version),
+            extra_routes=self._extra_routes(plan),
         )
         template = PartialBatch(
             query_id=query_id,
--- a/packages/gypsumvane-daemon/tests/gateway_fakes.py
+++ b/packages/gypsumvane-daemon/tests/gateway_fakes.py
@@ -19,6 +19,7 @@
 from gypsumvane_core.messages import PartialResult
 from gypsumvane_core.messages import PartialResults
 from gypsumvane_core.messages import UpstreamBrief
+from gypsumvane_daemon.gateway_service import HIGHEST_DRAW
 from gypsumvane_daemon.gateway_service import GatewayService
 from gypsumvane_daemon.identity import DaemonIdentity
 from gypsumvane_daemon.kernel import Kernel
@@ -220,10 +221,12 @@
 
     def __init__(self) -> None:
         self.version: str | None = None
+        # The version that a draw of nearly 1 chooses.
+        self.last_version: str | None = None
         self.recorded: list[tuple[str, bool]] = []
 
     def choose_version(self, index: str, route: str, draw: float) -> str | None:
-        return self.version
+        return self.last_version if draw == HIGHEST_DRAW else self.version
 
     def record(
         self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
--- a/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
@@ -149,12 +149,19 @@
         }
         self.rig.documents.apply("move/stock", move)
         self.rig.moves.version = "v2"
+        self.rig.moves.last_version = "v1"
         new = [v for k, v in self.rig.upstreams.leaves.items() if len(k) > 4]
         for leaf in new:
             leaf.kind, leaf.verdict, leaf.reason = "failed", "ran", "upstream_error"
         answer = await self.search()
         self.assertIs(answer.outcome, AnswerOutcome.COMPLETE)
         self.assertEqual(sum(leaf.asked for leaf in new), answer.coverage.asked)
+        # At a share of 1 the old version gets no retries either.
+        old = [v for k, v in self.rig.upstreams.leaves.items() if len(k) == 4]
+        asked = sum(leaf.asked for leaf in old)
+        self.rig.moves.last_version = "v2"
+        await self.search()
+        self.assertEqual(sum(leaf.asked for leaf in old), asked)
 
     async def test_query_restarts_once_when_the_snapshot_is_gone(self) -> None:
         """Guard against mixed snapshots, and against restarts without end."""
