Serve until no caller keeps a list that names the leaving daemon

Cause: the last member that leaves during an outage of the store lists itself, because no other member stays, with the usual time to keep the list.

Change: a leaving daemon notes when it listed itself last, stops listing itself when it may stop, and then serves for the time to keep a list.

Before: the new test fails (the stop comes before the kept list ends).

Conclusion: every list that a daemon hands out is served until it ends, also a list that names the daemon itself.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
@@ -96,16 +96,30 @@
         self._cycle.apply("leave")
         self._membership.begin_leaving()
         if was_serving:
-            await asyncio.sleep(self._retention_s())
+            await self._serve_until_unlisted()
         await self._wait_until(self._may_stop_serving)
         self._cycle.apply("finish")
         await self._wait_until(lambda: all(check() for check in self._idle_checks))
         await self._membership.announce_end()
 
-    def _retention_s(self) -> float:
+    async def _serve_until_unlisted(self) -> None:
+        """Serve until no caller keeps a list that names this daemon.
+
+        The last daemon that serves goes on listing itself, so that the time to
+        keep a list begins again when another one can take over.
+        """
         settings = self._identity.settings
+        keep_s = settings.entry.keep_ms / 1000
         announce_ms = ANNOUNCE_INTERVALS * settings.membership.heartbeat_interval_ms
-        return (settings.entry.keep_ms + announce_ms) / 1000
+        unlisted_s = self._clock.monotonic_s() + announce_ms / 1000
+        membership = self._membership
+
+        def kept_by_no_caller() -> bool:
+            membership.listed_while_leaving = not self._may_stop_serving()
+            listed_s = max(unlisted_s, membership.last_listed_s)
+            return self._clock.monotonic_s() >= listed_s + keep_s
+
+        await self._wait_until(lambda: kept_by_no_caller() and self._may_stop_serving())
 
     def _may_stop_serving(self) -> bool:
         """Return whether another daemon is or becomes home of the own leaves.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -85,6 +85,10 @@
         self._release = asyncio.Event()
         self._view_changed = asyncio.Condition()
         self._confirmed = False
+        # Whether callers may still be sent to this daemon while it is leaving.
+        self.listed_while_leaving = True
+        # When a caller was last sent to this daemon while it was leaving.
+        self.last_listed_s = float("-inf")
         self.state = MembershipState(
             own=self._own_member(), clock=clock, times=self._times()
         )
@@ -220,9 +224,10 @@
         """Return where a caller should connect."""
         state = self.state
         members = [m for m in self.live_members() if self._serves_callers(m)]
-        if not members and self.can_serve():
+        if not members and self.can_serve() and self.listed_while_leaving:
             # The caller reached this daemon and no other one stays.
             members = [replace(state.own, leaving=False)]
+            self.last_listed_s = self._clock.monotonic_s()
         return order_entry_addresses(
             members,
             failure_domain=failure_domain,
--- a/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -183,6 +183,33 @@
         await wait_for(self.all_served)
         await asyncio.gather(*(daemon.lifecycle.leave() for daemon in self.daemons))
 
+    async def test_last_daemon_stops_after_the_lists_that_name_it(self) -> None:
+        """Guard against a stop while a caller keeps a list that names the daemon.
+
+        Seen when the last member left during an outage of the store: it listed
+        itself until the moment it stopped.
+        """
+        last = await self.start("vm-1")
+        await wait_for(lambda: last.membership.can_serve())
+        await wait_for(lambda: last.lifecycle.serving)
+        self.shared.up = False
+        states = last.membership.state
+        await wait_for(lambda: not states.store_confirmed())
+        leaving = asyncio.create_task(last.lifecycle.leave())
+        keep_s = last.identity.settings.entry.keep_ms / 1000
+        for _ in range(10):
+            entry = last.membership.entry_addresses("fd-a")
+            self.assertEqual(entry.addresses, (last.identity.caller_address,))
+            await asyncio.sleep(keep_s / 2)
+        self.assertFalse(leaving.done())
+        self.shared.up = True
+        while last.membership.entry_addresses("fd-a").addresses:
+            listed_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(0.002)
+        await leaving
+        ended_s = asyncio.get_running_loop().time()
+        self.assertGreaterEqual(ended_s - listed_s, keep_s)
+
     async def test_leaving_daemon_is_not_in_entry_addresses(self) -> None:
         """Guard against callers that are sent to a leaving daemon."""
         await self.start_three()
