Keep the hedge budget for stragglers

Cause: a service was hedged after its 95th percentile. With an ordinary spread of answers that is one answer in twenty, one per query over 20 services, which is the whole budget of 5%; of 327 hedges wanted in 15 s with one straggler 188 were denied, although the straggler had given about ten slow answers. A second attempt sent that early seldom comes first anyway.

Change: the delay is at least twice the median, at most three times. A share of 0 allows no hedge and no retry.

Conclusion: the change is right by the share of ordinary answers that is hedged; the target itself has to be measured on a quiet machine.

--- a/packages/gypsumvane-core/src/gypsumvane_core/extra_budget.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/extra_budget.py
@@ -30,17 +30,22 @@
         self.hedge_tokens = min(hedge_tokens, HEDGE_BURST)
         self.extra_tokens = min(extra_tokens, EXTRA_BURST)
 
-    def take_hedge(self) -> bool:
-        """Take a token for a hedge and return whether there was one."""
+    def take_hedge(self, policy: Policy) -> bool:
+        """Take a token for a hedge and return whether there was one.
+
+        A share of 0 allows none, not even those that were saved up.
+        """
         if self.hedge_tokens < 1 or self.extra_tokens < 1:
             return False
+        if policy.hedge_budget_share == 0:
+            return False
         self.hedge_tokens -= 1
         self.extra_tokens -= 1
         return True
 
-    def take_retry(self) -> bool:
+    def take_retry(self, policy: Policy) -> bool:
         """Take a token for a retry and return whether there was one."""
-        if self.extra_tokens < 1:
+        if self.extra_tokens < 1 or policy.extra_budget_share == 0:
             return False
         self.extra_tokens -= 1
         return True
--- a/packages/gypsumvane-core/src/gypsumvane_core/hedge_delay.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/hedge_delay.py
@@ -11,9 +11,13 @@
 if TYPE_CHECKING:
     from gypsumvane_core.document_models import Policy
 
+# A second attempt takes about the median itself, so that one sent before twice
+# the median seldom comes first; with 20 services per query such hedges used the
+# whole budget up and none was left for stragglers.
+MEDIAN_FACTOR_MIN = 2.0
 # A service of which one leaf in two is slow in a tenth of its answers has its
 # 95th percentile inside the slow answers. A multiple of the median stays below.
-MEDIAN_FACTOR = 3.0
+MEDIAN_FACTOR_MAX = 3.0
 # Used until a service has enough samples.
 DEFAULT_DELAY_S = 0.05
 
@@ -66,4 +70,5 @@
     median_s = window.quantile(0.5)
     if quantile_s is None or median_s is None:
         return DEFAULT_DELAY_S
-    return min(quantile_s, MEDIAN_FACTOR * median_s)
+    delay_s = max(quantile_s, MEDIAN_FACTOR_MIN * median_s)
+    return min(delay_s, MEDIAN_FACTOR_MAX * median_s)
--- a/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
@@ -270,7 +270,7 @@
             part.rerouted = True
             self._send(part, leaf, AttemptKind.REROUTE, now_s, step)
             self._tools.count("gateway_reroutes", reason)
-        elif self._tools.budget.take_retry():
+        elif self._tools.budget.take_retry(self._policy):
             self._send(part, leaf, AttemptKind.RETRY, now_s, step)
             self._tools.count("gateway_retries", reason)
         else:
@@ -305,7 +305,7 @@
         leaf = self._choose(part)
         if leaf is None:
             return
-        if not self._tools.budget.take_hedge():
+        if not self._tools.budget.take_hedge(self._policy):
             self._tools.count("gateway_hedges_denied", "budget")
             delay_s = self._tools.delays.delay_s(part.service, self._policy)
             heappush(self._hedge_times, (now_s + delay_s, part.service))
--- a/packages/gypsumvane-core/tests/test_core_scatter_rules.py
+++ b/packages/gypsumvane-core/tests/test_core_scatter_rules.py
@@ -183,12 +183,19 @@
         hedges = retries = 0
         for _ in range(1000):
             budget.add_first_tries(20, Policy())
-            hedges += sum(budget.take_hedge() for _ in range(20))
-            retries += sum(budget.take_retry() for _ in range(20))
+            hedges += sum(budget.take_hedge(Policy()) for _ in range(20))
+            retries += sum(budget.take_retry(Policy()) for _ in range(20))
         self.assertLessEqual(hedges, 0.05 * 20_000 + HEDGE_BURST)
         self.assertLessEqual(hedges + retries, 0.10 * 20_000 + EXTRA_BURST)
         self.assertGreater(hedges + retries, 0.09 * 20_000)
 
+    def test_a_share_of_zero_allows_no_extras(self) -> None:
+        """Guard against hedges by tokens that were there from the start."""
+        budget = ExtraBudget()
+        policy = Policy(hedge_budget_share=0, extra_budget_share=0)
+        self.assertFalse(budget.take_hedge(policy))
+        self.assertFalse(budget.take_retry(policy))
+
 
 class HedgeDelaysTest(unittest.TestCase):
     """Check when a service is hedged."""
@@ -200,6 +207,17 @@
             delays.add("s0", 0.1 if number % 10 == 0 else 0.01)
         self.assertAlmostEqual(delays.delay_s("s0", Policy()), 0.03)
 
+    def test_ordinary_spread_is_not_hedged(self) -> None:
+        """Guard against a budget that hedges without a straggler use up."""
+        delays = HedgeDelays()
+        rng = random.Random(2)
+        latencies_s = [0.02 * rng.lognormvariate(0, 0.3) for _ in range(256)]
+        for latency_s in latencies_s:
+            delays.add("s0", latency_s)
+        delay_s = delays.delay_s("s0", Policy())
+        hedged = sum(latency_s > delay_s for latency_s in latencies_s)
+        self.assertLess(hedged, 0.02 * len(latencies_s))
+
 
 class PartialBodyTest(unittest.TestCase):
     """Check parsing and merging of partial answers."""
