Test TLS between daemons and of the operators' client

Cause: only the callers' listener had a test with TLS; mutual TLS between daemons and the client's TLS flags had never run.

Change: tests with certificates of one and of another authority, and without any.

A daemon without a certificate of the authority is not connected; a client without one gets exit code "unreachable".

--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -5,11 +5,8 @@
 import asyncio
 import ssl
 import unittest
-from pathlib import Path
-from tempfile import TemporaryDirectory
 from typing import Any
 
-import trustme
 from aiohttp import ClientError
 from aiohttp import ClientSession
 
@@ -20,7 +17,7 @@
 from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.caller_api import BODY_BYTES_MAX
 from gypsumvane_daemon.settings import ListenerSettings
-from gypsumvane_daemon.settings import TlsSettings
+from tls_files import Authority
 
 SEARCH = "/v1/indexes/stock/search"
 RUN = "/v1/indexes/ledger/run"
@@ -181,23 +178,17 @@
 
     async def test_listener_speaks_only_tls(self) -> None:
         """Guard against settings of TLS that are ignored."""
-        authority = trustme.CA()
-        certificate = authority.issue_cert("127.0.0.1")
-        files = Path(self.enterContext(TemporaryDirectory()))
-        certificate.private_key_pem.write_to_path(files / "key.pem")
-        certificate.cert_chain_pems[0].write_to_path(files / "cert.pem")
-        tls = TlsSettings(
-            certificate_file=str(files / "cert.pem"), key_file=str(files / "key.pem")
-        )
+        authority = Authority(self)
         rig = CallerRig()
-        callers = ListenerSettings(address="127.0.0.1:0", tls=tls)
+        callers = ListenerSettings(
+            address="127.0.0.1:0", tls=authority.issue(mutual=False)
+        )
         rig.identity.settings = rig.identity.settings.model_copy(
             update={"callers": callers}
         )
         await rig.kernel.start()
         self.addAsyncCleanup(rig.kernel.stop)
-        context = ssl.create_default_context()
-        authority.configure_trust(context)
+        context = ssl.create_default_context(cafile=authority.file)
         async with ClientSession() as session:
             url = rig.url("/v1/ready")
             with self.assertRaises(ClientError):
--- a/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
@@ -22,6 +22,7 @@
 from gypsumvane_core.messages import UpstreamBrief
 from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.kernel import Service
+from tls_files import Authority
 
 
 @dataclass
@@ -106,8 +107,10 @@
         self.addCleanup(folder.cleanup)
         self.file = Path(folder.name) / "document.json"
 
-    async def run_client(self, *arguments: str) -> Any:
-        """Run a command that succeeds and return its JSON output."""
+    async def run_client(
+        self, *arguments: str, expected: ExitCode = ExitCode.DONE
+    ) -> Any:
+        """Run a command and return its JSON output."""
         out = io.StringIO()
         address = self.daemon.identity.operator_address
         code = await asyncio.to_thread(
@@ -116,8 +119,8 @@
             environment={"GYPSUMVANE_TOKEN": TOKEN},
             out=out,
         )
-        self.assertEqual(code, ExitCode.DONE)
-        return json.loads(out.getvalue())
+        self.assertEqual(code, expected)
+        return json.loads(out.getvalue()) if expected is ExitCode.DONE else None
 
     async def set_document(self, name: str, body: dict[str, Any]) -> Any:
         """Run ``config set``."""
@@ -180,6 +183,39 @@
         self.assertEqual(explained["slots_at_asked_vm"], 2)
         self.assertEqual((explained["state"], explained["queued"]), ("warm", 1))
 
+    async def test_client_speaks_tls_with_its_own_certificate(self) -> None:
+        """Guard against operators that cannot reach a listener with TLS."""
+        authority = Authority(self)
+        daemon = TestDaemon(
+            "vm-1", self.fake.address, FakeMembership("vm-1"), FakeUpstreams()
+        )
+        listener = daemon.identity.settings.operators.model_copy(
+            update={"tls": authority.issue()}
+        )
+        daemon.identity.settings = daemon.identity.settings.model_copy(
+            update={"operators": listener}
+        )
+        await daemon.start()
+        self.addAsyncCleanup(daemon.stop)
+        self.daemon = daemon
+        own = authority.issue()
+        trusted = f"--tls_authority_file={authority.file}"
+        certificate = (
+            f"--tls_certificate_file={own.certificate_file}",
+            f"--tls_key_file={own.key_file}",
+        )
+        vms = await self.run_client("vm", "list", trusted, *certificate)
+        self.assertEqual(len(vms["vms"]), 1)
+        for flags in (
+            (),
+            (trusted,),
+            (f"--tls_authority_file={Authority(self).file}",),
+        ):
+            with self.subTest(flags=flags):
+                await self.run_client(
+                    "vm", "list", *flags, expected=ExitCode.UNREACHABLE
+                )
+
     async def test_digest_is_contributed_to_heartbeats(self) -> None:
         """Guard against daemons that never compare their documents."""
         self.assertEqual(self.membership.contributors, [self.daemon.documents])
--- a/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
@@ -15,18 +15,22 @@
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
 from gypsumvane_daemon.settings import Settings
+from tls_files import Authority
 
 if TYPE_CHECKING:
     from gypsumvane_daemon.peer_network import PeerContext
+    from gypsumvane_daemon.settings import TlsSettings
 
 
-def make_identity(vm_id: str, cluster: str = "test") -> DaemonIdentity:
+def make_identity(
+    vm_id: str, cluster: str = "test", tls: TlsSettings | None = None
+) -> DaemonIdentity:
     """Build the identity of a daemon that listens on free ports."""
     listener = {"address": "127.0.0.1:0"}
     values = {
         "vm": {"vm_id": vm_id, "failure_domain": "fd-a", "cluster": cluster},
         "callers": listener,
-        "peers": listener,
+        "peers": {**listener, "tls": tls},
         "operators": {**listener, "token": "0123456789"},
         "platform": {
             "store_address": "127.0.0.1:1",
@@ -58,11 +62,13 @@
         for kernel in self.kernels:
             await kernel.stop()
 
-    async def start(self, vm_id: str, cluster: str = "test") -> PeerNetwork:
+    async def start(
+        self, vm_id: str, cluster: str = "test", tls: TlsSettings | None = None
+    ) -> PeerNetwork:
         """Start the network of one daemon."""
         kernel = Kernel()
         kernel.register(MetricsService())
-        network = PeerNetwork(make_identity(vm_id, cluster))
+        network = PeerNetwork(make_identity(vm_id, cluster, tls))
         kernel.register(network)
         await kernel.start()
         self.kernels.append(kernel)
@@ -111,3 +117,18 @@
         while not other.metrics.value("peer_frame_errors", side="listener"):
             await asyncio.sleep(0.01)
         self.assertIsNone(self.first.hello_of("vm-3"))
+
+    async def test_peers_need_a_certificate_of_the_same_authority(self) -> None:
+        """Guard against daemons that talk to strangers although TLS is set."""
+        authority = Authority(self)
+        third = await self.start("vm-3", tls=authority.issue())
+        fourth = await self.start("vm-4", tls=authority.issue())
+        stranger = await self.start("vm-5", tls=Authority(self).issue())
+        address = third.identity.peer_address
+        for network in (fourth, stranger, self.first):
+            await network.set_peers({"vm-3": address})
+        await wait_connected(fourth, "vm-3")
+        for network in (stranger, self.first):
+            with self.assertRaises(PeerError):
+                await network.request("vm-3", PartialBatch(), timeout_s=1)
+            self.assertIsNone(network.hello_of("vm-3"))
