Fit the in-flight limit to the requests in use and to the time in flight

A limit that nothing used stayed at 32 or more per root, so that a sudden overload was admitted as a whole, and it fell by a fifth per window only. Change: a limit that was not reached falls to twice the peak in flight; a fall is in proportion to the time in flight (Little's law).

--- a/packages/gypsumvane-core/src/gypsumvane_core/in_flight_limit.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/in_flight_limit.py
@@ -14,6 +14,10 @@
 RUN_SHARE_MAX = 0.6
 # A smaller window would let one late answer decide.
 WINDOW_MIN = 20
+# A limit far above the requests in flight admits a sudden overload as a whole,
+# and all of it ends late. The floor leaves room for a burst after a quiet time.
+UNUSED_FACTOR = 2.0
+UNUSED_MIN = 8.0
 
 
 class InFlightLimit:
@@ -35,6 +39,10 @@
         """Record that the limit kept a request waiting."""
         self._was_full = True
 
+    def note_in_flight(self, count: int) -> None:
+        """Record how many requests are in flight after one has begun."""
+        self._peak = max(self._peak, count)
+
     def on_finish(self, *, in_time: bool, run_share: float, generation: int) -> None:
         """Record the end of a request and the share of its time in flight."""
         if generation != self.generation:
@@ -49,15 +57,25 @@
         run_share = self._run_share_sum / self._finished
         late = self._in_time < IN_TIME_SHARE_MIN * self._finished
         if late or run_share > RUN_SHARE_MAX:
-            self._limit = max(1.0, self._limit * FALL_FACTOR)
-            self.generation += 1
-        elif self._was_full and run_share <= RUN_SHARE_GROWTH_MAX:
+            self._fall(run_share)
+        elif not self._was_full:
+            unused = max(UNUSED_MIN, UNUSED_FACTOR * self._peak)
+            self._limit = min(self._limit, unused)
+        elif run_share <= RUN_SHARE_GROWTH_MAX:
             grown = self._limit + max(1.0, self._limit * GROWTH_SHARE)
             self._limit = min(float(self.limit_max), grown)
         self._begin_window()
 
+    def _fall(self, run_share: float) -> None:
+        # At a full upstream the time in flight is proportional to the number in
+        # flight (Little's law), so one step leads to the wanted time.
+        factor = min(FALL_FACTOR, RUN_SHARE_GROWTH_MAX / max(run_share, 1e-9))
+        self._limit = max(1.0, self._limit * factor)
+        self.generation += 1
+
     def _begin_window(self) -> None:
         self._finished = 0
         self._in_time = 0
         self._run_share_sum = 0.0
         self._was_full = False
+        self._peak = 0
--- a/packages/gypsumvane-core/src/gypsumvane_core/root_admission.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/root_admission.py
@@ -122,6 +122,7 @@
                 step.refused.append(Turned(request, Reason.DEADLINE))
                 continue
             self.in_flight += 1
+            self.in_flight_limit.note_in_flight(self.in_flight)
             generation = self.in_flight_limit.generation
             step.admitted.append(Admitted(request, now_s, generation))
 
