Declare the peak in flight in the constructor

Cause: mypy cannot infer the attribute's type from the method that resets it. Change: the constructor sets it first. Conclusion: mypy passes.

--- a/packages/gypsumvane-core/src/gypsumvane_core/in_flight_limit.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/in_flight_limit.py
@@ -28,6 +28,7 @@
         self._limit = float(min(START_LIMIT, limit_max))
         # Requests of an older generation were admitted under another limit.
         self.generation = 0
+        self._peak = 0
         self._begin_window()
 
     @property
