Give an index with exceptions for admission limits of its own

Cause: root_in_flight_max and root_queue_max were read from the defaults only, and refusals of admission had no text. Change: each index whose exceptions set one of the keys has an admission of its own; the others share the common one. Waiting requests move to the common one when the exception is withdrawn. A refusal carries a text for its reason. A ticket can be abandoned, which frees its place without a judgement.

--- a/packages/gypsumvane-core/src/gypsumvane_core/admission_request.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/admission_request.py
@@ -17,5 +17,6 @@
     caller_id: str
     # Monotonic time of the passed clock.
     deadline_s: float
+    index: str = ""
     # Filled by admission.
     arrived_s: float = 0.0
--- a/packages/gypsumvane-core/src/gypsumvane_core/root_admission.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/root_admission.py
@@ -100,6 +100,20 @@
         self._begin_waiting(step, now_s)
         return step
 
+    def abandon(self, now_s: float) -> AdmissionStep:
+        """End a request whose caller has left, without judging its time."""
+        self.in_flight -= 1
+        step = AdmissionStep()
+        self._begin_waiting(step, now_s)
+        return step
+
+    def take_waiting(self) -> list[AdmissionRequest]:
+        """Remove and return all waiting requests."""
+        waiting = list(self._queue)
+        for request in waiting:
+            self._queue.remove(request)
+        return waiting
+
     def withdraw(self, request: AdmissionRequest) -> bool:
         """Remove a waiting request whose caller has left."""
         return self._queue.remove(request)
--- a/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/scatter.py
@@ -179,15 +179,18 @@
                 self._hedge(part, now_s, step)
         return step
 
-    def finish(self, now_s: float) -> Step:
-        """End the query and cancel what is outstanding."""
+    def finish(self, now_s: float, *, abandoned: bool = False) -> Step:
+        """End the query and cancel what is outstanding.
+
+        Attempts of an abandoned query could still have been answered in time.
+        """
         self._hedge_times.clear()
         self._revisit_times.clear()
         step = Step()
         cancelled = self.state.finish()
         for attempt in cancelled:
             # An attempt that started late had too little time to be judged.
-            if attempt.kind is AttemptKind.FIRST:
+            if attempt.kind is AttemptKind.FIRST and not abandoned:
                 self._record(attempt, now_s, failed=True)
         self._cancel(cancelled, step)
         return step
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/admission_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/admission_service.py
@@ -6,36 +6,54 @@
 from typing import TYPE_CHECKING
 from typing import cast
 
-from gypsumvane_core.root_admission import Admitted
+from gypsumvane_core.reason import Reason
 from gypsumvane_core.root_admission import RootAdmission
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gypsumvane_core.admission_request import AdmissionRequest
     from gypsumvane_core.clock import Clock
-    from gypsumvane_core.reason import Reason
+    from gypsumvane_core.document_models import FleetDocument
     from gypsumvane_core.root_admission import AdmissionStep
+    from gypsumvane_core.root_admission import Admitted
     from gypsumvane_daemon.kernel import Kernel
     from gypsumvane_daemon.upstream_ports import DocumentSource
 
+# Admission of the indexes without limits of their own.
+COMMON = ""
+INDEX_SCOPE = "index:"
+LIMIT_KEYS = frozenset({"root_in_flight_max", "root_queue_max"})
 # Waiting requests are checked against their deadlines this often.
 SWEEP_INTERVAL_S = 0.01
 
 
+MESSAGES = {
+    Reason.QUEUE_FULL: "too many requests are waiting at this daemon",
+    Reason.CALLER_LIMIT: "too many requests of this caller are waiting at this daemon",
+    Reason.DEADLINE: "the request cannot be answered before its deadline",
+}
+
+
 class AdmissionRefused(Exception):  # noqa: N818
     """Report a request that is refused before anything ran."""
 
     def __init__(self, reason: Reason) -> None:
         super().__init__(reason.value)
         self.reason = reason
+        self.message = MESSAGES.get(reason, "the request was not admitted")
 
 
 class Ticket:
     """Allow one request to run until it is finished."""
 
-    def __init__(self, service: AdmissionService, admitted: Admitted) -> None:
+    def __init__(
+        self, service: AdmissionService, admission: RootAdmission, admitted: Admitted
+    ) -> None:
         self._service = service
+        self._admission = admission
         self._admitted: Admitted | None = admitted
 
     def finish(self, in_time: bool) -> None:
@@ -46,7 +64,16 @@
         admitted = self._admitted
         if admitted is not None:
             self._admitted = None
-            self._service.on_finish(admitted, in_time=in_time)
+            self._service.on_finish(self._admission, admitted, in_time=in_time)
+
+    def abandon(self) -> None:
+        """Free the place of a request whose caller has left.
+
+        Its time says nothing about the load.
+        """
+        if self._admitted is not None:
+            self._admitted = None
+            self._service.on_abandon(self._admission)
 
 
 class AdmissionService(Service):
@@ -60,21 +87,20 @@
         self._sweeper: asyncio.TimerHandle | None = None
         self._metrics: MetricsService
         self._documents: DocumentSource
-        self._admission: RootAdmission
+        # By index with limits of its own, and the common one.
+        self._admissions: dict[str, RootAdmission] = {}
 
     async def start(self, kernel: Kernel) -> None:
         """Take over the bounds and follow their changes."""
         self._metrics = kernel.get(MetricsService)
         self._documents = cast("DocumentSource", kernel.find("documents"))
-        policy = self._documents.catalogue.fleet().defaults
-        self._admission = RootAdmission(
-            in_flight_max=policy.root_in_flight_max, queue_max=policy.root_queue_max
-        )
+        self._configure()
         self._documents.on_change(lambda name: self._configure())
-        self._metrics.gauge("root_in_flight", lambda: self._admission.in_flight)
-        self._metrics.gauge("root_waiting", lambda: self._admission.waiting)
-        self._metrics.gauge(
-            "root_in_flight_limit", lambda: self._admission.in_flight_limit.limit
+        metrics = self._metrics
+        metrics.gauge("root_in_flight", self._sum(lambda a: a.in_flight))
+        metrics.gauge("root_waiting", self._sum(lambda a: a.waiting))
+        metrics.gauge(
+            "root_in_flight_limit", self._sum(lambda a: a.in_flight_limit.limit)
         )
 
     async def stop(self) -> None:
@@ -89,7 +115,10 @@
         """
         future: asyncio.Future[Ticket] = asyncio.get_running_loop().create_future()
         self._futures[request] = future
-        self._apply(self._admission.offer(request, self._clock.monotonic_s()))
+        common = self._admissions[COMMON]
+        admission = self._admissions.get(request.index, common)
+        now_s = self._clock.monotonic_s()
+        self._apply(admission, admission.offer(request, now_s))
         if not future.done():
             self._sweep_later()
         try:
@@ -98,21 +127,32 @@
             self._withdraw(request, future)
             raise
 
-    def on_finish(self, admitted: Admitted, *, in_time: bool) -> None:
-        """Take back a ticket."""
+    def on_finish(
+        self, admission: RootAdmission, admitted: Admitted, *, in_time: bool
+    ) -> None:
+        """Take back the ticket of a request that has ended."""
         now_s = self._clock.monotonic_s()
-        self._apply(self._admission.finish(admitted, now_s, in_time=in_time))
+        self._apply(admission, admission.finish(admitted, now_s, in_time=in_time))
+
+    def on_abandon(self, admission: RootAdmission) -> None:
+        """Take back the ticket of a request whose caller has left."""
+        self._apply(admission, admission.abandon(self._clock.monotonic_s()))
+
+    def _sum(self, read: Callable[[RootAdmission], int]) -> Callable[[], float]:
+        return lambda: sum(map(read, self._admissions.values()))
 
     def _withdraw(
         self, request: AdmissionRequest, future: asyncio.Future[Ticket]
     ) -> None:
         if self._futures.pop(request, None) is not None:
-            self._admission.withdraw(request)
+            # A change of the limits may have moved it to another queue.
+            for admission in self._admissions.values():
+                admission.withdraw(request)
         elif future.done() and not future.cancelled() and not future.exception():
             # Admitted in the same turn in which the caller left.
-            future.result().finish(in_time=False)
+            future.result().abandon()
 
-    def _apply(self, step: AdmissionStep) -> None:
+    def _apply(self, admission: RootAdmission, step: AdmissionStep) -> None:
         for turned in step.refused:
             self._metrics.count("admission_refusals", reason=turned.reason.value)
             future = self._futures.pop(turned.request)
@@ -120,9 +160,9 @@
                 future.set_exception(AdmissionRefused(turned.reason))
         for admitted in step.admitted:
             future = self._futures.pop(admitted.request)
-            ticket = Ticket(self, admitted)
+            ticket = Ticket(self, admission, admitted)
             if future.done():
-                ticket.finish(in_time=False)
+                ticket.abandon()
             else:
                 future.set_result(ticket)
 
@@ -133,12 +173,45 @@
 
     def _sweep(self) -> None:
         self._sweeper = None
-        self._apply(self._admission.sweep(self._clock.monotonic_s()))
-        if self._admission.waiting:
+        now_s = self._clock.monotonic_s()
+        for admission in list(self._admissions.values()):
+            self._apply(admission, admission.sweep(now_s))
+        if any(admission.waiting for admission in self._admissions.values()):
             self._sweep_later()
 
     def _configure(self) -> None:
-        policy = self._documents.catalogue.fleet().defaults
-        self._admission.configure(
-            in_flight_max=policy.root_in_flight_max, queue_max=policy.root_queue_max
-        )
+        fleet = self._documents.catalogue.fleet()
+        policies = {name: fleet.policy(index=name) for name in _own_limits(fleet)}
+        policies[COMMON] = fleet.defaults
+        for name, policy in policies.items():
+            bounds = {
+                "in_flight_max": policy.root_in_flight_max,
+                "queue_max": policy.root_queue_max,
+            }
+            admission = self._admissions.get(name)
+            if admission is None:
+                self._admissions[name] = RootAdmission(**bounds)
+            else:
+                admission.configure(**bounds)
+        for name in self._admissions.keys() - policies.keys():
+            self._retire(name)
+
+    def _retire(self, name: str) -> None:
+        """Let the index use the common limits; its waiting requests move there."""
+        retired = self._admissions.pop(name)
+        common = self._admissions[COMMON]
+        now_s = self._clock.monotonic_s()
+        for request in retired.take_waiting():
+            self._apply(common, common.offer(request, now_s))
+        if common.waiting:
+            self._sweep_later()
+
+
+def _own_limits(fleet: FleetDocument) -> set[str]:
+    """Return the indexes whose exceptions set limits of admission."""
+    return {
+        exception.scope.removeprefix(INDEX_SCOPE)
+        for exception in fleet.exceptions
+        if exception.scope.startswith(INDEX_SCOPE)
+        and not LIMIT_KEYS.isdisjoint(exception.values)
+    }
--- a/packages/gypsumvane-daemon/tests/test_daemon_admission_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_admission_service.py
@@ -9,6 +9,7 @@
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.priority import Priority
 from gypsumvane_core.reason import Reason
+from gypsumvane_daemon.admission_service import COMMON
 from gypsumvane_daemon.admission_service import AdmissionRefused
 from gypsumvane_daemon.admission_service import AdmissionService
 from gypsumvane_daemon.kernel import Kernel
@@ -31,11 +32,12 @@
         await kernel.start()
         self.addAsyncCleanup(kernel.stop)
 
-    def request(self, left_s: float = 5.0) -> AdmissionRequest:
+    def request(self, left_s: float = 5.0, index: str = "") -> AdmissionRequest:
         return AdmissionRequest(
             priority=Priority.SEARCH,
             caller_id="a",
             deadline_s=self.clock.monotonic_s() + left_s,
+            index=index,
         )
 
     async def test_second_request_waits_for_the_first(self) -> None:
@@ -60,6 +62,51 @@
         self.assertEqual(count, 1)
         waiting.cancel()
 
+    def put_exception(self, **values: int) -> None:
+        exception = {"scope": "index:stock", "values": values, "reason": "a test"}
+        exceptions = [exception] if values else []
+        self.documents.put(
+            "fleet",
+            {
+                "defaults": {"root_in_flight_max": 1, "root_queue_max": 1},
+                "exceptions": exceptions,
+            },
+        )
+
+    async def test_exception_gives_an_index_its_own_limits(self) -> None:
+        """Guard against exceptions without effect, and limits that mix."""
+        self.put_exception(root_in_flight_max=2, root_queue_max=1)
+        await self.service.admit(self.request())
+        tickets = [await self.service.admit(self.request(index="stock")) for _ in "ab"]
+        third = asyncio.create_task(self.service.admit(self.request(index="stock")))
+        await asyncio.sleep(0)
+        self.assertFalse(third.done())
+        tickets[0].finish(in_time=True)
+        (await third).finish(in_time=True)
+
+    async def test_withdrawn_exception_moves_waiting_requests(self) -> None:
+        """Guard against requests that wait for ever after a change of limits."""
+        self.put_exception(root_in_flight_max=1)
+        first = await self.service.admit(self.request(index="stock"))
+        staying = asyncio.create_task(self.service.admit(self.request(index="stock")))
+        leaving = asyncio.create_task(self.service.admit(self.request(index="stock")))
+        await asyncio.sleep(0)
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
+        self.put_exception()
+        (await asyncio.wait_for(staying, 5)).finish(in_time=True)
+        first.finish(in_time=True)
+
+    async def test_callers_that_leave_do_not_lower_the_limit(self) -> None:
+        """Guard against a limit that falls because callers are impatient."""
+        self.documents.put_policy(root_in_flight_max=256)
+        before = self.service._admissions[COMMON].in_flight_limit.limit
+        for _ in range(100):
+            (await self.service.admit(self.request())).abandon()
+        admission = self.service._admissions[COMMON]
+        self.assertEqual(admission.in_flight, 0)
+        self.assertEqual(admission.in_flight_limit.limit, before)
+
     async def test_waiting_request_is_refused_at_its_deadline(self) -> None:
         """Guard against a request that waits for ever."""
         await self.service.admit(self.request())
