End searches and lookups of callers that disconnect

Cause: the HTTP server does not cancel handlers, so that a search went on after its caller had left. Refused bookings had an empty message. Change: the callers' listener cancels the handler of a lost connection; a search or lookup ends, cancels its partial requests at the homes and is counted in caller_disconnects. Runs go on in a task of their own, which a planned stop waits for. Refused runs carry admission's text.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -66,12 +66,12 @@
         self._metrics: MetricsService
         self._lifecycle: LifecyclePort
         self._stopping = False
+        self._runs: set[asyncio.Task[web.Response]] = set()
 
     async def start(self, kernel: Kernel) -> None:
         """Listen for callers."""
         self._metrics = kernel.get(MetricsService)
         self._lifecycle = cast("LifecyclePort", kernel.find("lifecycle"))
-        self._lifecycle.add_idle_check(lambda: self._in_progress == 0)
         routes = CallerRoutes(
             CallerLinks(
                 clock=self._clock,
@@ -83,6 +83,8 @@
                 entry=cast("EntryPort", kernel.find("membership")),
             )
         )
+        self._runs = routes.runs
+        self._lifecycle.add_idle_check(self._is_idle)
         await self._listen(self._build_app(routes))
 
     async def stop(self) -> None:
@@ -96,6 +98,10 @@
             await asyncio.sleep(IDLE_GRACE_S)
         await self._runner.cleanup()
         self._runner = None
+        await asyncio.gather(*self._runs, return_exceptions=True)
+
+    def _is_idle(self) -> bool:
+        return self._in_progress == 0 and not self._runs
 
     def _build_app(self, routes: CallerRoutes) -> web.Application:
         app = web.Application(
@@ -113,7 +119,11 @@
         settings = self._identity.settings.callers
         host, port = split_address(settings.address)
         self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=STOP_TIMEOUT_S
+            app,
+            access_log=None,
+            shutdown_timeout=STOP_TIMEOUT_S,
+            # A search or lookup ends when its caller's connection is lost.
+            handler_cancellation=True,
         )
         await self._runner.setup()
         self._site = web.TCPSite(
@@ -147,6 +157,9 @@
             request_id = read_token(request.headers, REQUEST_ID) or self._new_id()
             request[REQUEST_ID_KEY] = request_id
             response = await handler(request)
+        except asyncio.CancelledError:
+            self._metrics.count("caller_disconnects", route=route_of(request))
+            raise
         except Exception as error:
             response = self._error_response(error, request_id)
         if request_id:
@@ -165,9 +178,7 @@
                 request_id, Reason.BAD_REQUEST, error.reason, error.status
             )
         if isinstance(error, AdmissionRefused):
-            return self._refuse(
-                request_id, error.reason, "the request was not admitted"
-            )
+            return self._refuse(request_id, error.reason, error.message)
         logger.error("caller request failed", exc_info=error)
         self._metrics.count("caller_requests_failed", reason=Reason.INTERNAL_ERROR)
         return error_reply(
@@ -189,3 +200,9 @@
         return error_reply(
             request_id=request_id, reason=reason, message=message, status=status
         )
+
+
+def route_of(request: web.Request) -> str:
+    """Return the last part of the path of a known route."""
+    resource = request.match_info.route.resource
+    return resource.canonical.rpartition("/")[2] if resource is not None else "unknown"
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_ports.py
@@ -26,6 +26,9 @@
     def finish(self, in_time: bool) -> None:
         """Free the place of the request."""
 
+    def abandon(self) -> None:
+        """Free the place of a request whose caller has left."""
+
 
 class AdmissionPort(Protocol):
     """Admit requests; see AdmissionService."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -42,6 +44,7 @@
     from gypsumvane_daemon.caller_ports import LifecyclePort
     from gypsumvane_daemon.caller_ports import TicketPort
 
+NOT_SERVING = "the daemon does not serve"
 REQUEST_ID_KEY = web.RequestKey("request_id", str)
 BodyType = TypeVar("BodyType", bound=BaseModel)
 
@@ -75,6 +78,8 @@
 
     def __init__(self, links: CallerLinks) -> None:
         self._links = links
+        # Runs go on when the caller's connection is lost.
+        self.runs: set[asyncio.Task[web.Response]] = set()
 
     async def search(self, request: web.Request) -> web.Response:
         """Search all services of an index."""
@@ -96,6 +101,9 @@
             )
             in_time = self._is_in_time(call, answer.outcome)
             return search_reply(answer)
+        except asyncio.CancelledError:
+            ticket.abandon()
+            raise
         finally:
             ticket.finish(in_time)
 
@@ -117,6 +125,9 @@
             )
             in_time = self._is_in_time(call, answer.outcome)
             return lookup_reply(answer)
+        except asyncio.CancelledError:
+            ticket.abandon()
+            raise
         finally:
             ticket.finish(in_time)
 
@@ -126,12 +137,18 @@
         body = parse_body(RunBody, call.body)
         if not call.headers.idempotency_key:
             raise CallerError(Reason.KEY_MISSING, f"{IDEMPOTENCY_KEY} is required")
+        task = asyncio.create_task(self._run(call, body))
+        self.runs.add(task)
+        task.add_done_callback(self.runs.discard)
+        return await asyncio.shield(task)
+
+    async def _run(self, call: _Call, body: RunBody) -> web.Response:
         if not self._links.lifecycle.serving:
-            return await self._refuse_run(call, body, Reason.NOT_READY)
+            return await self._refuse_run(call, body, Reason.NOT_READY, NOT_SERVING)
         try:
             ticket = await self._admit(call, Priority.RUN)
         except AdmissionRefused as error:
-            return await self._refuse_run(call, body, error.reason)
+            return await self._refuse_run(call, body, error.reason, error.message)
         in_time = False
         try:
             outcome = await self._links.bookings.run(self._booking(call, body))
@@ -144,7 +161,7 @@
             ticket.finish(in_time)
 
     async def _refuse_run(
-        self, call: _Call, body: RunBody, reason: Reason
+        self, call: _Call, body: RunBody, reason: Reason, message: str
     ) -> web.Response:
         """Answer for a run that is not begun.
 
@@ -153,6 +170,8 @@
         """
         booking = self._booking(call, body)
         outcome = await self._links.bookings.refuse(booking, reason)
+        if not isinstance(outcome, Completed) and outcome.reason is reason:
+            outcome = replace(outcome, message=outcome.message or message)
         return run_reply(outcome, request_id=call.request_id)
 
     async def reserve_keys(self, request: web.Request) -> web.Response:
@@ -196,7 +215,7 @@
 
     def _check_serving(self) -> None:
         if not self._links.lifecycle.serving:
-            raise CallerError(Reason.NOT_READY, "the daemon does not serve")
+            raise CallerError(Reason.NOT_READY, NOT_SERVING)
 
     async def _admit(self, call: _Call, priority: Priority) -> TicketPort:
         return await self._links.admission.admit(
@@ -204,6 +223,7 @@
                 priority=priority,
                 caller_id=call.headers.caller_id,
                 deadline_s=call.deadline_s,
+                index=call.index,
             )
         )
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_query.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_query.py
@@ -68,12 +68,18 @@
         self._tick_at_s: float | None = None
 
     async def run(self) -> None:
-        """Return when the answer is as complete as it can be in time."""
+        """Return when the answer is as complete as it can be in time.
+
+        A cancellation ends the query and cancels its requests at the homes.
+        """
         left_s = self._scatter.answer_by_s - self._now_s()
         deadline = self._loop.call_later(max(left_s, 0.0), self._end)
         try:
             self._carry_out(self._scatter.start(self._now_s()))
             await self._ended
+        except asyncio.CancelledError:
+            self._end(abandoned=True)
+            raise
         finally:
             deadline.cancel()
             self._end()
@@ -81,10 +87,10 @@
     def _now_s(self) -> float:
         return self._links.clock.monotonic_s()
 
-    def _end(self) -> None:
+    def _end(self, *, abandoned: bool = False) -> None:
         if self._scatter.state.finished:
             return
-        step = self._scatter.finish(self._now_s())
+        step = self._scatter.finish(self._now_s(), abandoned=abandoned)
         if self._tick is not None:
             self._tick.cancel()
         self._cancel(step.cancel)
--- a/packages/gypsumvane-daemon/tests/caller_fakes.py
+++ b/packages/gypsumvane-daemon/tests/caller_fakes.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self.reason: Reason | None = None
         self.finished: list[bool] = []
+        self.abandoned = 0
 
     async def admit(self, request: object) -> FakeAdmission:
         if self.reason is not None:
@@ -56,6 +57,9 @@
     def finish(self, in_time: bool) -> None:
         self.finished.append(in_time)
 
+    def abandon(self) -> None:
+        self.abandoned += 1
+
 
 class FakeState(Enum):
     """Name states as LifeState does."""
@@ -88,11 +92,13 @@
         self.requests: list[BookingRequest] = []
         self.delay_s = 0.0
         self.begun = asyncio.Event()
+        self.ended = asyncio.Event()
 
     async def run(self, request: BookingRequest) -> Outcome:
         self.requests.append(request)
         self.begun.set()
         await asyncio.sleep(self.delay_s)
+        self.ended.set()
         return self.outcome
 
     async def refuse(self, request: BookingRequest, reason: Reason) -> Outcome:
--- a/packages/gypsumvane-daemon/tests/gateway_fakes.py
+++ b/packages/gypsumvane-daemon/tests/gateway_fakes.py
@@ -312,5 +312,8 @@
                 snapshots=list(body["partition_maps"]),
             )
 
+    def asked(self) -> int:
+        return sum(leaf.asked for leaf in self.upstreams.leaves.values())
+
     def leaves_of(self, service: str) -> list[FakeLeaf]:
         return [self.upstreams.leaves[f"{service}-{r}"] for r in ("a", "b")]
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -7,6 +7,7 @@
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import TYPE_CHECKING
 from typing import Any
 
 import trustme
@@ -18,10 +19,14 @@
 from gypsumvane_core.outcome import Failed
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.admission_service import MESSAGES
 from gypsumvane_daemon.caller_api import BODY_BYTES_MAX
 from gypsumvane_daemon.settings import ListenerSettings
 from gypsumvane_daemon.settings import TlsSettings
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 SEARCH = "/v1/indexes/stock/search"
 RUN = "/v1/indexes/ledger/run"
 
@@ -110,6 +115,77 @@
         self.assertEqual((status, answer["reason"]), (429, "queue_full"))
         self.assertEqual([leaf.asked for leaf in self.rig.leaves_of("s0")], [0, 0])
 
+    async def test_refusal_of_admission_is_explained(self) -> None:
+        """Guard against refusals whose text says nothing."""
+        for reason in (Reason.QUEUE_FULL, Reason.CALLER_LIMIT, Reason.DEADLINE):
+            self.rig.admission.reason = reason
+            _, search = await self.post(SEARCH, {"query": "x"})
+            _, run = await self.post(RUN, {"key": "x"}, Idempotency_Key="k1")
+            for answer in (search, run):
+                self.assertEqual(answer["reason"], reason.value)
+                self.assertEqual(answer["message"], MESSAGES[reason])
+
+    async def leave_after(self, path: str, body: Any, begun: Any, **names: str) -> None:
+        """Send a request and close its connection once the event is set."""
+        headers = {name.replace("_", "-"): value for name, value in names.items()}
+        async with ClientSession() as session:
+            call = asyncio.create_task(
+                session.post(self.rig.url(path), json=body, headers=headers)
+            )
+            await asyncio.wait_for(begun, 10)
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+
+    async def until(self, check: Callable[[], bool]) -> None:
+        """Wait until a check holds."""
+        async with asyncio.timeout(10):
+            while not check():
+                await asyncio.sleep(0.005)
+
+    async def until_disconnect(self, route: str) -> None:
+        """Wait until the daemon has noticed one caller that left."""
+        value = self.rig.metrics.value
+        await self.until(lambda: value("caller_disconnects", route=route) == 1)
+
+    async def check_end_with_caller(
+        self, route: str, path: str, body: Any, attempts: int
+    ) -> None:
+        """Check that the attempts of a request are cancelled at their homes."""
+        for leaf in self.rig.upstreams.leaves.values():
+            leaf.delay_s = 30.0
+        begun = self.until(lambda: self.rig.asked() >= attempts)
+        await self.leave_after(path, body, begun)
+        await self.until_disconnect(route)
+        cancels = [message for _, message in self.rig.peers.cancels]
+        cancelled = [number for cancel in cancels for number in cancel.attempt_ids]
+        self.assertGreaterEqual(len(cancelled), attempts)
+        self.assertTrue(self.rig.lifecycle.idle_checks[0]())
+        # A caller that leaves is no evidence of an overload.
+        self.assertEqual(self.rig.admission.abandoned, 1)
+
+    async def test_search_ends_with_its_caller(self) -> None:
+        """Guard against searches for callers that have left."""
+        await self.check_end_with_caller("search", SEARCH, {"query": "x"}, 3)
+
+    async def test_lookup_ends_with_its_caller(self) -> None:
+        """Guard against lookups for callers that have left."""
+        path = "/v1/indexes/ledger/lookup"
+        await self.check_end_with_caller("lookup", path, {"key": "k"}, 1)
+
+    async def test_run_goes_on_without_its_caller(self) -> None:
+        """Guard against a booking that is cut off with its caller."""
+        bookings = self.rig.bookings
+        bookings.delay_s = 0.3
+        await self.leave_after(
+            RUN, {"key": "x"}, bookings.begun.wait(), Idempotency_Key="k1"
+        )
+        idle = self.rig.lifecycle.idle_checks[0]
+        await self.until_disconnect("run")
+        self.assertFalse(idle())
+        await asyncio.wait_for(bookings.ended.wait(), 10)
+        await self.until(idle)
+        self.assertEqual(self.rig.admission.finished, [True])
+
     async def test_refused_run_tells_about_earlier_tries(self) -> None:
         """Guard against "not run" for a key whose earlier try may have run."""
         self.rig.admission.reason = Reason.QUEUE_FULL
