Add stand-in roots that divide the limits evenly

Change: a development-only root calls the leaves directly. It gets an even share of each leaf's slots and connections by the live list, repeats failed calls a given number of times and has no admission. A cluster plan can put such roots in the place of its daemons.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster.py
@@ -15,6 +15,7 @@
 from gypsumvane_devtools.control_client import ControlClient
 from gypsumvane_devtools.daemon_process import OPERATOR_TOKEN
 from gypsumvane_devtools.daemon_process import DaemonProcess
+from gypsumvane_devtools.direct_root_process import DirectRootProcess
 from gypsumvane_devtools.document_writer import DocumentWriter
 from gypsumvane_devtools.managed_process import ProcessError
 from gypsumvane_devtools.polling import wait_until
@@ -26,6 +27,7 @@
     from types import TracebackType
 
     from gypsumvane_devtools.cluster_plan import ClusterPlan
+    from gypsumvane_devtools.cluster_plan import DirectRootPlan
     from gypsumvane_devtools.control_client import Reply
     from gypsumvane_devtools.managed_process import ManagedProcess
 
@@ -163,7 +165,7 @@
         async def next_is_last() -> bool:
             nonlocal complete
             # Different queries, so that every service has work to do.
-            daemon = complete % len(self.daemons)
+            daemon = complete % self.plan.daemons
             reply = await self.search(index, "speaker room cable", daemon=daemon)
             good = reply.values.get("outcome") == "complete"
             complete = complete + 1 if good else 0
@@ -228,10 +230,9 @@
 
     async def _prepare_daemons(self) -> None:
         plan = self.plan
-        for number in range(plan.daemons):
-            daemon = DaemonProcess(
-                f"vm-{number}", plan.domain_of(number), self.directory
-            )
+        process = DaemonProcess if plan.direct_roots is None else DirectRootProcess
+        for number in range(plan.daemons + plan.spare_daemons):
+            daemon = process(f"vm-{number}", plan.domain_of(number), self.directory)
             self._own(daemon.process)
             if plan.proxies.peers:
                 link = f"peer-{daemon.vm_id}"
@@ -246,6 +247,19 @@
                 seed_addresses=seeds,
                 overrides=plan.daemon_settings,
             )
+        if plan.direct_roots is not None:
+            self._set_direct_arguments(plan.direct_roots)
+
+    def _set_direct_arguments(self, plan: DirectRootPlan) -> None:
+        roots = [f"{d.vm_id}={d.addresses.callers}" for d in self.daemons]
+        indexes = [index.name for index in self.plan.indexes]
+        for daemon in self.daemons:
+            assert isinstance(daemon, DirectRootProcess)
+            daemon.arguments = [
+                f"--roots={','.join(roots)}",
+                f"--indexes={','.join(indexes)}",
+                f"--retries={plan.retries}",
+            ]
 
     async def _store_address(self, vm_id: str) -> str:
         if not self.plan.proxies.store:
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster_plan.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster_plan.py
@@ -124,12 +124,21 @@
         return self.store or self.leaves or self.peers
 
 
+class DirectRootPlan(PlanModel):
+    """Replace the daemons by roots that divide the limits evenly."""
+
+    retries: int = 0
+
+
 class ClusterPlan(PlanModel):
     """Describe a whole cluster."""
 
     indexes: list[IndexPlan]
     domains: list[str] = ["a", "b", "c", "d"]
     daemons: int = 4
+    # Daemons that are prepared but not started.
+    spare_daemons: int = 0
+    direct_roots: DirectRootPlan | None = None
     seed: int = 1
     fleet: FleetDocument = FleetDocument()
     # Tables of the daemons' settings whose keys replace the defaults.
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/daemon_process.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/daemon_process.py
@@ -74,6 +74,10 @@
 
     async def start(self) -> None:
         """Write the settings and start the process."""
+        await self.process.start(DAEMON_MODULE, "--settings", self.write_settings())
+
+    def write_settings(self) -> str:
+        """Write the settings and return the path of their file."""
         path = self._directory / f"{self.vm_id}.toml"
         path.write_text(to_toml(self.settings), encoding="utf-8")
-        await self.process.start(DAEMON_MODULE, "--settings", str(path))
+        return str(path)
--- /dev/null
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/direct_query.py
@@ -0,0 +1,74 @@
+"""Calls of one request from a stand-in root to the leaves."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from gypsumvane_daemon.upstream_client import LeafCall
+from gypsumvane_daemon.upstream_client import LeafCallError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from gypsumvane_daemon.upstream_client import LeafAnswer
+    from gypsumvane_devtools.direct_leaf import DirectLeaf
+
+OK = 200
+JsonObject = dict[str, object]
+
+
+class DirectQuery:
+    """Ask leaves without budget, hedging or admission."""
+
+    def __init__(
+        self,
+        *,
+        snapshot: int,
+        deadline_s: float,
+        retries: int,
+        draw: Random,
+        next_id: Callable[[], str],
+    ) -> None:
+        self._snapshot = snapshot
+        self._deadline_s = deadline_s
+        self._retries = retries
+        self._draw = draw
+        self._next_id = next_id
+        self._loop = asyncio.get_running_loop()
+
+    async def ask(
+        self, leaves: list[DirectLeaf], path: str, body: JsonObject
+    ) -> bytes | None:
+        """Return the first good answer, after plain retries, if any."""
+        order = self._draw.sample(leaves, len(leaves))
+        for turn in range(1 + self._retries):
+            answer = await self.send(order[turn % len(order)], path, body)
+            if answer is not None and answer.status == OK:
+                return answer.body
+            if self._left_ms() <= 0:
+                break
+        return None
+
+    async def send(
+        self, leaf: DirectLeaf, path: str, body: JsonObject, key: str = ""
+    ) -> LeafAnswer | None:
+        """Send one call; None without an answer in time."""
+        call = LeafCall(
+            request_id=self._next_id(),
+            path=path,
+            body=json.dumps(body).encode(),
+            deadline_left_ms=max(1, self._left_ms()),
+            snapshot=self._snapshot,
+            idempotency_key=key,
+        )
+        try:
+            async with asyncio.timeout_at(self._deadline_s):
+                return await leaf.send(call)
+        except (LeafCallError, TimeoutError):
+            return None
+
+    def _left_ms(self) -> int:
+        return int((self._deadline_s - self._loop.time()) * 1000)
