Compare the overload experiment with roots without admission

The leaves were also not warm at the start of the step at capacity. Change: stand-in roots without admission are the baseline; 6 s of light load warm all leaves before anything is counted.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/overload.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/overload.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import ClassVar
 
 from gypsumvane_core.document_models import FleetDocument
 from gypsumvane_core.document_models import Policy
 from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import ClusterPlan
+from gypsumvane_devtools.cluster_plan import DirectRootPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
 from gypsumvane_devtools.leaf_settings import ColdSettings
 from gypsumvane_devtools.leaf_settings import ServiceTime
@@ -41,11 +41,9 @@
 RUNS_PER_S = 5.0
 DURATION_S = 12.0
 DEADLINE_MS = 500
-NO_ADMISSION: dict[str, Any] = {
-    "root_in_flight_max": 100_000,
-    "root_queue_max": 100_000,
-    "leaf_queue_max": 10_000,
-}
+# Load that warms all leaves up before the capacity is offered.
+WARM_PER_S = 40.0
+WARM_S = 6.0
 
 
 class OverloadExperiment(Experiment):
@@ -56,7 +54,10 @@
         "twice the capacity offered: full answers on time at least 90% of those at "
         "capacity; nothing run past its deadline; bookings refused last"
     )
-    baseline: ClassVar[str] = "no admission (limits and queues practically unbounded)"
+    baseline: ClassVar[str] = (
+        "no admission (stand-in roots that call the leaves directly, each with an even "
+        "share of the limits, at least one slot; calls wait without bound)"
+    )
     set_up: ClassVar[str] = (
         f"{SERVICES} services x 2 leaves, {MEAN_MS:g} ms; 4 daemons; "
         "capacity (the most full answers on time per second among steps of "
@@ -74,9 +75,8 @@
         if not self._capacity_per_s:
             self._capacity_per_s = await find_capacity()
         capacity_per_s = self._capacity_per_s
-        policy = NO_ADMISSION if variant == BASELINE else {}
-        async with Cluster(overload_plan(policy)) as cluster:
-            await cluster.warm_up(INDEX)
+        async with Cluster(overload_plan(variant)) as cluster:
+            await warm_up(cluster)
             at_capacity, _ = await offer(cluster, capacity_per_s, seed=number + 1)
             overloaded, runs = await offer(
                 cluster, 2 * capacity_per_s, seed=number + 101
@@ -121,8 +121,8 @@
 async def find_capacity() -> float:
     """Return the most full answers on time per second at any offered rate."""
     best_per_s = 0.0
-    async with Cluster(overload_plan({})) as cluster:
-        await cluster.warm_up(INDEX)
+    async with Cluster(overload_plan(CURRENT)) as cluster:
+        await warm_up(cluster)
         for step, rate_per_s in enumerate(STEPS_PER_S):
             searches, _ = await offer(
                 cluster, rate_per_s, seed=1000 + step, duration_s=STEP_S
@@ -156,7 +156,13 @@
     return first, second
 
 
-def overload_plan(policy: dict[str, Any]) -> ClusterPlan:
+async def warm_up(cluster: Cluster) -> None:
+    """Search until all leaves are warm."""
+    await cluster.warm_up(INDEX)
+    await offer(cluster, WARM_PER_S, seed=1, duration_s=WARM_S)
+
+
+def overload_plan(variant: str) -> ClusterPlan:
     """Return a cluster whose leaves limit the throughput."""
     searches = IndexPlan(
         name=INDEX,
@@ -174,7 +180,8 @@
     )
     return ClusterPlan(
         indexes=[searches, bookings],
-        fleet=FleetDocument(defaults=Policy.model_validate({**WARM_POLICY, **policy})),
+        fleet=FleetDocument(defaults=Policy.model_validate(WARM_POLICY)),
+        direct_roots=DirectRootPlan() if variant == BASELINE else None,
     )
 
 
