Compare the retries experiment with three plain retries

Cause: a raised budget stood in for three plain retries. Change: stand-in roots with three plain retries are the baseline.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/retries.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/retries.py
@@ -6,6 +6,7 @@
 from typing import ClassVar
 
 from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.cluster_plan import DirectRootPlan
 from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import BASELINE
@@ -22,6 +23,7 @@
 
 SERVICES = 9
 REPLICAS = 3
+RETRIES = 3
 RATE_PER_S = 30.0
 DURATION_S = 15.0
 
@@ -35,8 +37,8 @@
         "tries"
     )
     baseline: ClassVar[str] = (
-        "unbounded extra calls (extra_budget_share 1); stands in for three plain "
-        "retries, for which there is no switch"
+        "three plain retries (stand-in roots that call the leaves directly, each with "
+        "an even share of the limits, at least one slot)"
     )
     set_up: ClassVar[str] = (
         f"{SERVICES} services x {REPLICAS} leaves, the first of each fails; 4 daemons; "
@@ -45,9 +47,9 @@
 
     async def measure(self, variant: str, number: int) -> dict[str, float]:
         """Run one variant once."""
-        policy = {"extra_budget_share": 1.0} if variant == BASELINE else {}
         index = {"services": SERVICES, "replicas": REPLICAS}
-        async with Cluster(search_plan(policy, index=index)) as cluster:
+        direct = DirectRootPlan(retries=RETRIES) if variant == BASELINE else None
+        async with Cluster(search_plan(index=index, direct_roots=direct)) as cluster:
             await cluster.warm_up(INDEX)
             for number_of_service in range(SERVICES):
                 leaf_id = f"{INDEX}-{number_of_service:02d}-0"
