Add the limits experiment

Cause: slots and connections of the leaves were measured while a daemon is killed, but not while one joins, leaves or is paused, and without a baseline.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -10,9 +12,13 @@
 from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
 from gypsumvane_devtools.load_plan import LoadPlan
+from gypsumvane_devtools.load_process import run_load_process
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from gypsumvane_devtools.cluster import Cluster
+    from gypsumvane_devtools.load_result import LoadResult
 
 INDEX = "stock"
 # Experiments whose subject is not cold starts use leaves that start warm, and
@@ -54,6 +60,17 @@
     return LoadPlan.model_validate({**defaults, **values})
 
 
+@asynccontextmanager
+async def loaded(plan: LoadPlan) -> AsyncIterator[asyncio.Task[LoadResult]]:
+    """Run a load process during the block; the result is there after it."""
+    running = asyncio.create_task(run_load_process(plan))
+    try:
+        yield running
+        await running
+    finally:
+        running.cancel()
+
+
 async def busiest_leaf(cluster: Cluster) -> str:
     """Return the leaf that has received the most requests."""
     counters = await cluster.upstreams.counters(index=INDEX)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/registry.py
@@ -11,6 +11,7 @@
 )
 from gypsumvane_devtools.measure.daemon_killed import DaemonKilledExperiment
 from gypsumvane_devtools.measure.failure_domain import FailureDomainExperiment
+from gypsumvane_devtools.measure.limits import LimitsExperiment
 from gypsumvane_devtools.measure.overload import OverloadExperiment
 from gypsumvane_devtools.measure.planned_stop import PlannedStopExperiment
 from gypsumvane_devtools.measure.retries import RetriesExperiment
@@ -29,6 +30,7 @@
     FailureDomainExperiment,
     ConfigurationChangeExperiment,
     OverloadExperiment,
+    LimitsExperiment,
     RetriesExperiment,
     BookingsExperiment,
     StoreCallsExperiment,
