Share clusters and load of the experiments in load_helpers

Cause: most experiments built the same warm cluster, load process and bookings index, and a failed one left its load running until the end of the loop. Change: warm_cluster, run_load, loaded and bookings_index; no figure changes its meaning.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/bookings.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/bookings.py
@@ -9,11 +9,10 @@
 from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.load_plan import LoadKind
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import at_most
-from gypsumvane_devtools.measure.load_helpers import load_plan
-from gypsumvane_devtools.sample_plans import lookup_index
+from gypsumvane_devtools.measure.load_helpers import bookings_index
+from gypsumvane_devtools.measure.load_helpers import loaded
 
 if TYPE_CHECKING:
     from gypsumvane_devtools.load_result import LoadResult
@@ -48,18 +47,11 @@
 
     async def measure(self, variant: str, number: int) -> dict[str, float]:
         """Run one variant once."""
-        ledger = lookup_index(
-            INDEX,
-            services=3,
-            replicas=2,
-            slots=3,
-            connections_max=100,
-            non_idempotent=True,
-        )
+        ledger = bookings_index(INDEX)
         settings = {"entry": {"keep_ms": 1000}}
         plan = ClusterPlan(indexes=[ledger], daemon_settings=settings)
         async with Cluster(plan) as cluster:
-            load = load_plan(
+            async with loaded(
                 cluster,
                 index=INDEX,
                 kind=LoadKind.RUN,
@@ -68,10 +60,9 @@
                 deadline_ms=3000,
                 reserves_keys=variant == RESERVED_KEYS,
                 seed=number + 1,
-            )
-            running = asyncio.create_task(run_load_process(load))
-            await disturb(cluster)
-            result = await running
+            ) as running:
+                await disturb(cluster)
+            result = running.result()
             runs_by_key = await cluster.upstreams.runs_by_key()
         return booking_values(result, runs_by_key)
 
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/cold_start.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/cold_start.py
@@ -7,14 +7,13 @@
 from typing import ClassVar
 
 from gypsumvane_devtools.cluster import Cluster
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import BASELINE
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_most
 from gypsumvane_devtools.measure.load_helpers import counter_sum
 from gypsumvane_devtools.measure.load_helpers import highest_counter
-from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import loaded
 from gypsumvane_devtools.measure.load_helpers import search_plan
 
 if TYPE_CHECKING:
@@ -50,17 +49,16 @@
         async with Cluster(
             search_plan(policy, starts_warm=False, index=index)
         ) as cluster:
-            plan = load_plan(
+            async with loaded(
                 cluster, rate_per_s=RATE_PER_S, duration_s=3 * PHASE_S, seed=number + 1
-            )
-            load = asyncio.create_task(run_load_process(plan))
-            await asyncio.sleep(PHASE_S)
-            values = await self._phase_values(cluster, "start")
-            await cluster.upstreams.act("restart", 1.0, failure_domain="b")
-            await asyncio.sleep(PHASE_S)
-            values |= await self._phase_values(cluster, "restart")
-            await cluster.upstreams.act("turn_cold", False, failure_domain="c")
-            result = await load
+            ) as running:
+                await asyncio.sleep(PHASE_S)
+                values = await self._phase_values(cluster, "start")
+                await cluster.upstreams.act("restart", 1.0, failure_domain="b")
+                await asyncio.sleep(PHASE_S)
+                values |= await self._phase_values(cluster, "restart")
+                await cluster.upstreams.act("turn_cold", False, failure_domain="c")
+            result = running.result()
             values |= await self._phase_values(cluster, "unwarned")
         values["complete_share"] = result.share_complete_in_time()
         return values
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/daemon_killed.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/daemon_killed.py
@@ -6,14 +6,12 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import at_most
-from gypsumvane_devtools.measure.load_helpers import INDEX
 from gypsumvane_devtools.measure.load_helpers import highest_counter
-from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import loaded
 from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
     from gypsumvane_devtools.load_result import SecondCounts
@@ -53,15 +51,13 @@
         index = {"services": SERVICES, "slots": SLOTS, "connections_max": CONNECTIONS}
         settings = {"entry": {"keep_ms": 1000}}
         plan = search_plan(index=index, daemon_settings=settings)
-        async with Cluster(plan) as cluster:
-            await cluster.warm_up(INDEX)
-            load = load_plan(
+        async with warm_cluster(plan) as cluster:
+            async with loaded(
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
-            )
-            running = asyncio.create_task(run_load_process(load))
-            await asyncio.sleep(KILL_AFTER_S)
-            await cluster.kill_daemon(3, vm_lost=variant == VM_LOST)
-            result = await running
+            ) as running:
+                await asyncio.sleep(KILL_AFTER_S)
+                await cluster.kill_daemon(3, vm_lost=variant == VM_LOST)
+            result = running.result()
             values = {
                 "running_max": await highest_counter(cluster, "running_max"),
                 "connections_max": await highest_counter(cluster, "connections_max"),
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/failure_domain.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/failure_domain.py
@@ -8,19 +8,18 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_least
 from gypsumvane_devtools.measure.figures import at_most
-from gypsumvane_devtools.measure.load_helpers import INDEX
 from gypsumvane_devtools.measure.load_helpers import counter_sum
 from gypsumvane_devtools.measure.load_helpers import highest_counter
-from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import loaded
 from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
+    from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.measure.figures import Check
     from gypsumvane_devtools.measure.figures import FigureTable
 
@@ -49,23 +48,21 @@
     async def measure(self, variant: str, number: int) -> dict[str, float]:
         """Run once."""
         plan = search_plan(daemons=8, index={"services": SERVICES})
-        async with Cluster(plan) as cluster:
-            await cluster.warm_up(INDEX)
-            load = load_plan(
+        async with warm_cluster(plan) as cluster:
+            async with loaded(
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
-            )
-            running = asyncio.create_task(run_load_process(load))
-            await asyncio.sleep(OUT_AFTER_S)
-            accepted_s = await change_domain(cluster, "out")
-            await cluster.upstreams.act("mark_out", failure_domain=DOMAIN)
-            before = await counter_sum(cluster, "begun", failure_domain=DOMAIN)
-            await asyncio.sleep(OUT_S)
-            last_s = await highest_counter(
-                cluster, "last_after_out_s", failure_domain=DOMAIN
-            )
-            await cluster.upstreams.act("mark_in", failure_domain=DOMAIN)
-            await change_domain(cluster, "in")
-            result = await running
+            ) as running:
+                await asyncio.sleep(OUT_AFTER_S)
+                accepted_s = await change_domain(cluster, "out")
+                await cluster.upstreams.act("mark_out", failure_domain=DOMAIN)
+                before = await counter_sum(cluster, "begun", failure_domain=DOMAIN)
+                await asyncio.sleep(OUT_S)
+                last_s = await highest_counter(
+                    cluster, "last_after_out_s", failure_domain=DOMAIN
+                )
+                await cluster.upstreams.act("mark_in", failure_domain=DOMAIN)
+                await change_domain(cluster, "in")
+            result = running.result()
         return {
             "accepted_ms": accepted_s * 1000,
             "calls_before": before,
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/limits.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/limits.py
@@ -6,20 +6,19 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import DirectRootPlan
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import BASELINE
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_most
-from gypsumvane_devtools.measure.load_helpers import INDEX
 from gypsumvane_devtools.measure.load_helpers import counter_sum
 from gypsumvane_devtools.measure.load_helpers import highest_counter
-from gypsumvane_devtools.measure.load_helpers import load_plan
 from gypsumvane_devtools.measure.load_helpers import loaded
 from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
+    from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.measure.figures import Check
     from gypsumvane_devtools.measure.figures import FigureTable
 
@@ -72,12 +71,10 @@
             daemon_settings={"entry": {"keep_ms": 1000}},
             direct_roots=DirectRootPlan() if variant == BASELINE else None,
         )
-        async with Cluster(plan) as cluster:
-            await cluster.warm_up(INDEX)
-            load = load_plan(
+        async with warm_cluster(plan) as cluster:
+            async with loaded(
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
-            )
-            async with loaded(load) as running:
+            ) as running:
                 await disturb(cluster)
             result = running.result()
             # A leaf queues calls above its slots, so that those in progress count.
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
@@ -9,15 +9,16 @@
 
 from gypsumvane_core.document_models import FleetDocument
 from gypsumvane_core.document_models import Policy
+from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
 from gypsumvane_devtools.load_plan import LoadPlan
 from gypsumvane_devtools.load_process import run_load_process
+from gypsumvane_devtools.sample_plans import lookup_index
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.load_result import LoadResult
 
 INDEX = "stock"
@@ -49,6 +50,18 @@
     )
 
 
+def bookings_index(name: str = "bookings") -> IndexPlan:
+    """Return an index for bookings, sized like the Trust's."""
+    return lookup_index(
+        name,
+        services=3,
+        replicas=2,
+        slots=3,
+        connections_max=100,
+        non_idempotent=True,
+    )
+
+
 def load_plan(cluster: Cluster, **values: Any) -> LoadPlan:
     """Return load on the cluster's entry addresses."""
     defaults = {
@@ -61,9 +74,26 @@
 
 
 @asynccontextmanager
-async def loaded(plan: LoadPlan) -> AsyncIterator[asyncio.Task[LoadResult]]:
-    """Run a load process during the block; the result is there after it."""
-    running = asyncio.create_task(run_load_process(plan))
+async def warm_cluster(
+    plan: ClusterPlan, *, index: str = INDEX
+) -> AsyncIterator[Cluster]:
+    """Start a cluster and search an index until its leaves are warm."""
+    async with Cluster(plan) as cluster:
+        await cluster.warm_up(index)
+        yield cluster
+
+
+async def run_load(cluster: Cluster, **values: Any) -> LoadResult:
+    """Run load on the cluster's entry addresses in a process of its own."""
+    return await run_load_process(load_plan(cluster, **values))
+
+
+@asynccontextmanager
+async def loaded(
+    cluster: Cluster, **values: Any
+) -> AsyncIterator[asyncio.Task[LoadResult]]:
+    """Run load during the block; the result is there after it."""
+    running = asyncio.create_task(run_load(cluster, **values))
     try:
         yield running
         await running
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/overload.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/overload.py
@@ -8,14 +8,12 @@
 
 from gypsumvane_core.document_models import FleetDocument
 from gypsumvane_core.document_models import Policy
-from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import DirectRootPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
 from gypsumvane_devtools.leaf_settings import ColdSettings
 from gypsumvane_devtools.leaf_settings import ServiceTime
 from gypsumvane_devtools.load_plan import LoadKind
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import BASELINE
 from gypsumvane_devtools.measure.figures import CURRENT
@@ -23,11 +21,13 @@
 from gypsumvane_devtools.measure.figures import at_most
 from gypsumvane_devtools.measure.load_helpers import INDEX
 from gypsumvane_devtools.measure.load_helpers import WARM_POLICY
+from gypsumvane_devtools.measure.load_helpers import bookings_index
 from gypsumvane_devtools.measure.load_helpers import counter_sum
-from gypsumvane_devtools.measure.load_helpers import load_plan
-from gypsumvane_devtools.sample_plans import lookup_index
+from gypsumvane_devtools.measure.load_helpers import run_load
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
+    from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.load_result import LoadResult
     from gypsumvane_devtools.measure.figures import Check
     from gypsumvane_devtools.measure.figures import FigureTable
@@ -75,7 +75,7 @@
         if not self._capacity_per_s:
             self._capacity_per_s = await find_capacity()
         capacity_per_s = self._capacity_per_s
-        async with Cluster(overload_plan(variant)) as cluster:
+        async with warm_cluster(overload_plan(variant)) as cluster:
             await warm_up(cluster)
             at_capacity, _ = await offer(cluster, capacity_per_s, seed=number + 1)
             overloaded, runs = await offer(
@@ -121,7 +121,7 @@
 async def find_capacity() -> float:
     """Return the most full answers on time per second at any offered rate."""
     best_per_s = 0.0
-    async with Cluster(overload_plan(CURRENT)) as cluster:
+    async with warm_cluster(overload_plan(CURRENT)) as cluster:
         await warm_up(cluster)
         for step, rate_per_s in enumerate(STEPS_PER_S):
             searches, _ = await offer(
@@ -135,30 +135,28 @@
     cluster: Cluster, rate_per_s: float, *, seed: int, duration_s: float = DURATION_S
 ) -> tuple[LoadResult, LoadResult]:
     """Offer searches at a rate, and a few bookings; return both results."""
-    searches = load_plan(
-        cluster,
-        rate_per_s=rate_per_s,
-        duration_s=duration_s,
-        deadline_ms=DEADLINE_MS,
-        seed=seed,
-    )
-    runs = load_plan(
-        cluster,
-        index="bookings",
-        kind=LoadKind.RUN,
-        rate_per_s=RUNS_PER_S,
-        duration_s=duration_s,
-        seed=seed,
-    )
     first, second = await asyncio.gather(
-        run_load_process(searches), run_load_process(runs)
+        run_load(
+            cluster,
+            rate_per_s=rate_per_s,
+            duration_s=duration_s,
+            deadline_ms=DEADLINE_MS,
+            seed=seed,
+        ),
+        run_load(
+            cluster,
+            index="bookings",
+            kind=LoadKind.RUN,
+            rate_per_s=RUNS_PER_S,
+            duration_s=duration_s,
+            seed=seed,
+        ),
     )
     return first, second
 
 
 async def warm_up(cluster: Cluster) -> None:
-    """Search until all leaves are warm."""
-    await cluster.warm_up(INDEX)
+    """Offer light load until all leaves are warm."""
     await offer(cluster, WARM_PER_S, seed=1, duration_s=WARM_S)
 
 
@@ -170,14 +168,7 @@
         services=SERVICES,
         service_time=ServiceTime(mean_ms=MEAN_MS),
     )
-    bookings = lookup_index(
-        "bookings",
-        services=3,
-        replicas=2,
-        slots=3,
-        connections_max=100,
-        non_idempotent=True,
-    )
+    bookings = bookings_index()
     return ClusterPlan(
         indexes=[searches, bookings],
         fleet=FleetDocument(defaults=Policy.model_validate(WARM_POLICY)),
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/planned_stop.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/planned_stop.py
@@ -6,18 +6,17 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_least
 from gypsumvane_devtools.measure.figures import at_most
-from gypsumvane_devtools.measure.load_helpers import INDEX
 from gypsumvane_devtools.measure.load_helpers import counter_sum
-from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import loaded
 from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
+    from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.measure.figures import Check
     from gypsumvane_devtools.measure.figures import FigureTable
 
@@ -50,15 +49,13 @@
             index={"services": SERVICES},
             daemon_settings={"entry": {"keep_ms": KEEP_MS}},
         )
-        async with Cluster(plan) as cluster:
-            await cluster.warm_up(INDEX)
-            load = load_plan(
+        async with warm_cluster(plan) as cluster:
+            async with loaded(
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
-            )
-            running = asyncio.create_task(run_load_process(load))
-            await asyncio.sleep(FIRST_STOP_AFTER_S)
-            statuses = await restart_all(cluster)
-            result = await running
+            ) as running:
+                await asyncio.sleep(FIRST_STOP_AFTER_S)
+                statuses = await restart_all(cluster)
+            result = running.result()
             excess = await counter_sum(cluster, "cold_excess_unwarned")
         return {
             "lost": result.outcomes.get("lost", 0),
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/retries.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/retries.py
@@ -5,17 +5,16 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import DirectRootPlan
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import BASELINE
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_most
 from gypsumvane_devtools.measure.load_helpers import INDEX
-from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import run_load
 from gypsumvane_devtools.measure.load_helpers import search_plan
 from gypsumvane_devtools.measure.load_helpers import searches_received
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
     from gypsumvane_devtools.measure.figures import Check
@@ -49,18 +48,18 @@
         """Run one variant once."""
         index = {"services": SERVICES, "replicas": REPLICAS}
         direct = DirectRootPlan(retries=RETRIES) if variant == BASELINE else None
-        async with Cluster(search_plan(index=index, direct_roots=direct)) as cluster:
-            await cluster.warm_up(INDEX)
+        async with warm_cluster(
+            search_plan(index=index, direct_roots=direct)
+        ) as cluster:
             for number_of_service in range(SERVICES):
                 leaf_id = f"{INDEX}-{number_of_service:02d}-0"
                 await cluster.upstreams.set(
                     {"fault": {"mode": "fail"}}, leaf_id=leaf_id
                 )
             before = await searches_received(cluster)
-            plan = load_plan(
+            result = await run_load(
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
             )
-            result = await run_load_process(plan)
             received = await searches_received(cluster) - before
         return {
             "offered": result.offered,
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/store_calls.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/store_calls.py
@@ -7,19 +7,19 @@
 from typing import Any
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
 from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
 from gypsumvane_devtools.load_plan import LoadKind
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_most
 from gypsumvane_devtools.measure.load_helpers import INDEX
-from gypsumvane_devtools.measure.load_helpers import load_plan
-from gypsumvane_devtools.sample_plans import lookup_index
+from gypsumvane_devtools.measure.load_helpers import bookings_index
+from gypsumvane_devtools.measure.load_helpers import run_load
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
+    from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.measure.figures import Check
     from gypsumvane_devtools.measure.figures import FigureTable
 
@@ -48,14 +48,13 @@
 
     async def measure(self, variant: str, number: int) -> dict[str, float]:
         """Run once."""
-        async with Cluster(store_plan()) as cluster:
-            await cluster.warm_up(INDEX)
+        async with warm_cluster(store_plan()) as cluster:
             idle = await calls_during(cluster, asyncio.sleep(WINDOW_S))
-            searches = load_plan(
+            searches = run_load(
                 cluster, rate_per_s=SEARCHES_PER_S, duration_s=WINDOW_S, seed=number + 1
             )
-            searching = await calls_during(cluster, run_load_process(searches))
-            runs = load_plan(
+            searching = await calls_during(cluster, searches)
+            runs = run_load(
                 cluster,
                 index="bookings",
                 kind=LoadKind.RUN,
@@ -64,7 +63,7 @@
                 deadline_ms=3000,
                 seed=number + 1,
             )
-            booking = await calls_during(cluster, run_load_process(runs))
+            booking = await calls_during(cluster, runs)
             counters = await cluster.store.get("/control/counters")
         per_s = WINDOW_S * DAEMONS
         return {
@@ -93,14 +92,7 @@
 
 def store_plan() -> ClusterPlan:
     """Return a cluster with a search index and a ledger."""
-    ledger = lookup_index(
-        "bookings",
-        services=3,
-        replicas=2,
-        slots=3,
-        connections_max=100,
-        non_idempotent=True,
-    )
+    ledger = bookings_index()
     indexes = [IndexPlan(name=INDEX, services=4), ledger]
     return ClusterPlan(indexes=indexes, daemons=DAEMONS)
 
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/straggler.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/straggler.py
@@ -5,18 +5,16 @@
 from typing import TYPE_CHECKING
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import BASELINE
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_least
 from gypsumvane_devtools.measure.figures import at_most
-from gypsumvane_devtools.measure.load_helpers import INDEX
 from gypsumvane_devtools.measure.load_helpers import busiest_leaf
-from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import run_load
 from gypsumvane_devtools.measure.load_helpers import search_plan
 from gypsumvane_devtools.measure.load_helpers import searches_received
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 
 if TYPE_CHECKING:
     from gypsumvane_devtools.measure.figures import Check
@@ -49,15 +47,13 @@
         """Run one variant once."""
         policy = {"hedge_budget_share": 0.0} if variant == BASELINE else {}
         index = {"services": SERVICES, "service_time": {"mean_ms": MEAN_MS}}
-        async with Cluster(search_plan(policy, index=index)) as cluster:
-            await cluster.warm_up(INDEX)
+        async with warm_cluster(search_plan(policy, index=index)) as cluster:
             leaf_id = await busiest_leaf(cluster)
             await cluster.upstreams.set({"service_time": STRAGGLER}, leaf_id=leaf_id)
             before = await searches_received(cluster)
-            plan = load_plan(
+            result = await run_load(
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
             )
-            result = await run_load_process(plan)
             received = await searches_received(cluster) - before
         return {
             "offered": result.offered,
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
@@ -8,17 +8,17 @@
 from typing import Any
 from typing import ClassVar
 
-from gypsumvane_devtools.cluster import Cluster
-from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import at_least
 from gypsumvane_devtools.measure.figures import at_most
 from gypsumvane_devtools.measure.load_helpers import INDEX
-from gypsumvane_devtools.measure.load_helpers import load_plan
+from gypsumvane_devtools.measure.load_helpers import loaded
 from gypsumvane_devtools.measure.load_helpers import search_plan
+from gypsumvane_devtools.measure.load_helpers import warm_cluster
 from gypsumvane_devtools.polling import wait_until
 
 if TYPE_CHECKING:
+    from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.measure.figures import Check
     from gypsumvane_devtools.measure.figures import FigureTable
 
@@ -57,15 +57,13 @@
     async def measure(self, variant: str, number: int) -> dict[str, float]:
         """Run one kind once."""
         index = {"services": 4, "new_replicas": 2}
-        async with Cluster(search_plan(index=index)) as cluster:
-            await cluster.warm_up(INDEX)
-            load = load_plan(
+        async with warm_cluster(search_plan(index=index)) as cluster:
+            async with loaded(
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
-            )
-            running = asyncio.create_task(run_load_process(load))
-            measure = move_good if variant == GOOD else move_bad
-            values = await measure(cluster)
-            result = await running
+            ) as running:
+                measure = move_good if variant == GOOD else move_bad
+                values = await measure(cluster)
+            result = running.result()
         return {**values, "complete_share": result.share_complete_in_time()}
 
     def verdict(self, table: FigureTable) -> list[Check]:
