Split the leaf worker into queue, calls and status

Cause: leaf_worker.py held three jobs in 510 lines: queue and limits, calls in progress, status polling. Change: leaf_calls.py holds the calls in progress, leaf_status.py the polling, leaf_state.py what both and the queue share; leaf_worker.py keeps queue and limits. Behaviour is unchanged.

--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_status.py
@@ -0,0 +1,135 @@
+"""Status polling of one upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.upstream_state import UpstreamState
+from gypsumvane_core.upstream_trust import StatusReport
+from gypsumvane_daemon.upstream_client import LeafCallError
+
+if TYPE_CHECKING:
+    from gypsumvane_daemon.leaf_state import LeafLinks
+    from gypsumvane_daemon.leaf_state import LeafState
+    from gypsumvane_daemon.upstream_client import LeafAnswer
+    from gypsumvane_daemon.upstream_ports import HomeAuthority
+
+logger = logging.getLogger(__name__)
+
+STATUS_INTERVAL_S = 1.0
+OUTAGE_STATUS_INTERVAL_S = 0.2
+# Connections beside those of the calls: one for status, one to cancel.
+CONTROL_CONNECTIONS = 2
+STATUS_FAILURES_MAX = 3
+
+
+class LeafStatus:
+    """Ask for status reports and keep connections open ahead of demand."""
+
+    def __init__(
+        self, state: LeafState, links: LeafLinks, *, authority: HomeAuthority
+    ) -> None:
+        self._state = state
+        self._links = links
+        self._authority = authority
+        self._poller: asyncio.Task[None] | None = None
+        self._failures = 0
+        # Set to ask for a status report at once.
+        self._probe = asyncio.Event()
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._poller = asyncio.create_task(
+            self._poll(), name=f"status-{self._state.leaf.leaf_id}"
+        )
+
+    def stop(self) -> None:
+        """End polling."""
+        if self._poller is not None:
+            self._poller.cancel()
+            self._poller = None
+
+    def probe(self) -> None:
+        """Ask for a status report at once."""
+        self._probe.set()
+
+    async def _poll(self) -> None:
+        while True:
+            self._probe.clear()
+            self._apply_connection_limit()
+            if self._connections_allowed() >= 1:
+                await self._poll_once()
+            self._links.publish()
+            self._links.pump()
+            await self._wait_for_next_poll()
+
+    async def _wait_for_next_poll(self) -> None:
+        unavailable = self._state.trust.state is UpstreamState.UNAVAILABLE
+        interval_s = OUTAGE_STATUS_INTERVAL_S if unavailable else STATUS_INTERVAL_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval_s):
+                await self._probe.wait()
+
+    async def _poll_once(self) -> None:
+        try:
+            answer = await self._state.client.status()
+        except LeafCallError as error:
+            self._failures += 1
+            # A full upstream may be late with its status; a closed connection
+            # is an outage.
+            if not error.late or self._failures >= STATUS_FAILURES_MAX:
+                self.on_unreachable(error.message)
+            return
+        self._failures = 0
+        self._state.connected = True
+        self._state.doubt_until_s = float("-inf")
+        self._read_status(answer)
+        if self._state.trust.limit:
+            await self._state.client.open_ahead(self._connections_wanted())
+
+    def _read_status(self, answer: LeafAnswer) -> None:
+        try:
+            body = json.loads(answer.body)
+            snapshots = sorted(int(number) for number in body.get("snapshots", []))
+        except (ValueError, TypeError, AttributeError):
+            self._links.count("leaf_status_invalid")
+            return
+        self._state.snapshots = snapshots
+        self._state.version = answer.version or str(body.get("version", ""))
+        self._state.trust.on_report(
+            StatusReport(
+                answering_boot_id=answer.boot_id,
+                draining=answer.draining or body.get("draining") is True,
+                cold=body.get("cold") is True,
+            ),
+            self._links.clock.monotonic_s(),
+        )
+
+    def on_unreachable(self, cause: str) -> None:
+        """Record that no connection can be opened, or that no status comes."""
+        before = self._state.trust.state
+        self._state.trust.on_unreachable()
+        if self._state.trust.state is not before:
+            logger.warning(
+                "upstream is unavailable",
+                extra={"leaf": self._state.leaf.leaf_id, "cause": cause},
+            )
+            self._links.publish()
+
+    def _connections_wanted(self) -> int:
+        return min(self._connections_allowed(), self._state.trust.limit + 1)
+
+    def _connections_allowed(self) -> int:
+        allowed = self._authority.allowance(
+            self._state.leaf.leaf_id, self._state.leaf.connections_max
+        )
+        # Calls never need more, and staying below half of the maximum leaves
+        # room for another home while a paused one still holds connections.
+        return min(allowed, self._state.leaf.slots + CONTROL_CONNECTIONS)
+
+    def _apply_connection_limit(self) -> None:
+        self._state.client.set_connections(self._connections_allowed())
