Test that an abandoned search is no evidence against a version

Cause: no test showed that callers who leave cannot take a version back. Change: one test; the move document of another is shared.

--- a/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
@@ -19,6 +19,15 @@
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
 
+MOVE = {
+    "move_id": "m1",
+    "index": "stock",
+    "from_version": "v1",
+    "to_version": "v2",
+    "start_unix_s": 1.0,
+    "complete_by_unix_s": 2.0,
+}
+
 
 class GatewayTestCase(unittest.IsolatedAsyncioTestCase):
     """Run a gateway with fakes."""
@@ -91,6 +100,24 @@
         cancelled = [i for _, c in self.rig.peers.cancels for i in c.attempt_ids]
         self.assertIn(2, cancelled)
 
+    async def test_abandoned_search_is_no_evidence(self) -> None:
+        """Guard against versions taken back because callers leave."""
+        self.rig.documents.apply("move/stock", MOVE)
+        self.rig.moves.version = "v1"
+        for leaf in self.rig.upstreams.leaves.values():
+            leaf.delay_s = 30.0
+        leaving = asyncio.create_task(self.search(wait_s=20.0))
+        async with asyncio.timeout(10):
+            while self.rig.asked() < 3:
+                await asyncio.sleep(0.005)
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
+        self.assertGreaterEqual(len(self.rig.peers.cancels), 1)
+        self.assertEqual(self.rig.moves.recorded, [])
+        # A deadline that passes is evidence.
+        await self.search(wait_s=0.2)
+        self.assertIn(("v1", True), self.rig.moves.recorded)
+
     async def test_lost_home_is_replaced(self) -> None:
         """Guard against services left out because one daemon was lost."""
         self.rig.peers.lost = {"vm-a"}
@@ -139,15 +166,7 @@
             if leaf["leaf_id"].endswith("-a")
         ]
         self.rig.apply_index(body)
-        move = {
-            "move_id": "m1",
-            "index": "stock",
-            "from_version": "v1",
-            "to_version": "v2",
-            "start_unix_s": 1.0,
-            "complete_by_unix_s": 2.0,
-        }
-        self.rig.documents.apply("move/stock", move)
+        self.rig.documents.apply("move/stock", MOVE)
         self.rig.moves.version = "v2"
         self.rig.moves.last_version = "v1"
         new = [v for k, v in self.rig.upstreams.leaves.items() if len(k) > 4]
