Judge the in-flight limit by load only

Cause: every answer that was not complete counted as late. Requests for unknown indexes, or a service without any leaf, lowered the limit of the root to 1 for all searches. Change: an answer counts against the limit only when it lacks something because of a deadline, a full queue or an upstream that shed it or was cold.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -18,6 +18,7 @@
 from gypsumvane_core.outcome import Completed
 from gypsumvane_core.priority import Priority
 from gypsumvane_core.query_answer import AnswerOutcome
+from gypsumvane_core.query_answer import SearchAnswer
 from gypsumvane_core.query_request import LookupRequest
 from gypsumvane_core.query_request import SearchRequest
 from gypsumvane_core.reason import Reason
@@ -35,7 +36,10 @@
 from gypsumvane_daemon.caller_replies import search_reply
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from gypsumvane_core.clock import Clock
+    from gypsumvane_core.query_answer import LookupAnswer
     from gypsumvane_daemon.caller_headers import CallerHeaders
     from gypsumvane_daemon.caller_ports import AdmissionPort
     from gypsumvane_daemon.caller_ports import BookingsPort
@@ -45,6 +49,11 @@
     from gypsumvane_daemon.caller_ports import TicketPort
 
 NOT_SERVING = "the daemon does not serve"
+# Reasons that show a lack of capacity. Other incomplete answers, such as those to
+# bad requests or without a lost service, must not lower the in-flight limit.
+LOAD_REASONS = frozenset(
+    {Reason.DEADLINE, Reason.QUEUE_FULL, Reason.UPSTREAM_SHED, Reason.UPSTREAM_COLD}
+)
 REQUEST_ID_KEY = web.RequestKey("request_id", str)
 BodyType = TypeVar("BodyType", bound=BaseModel)
 
@@ -86,7 +95,6 @@
         call = await self._read(request)
         body = parse_body(SearchBody, call.body)
         ticket = await self._admit(call, Priority.SEARCH)
-        in_time = False
         try:
             answer = await self._links.gateway.search(
                 SearchRequest(
@@ -99,20 +107,17 @@
                     caller_id=call.headers.caller_id,
                 )
             )
-            in_time = self._is_in_time(call, answer.outcome)
+            self._judge(ticket, call, answer.outcome, reasons_of(answer))
             return search_reply(answer)
-        except asyncio.CancelledError:
-            ticket.abandon()
-            raise
         finally:
-            ticket.finish(in_time)
+            # Changes nothing after the judgement.
+            ticket.abandon()
 
     async def lookup(self, request: web.Request) -> web.Response:
         """Look a key up in its service."""
         call = await self._read(request)
         body = parse_body(LookupBody, call.body)
         ticket = await self._admit(call, Priority.LOOKUP)
-        in_time = False
         try:
             answer = await self._links.gateway.lookup(
                 LookupRequest(
@@ -123,13 +128,11 @@
                     caller_id=call.headers.caller_id,
                 )
             )
-            in_time = self._is_in_time(call, answer.outcome)
+            self._judge(ticket, call, answer.outcome, reasons_of(answer))
             return lookup_reply(answer)
-        except asyncio.CancelledError:
-            ticket.abandon()
-            raise
         finally:
-            ticket.finish(in_time)
+            # Changes nothing after the judgement.
+            ticket.abandon()
 
     async def run(self, request: web.Request) -> web.Response:
         """Run a non-idempotent request at most once."""
@@ -149,16 +152,15 @@
             ticket = await self._admit(call, Priority.RUN)
         except AdmissionRefused as error:
             return await self._refuse_run(call, body, error.reason, error.message)
-        in_time = False
         try:
             outcome = await self._links.bookings.run(self._booking(call, body))
-            label = AnswerOutcome.FAILED
             if isinstance(outcome, Completed):
-                label = AnswerOutcome.COMPLETE
-            in_time = self._is_in_time(call, label)
+                self._judge(ticket, call, AnswerOutcome.COMPLETE, ())
+            else:
+                self._judge(ticket, call, AnswerOutcome.FAILED, (outcome.reason,))
             return run_reply(outcome, request_id=call.request_id)
         finally:
-            ticket.finish(in_time)
+            ticket.abandon()
 
     async def _refuse_run(
         self, call: _Call, body: RunBody, reason: Reason, message: str
@@ -240,10 +242,28 @@
             body=call.body,
         )
 
-    def _is_in_time(self, call: _Call, outcome: AnswerOutcome) -> bool:
-        if outcome is not AnswerOutcome.COMPLETE:
-            return False
-        return self._links.clock.monotonic_s() <= call.deadline_s
+    def _judge(
+        self,
+        ticket: TicketPort,
+        call: _Call,
+        outcome: AnswerOutcome,
+        reasons: Iterable[Reason],
+    ) -> None:
+        """Return the ticket with what the answer shows about the load."""
+        if outcome is AnswerOutcome.COMPLETE:
+            ticket.finish(self._links.clock.monotonic_s() <= call.deadline_s)
+        elif LOAD_REASONS.isdisjoint(reasons):
+            ticket.abandon()
+        else:
+            ticket.finish(False)
+
+
+def reasons_of(answer: SearchAnswer | LookupAnswer) -> list[Reason]:
+    """Return why an answer is not complete."""
+    reasons = [answer.reason] if answer.reason is not None else []
+    if isinstance(answer, SearchAnswer):
+        reasons += [entry.reason for entry in answer.coverage.left_out]
+    return reasons
 
 
 async def _read_body(request: web.Request) -> bytes:
--- a/packages/gypsumvane-daemon/tests/caller_fakes.py
+++ b/packages/gypsumvane-daemon/tests/caller_fakes.py
@@ -49,16 +49,28 @@
         self.finished: list[bool] = []
         self.abandoned = 0
 
-    async def admit(self, request: object) -> FakeAdmission:
+    async def admit(self, request: object) -> FakeTicket:
         if self.reason is not None:
             raise AdmissionRefused(self.reason)
-        return self
+        return FakeTicket(self)
+
+
+class FakeTicket:
+    """Record the first of its ends."""
+
+    def __init__(self, admission: FakeAdmission) -> None:
+        self._admission = admission
+        self._ended = False
 
     def finish(self, in_time: bool) -> None:
-        self.finished.append(in_time)
+        if not self._ended:
+            self._ended = True
+            self._admission.finished.append(in_time)
 
     def abandon(self) -> None:
-        self.abandoned += 1
+        if not self._ended:
+            self._ended = True
+            self._admission.abandoned += 1
 
 
 class FakeState(Enum):
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -186,6 +186,25 @@
         await self.until(idle)
         self.assertEqual(self.rig.admission.finished, [True])
 
+    async def test_answers_without_a_lost_service_say_nothing_of_the_load(self) -> None:
+        """Guard against a lost service that stops searches of all others."""
+        for leaf in self.rig.leaves_of("s1"):
+            leaf.kind, leaf.verdict = "refused", "not_run"
+            leaf.reason = "upstream_unavailable"
+        _, answer = await self.post(SEARCH, {"query": "x"})
+        self.assertEqual(answer["outcome"], "partial")
+        await self.post("/v1/indexes/none/search", {"query": "x"})
+        admission = self.rig.admission
+        self.assertEqual((admission.finished, admission.abandoned), ([], 2))
+
+    async def test_answers_without_a_late_service_show_load(self) -> None:
+        """Guard against an overload that does not lower the limit."""
+        for leaf in self.rig.leaves_of("s1"):
+            leaf.delay_s = 30.0
+        await self.post(SEARCH, {"query": "x"}, Deadline_Ms="200")
+        admission = self.rig.admission
+        self.assertEqual((admission.finished, admission.abandoned), ([False], 0))
+
     async def test_refused_run_tells_about_earlier_tries(self) -> None:
         """Guard against "not run" for a key whose earlier try may have run."""
         self.rig.admission.reason = Reason.QUEUE_FULL
