Hold the slot of a lost call until the leaf has ended it

Cause: test_cut_after_the_request_arrived lost the run for `lose_answer`. A trace with the leaf's counters shows that neither the leaf's deadline nor a missing call is the reason. After the first key's connection was cut, the daemon freed the slot at once although the leaf still ran that call. The second key went to the same cold leaf (received 2, begun 1, cold_excess 1, falls 1), which fell over and closed the connection without running it. The verdict was true, but the daemon had sent more than a cold leaf bears.

Change: a written call whose connection was lost keeps its slot until its deadline and grace have passed, or until the leaf was asked to cancel it when it is idempotent. The counter leaf_slots_held shows this. The test now also requires cold_excess 0; the check of one run per key is unchanged.

The new unit test fails without the change.

Cost: after a lost connection, also by a crash of the leaf, one slot stays taken for at most leaf_call_max_ms + 0.2 s.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_worker.py
@@ -306,11 +306,28 @@
             answer = await self._client.send(run.call)
         except LeafCallError as error:
             self._on_error(run, error)
+            if run.call.written:
+                await self._hold_slot(run)
         except asyncio.CancelledError:
             run.task.finish(self._failed(run, Reason.CANCELLED))
         else:
             self._on_answer(run, answer)
 
+    async def _hold_slot(self, run: _Run) -> None:
+        """Keep the slot of a written call whose connection was lost.
+
+        A lost connection does not end the work at the upstream. A slot freed at
+        once let the next call reach a cold upstream that still ran this one, so
+        that the upstream fell over. The wait is cancelled once the upstream was
+        asked to cancel the work, or else after the deadline, at which the
+        upstream ends it.
+        """
+        run.abandoned = True
+        self._count("leaf_slots_held")
+        if run.task.idempotent:
+            self._spawn(self._cancel_upstream(run))
+        await asyncio.Event().wait()
+
     def _end(self, run: _Run) -> None:
         """Free the slot of a call that has ended."""
         for timer in run.timers:
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -298,6 +298,26 @@
         self.assertEqual((reply.kind, reply.verdict), ("failed", "may_have_run"))
         self.assertEqual(len(self.leaf.calls), 1)
 
+    async def test_lost_connection_keeps_the_slot_until_the_deadline(self) -> None:
+        """Guard against a second call to a leaf that still works on a lost one."""
+
+        async def answer(request: web.Request) -> web.Response:
+            assert request.transport is not None
+            request.transport.close()
+            return web.Response()
+
+        await eventually(lambda: self.service.briefs.get("leaf-1"))
+        self.leaf.answer = answer
+        lost = await self.run_once(deadline_left_ms=300)
+        self.assertEqual(lost.verdict, "may_have_run")
+        self.assertFalse(self.service.idle("leaf-1"))
+        self.assertEqual(self.metrics.value("leaf_slots_held"), 1)
+        # The cold leaf bears one call, so this one cannot finish in time.
+        refused = await self.run_once(deadline_left_ms=100)
+        self.assertEqual(refused.verdict, "not_run")
+        self.assertEqual(len(self.leaf.calls), 1)
+        await eventually(lambda: self.service.idle("leaf-1"))
+
     async def test_redirect_is_not_followed(self) -> None:
         """Guard against a 307 that makes the client send a run again."""
 
--- a/tests/test_system_bookings.py
+++ b/tests/test_system_bookings.py
@@ -194,6 +194,9 @@
                 self.assertNotEqual(repeat.values["verdict"], "not_run")
             await self.wait_ran(kind)
             self.assertEqual(await self.runs_of(kind), 1)
+        # The second booking once reached a cold leaf that still ran the first;
+        # the leaf fell over and dropped it.
+        self.assertEqual(await self.counter_sum("cold_excess"), 0)
 
     async def test_half_open_connection(self) -> None:
         """Guard against NOT_RUN when an upstream falls silent (R7)."""
