Compute the fingerprint of a run once

Cause: caller_routes computed a fingerprint that BookingService replaced with claim.fingerprint_of, so the first value was never used. booking_target renamed key_service.service_of_key on import because it had a function of the same name.

Change: remove caller_routes.fingerprint. The function of booking_target is named newest_service_of_key, and the import keeps its name.

--- a/packages/gypsumvane-core/src/gypsumvane_core/booking_target.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/booking_target.py
@@ -7,7 +7,7 @@
 
 from xxhash import xxh64_intdigest
 
-from gypsumvane_core.key_service import service_of_key as choose_service
+from gypsumvane_core.key_service import service_of_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,12 +21,12 @@
 _LAST_RANK = 4
 
 
-def service_of_key(index: IndexDocument, key: str) -> str | None:
+def newest_service_of_key(index: IndexDocument, key: str) -> str | None:
     """Return the service of a key in the newest partition map."""
     if not index.partition_maps:
         return None
     services = index.partition_maps[max(index.partition_maps)]
-    return choose_service(key, services) if services else None
+    return service_of_key(key, services) if services else None
 
 
 def draw_of_key(key: str) -> float:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -211,7 +210,6 @@
         left_s = call.deadline_s - self._links.clock.monotonic_s()
         return BookingRequest(
             key=call.headers.idempotency_key,
-            fingerprint=fingerprint(call.index, call.body),
             index=call.index,
             route="run",
             service=self._links.gateway.service_of(call.index, body.key),
@@ -233,11 +231,6 @@
         raise CallerError(Reason.BAD_REQUEST, "the body cannot be read") from error
 
 
-def fingerprint(index: str, body: bytes) -> str:
-    """Return a hash that tells whether a key is reused with another request."""
-    return hashlib.sha256(index.encode() + b"\0" + body).hexdigest()
-
-
 def parse_body(model: type[BodyType], body: bytes) -> BodyType:
     """Validate a JSON body.
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
@@ -7,7 +7,7 @@
 
 from gypsumvane_core.booking_target import LeafOrder
 from gypsumvane_core.booking_target import draw_of_key
-from gypsumvane_core.booking_target import service_of_key
+from gypsumvane_core.booking_target import newest_service_of_key
 from gypsumvane_core.document_models import MoveState
 from gypsumvane_core.messages import BookingReply
 from gypsumvane_core.messages import BookingRequest
@@ -78,7 +78,7 @@
             return Reason.UNKNOWN_INDEX
         # The root names the service that holds the record of the body's key, the
         # one that a lookup of this key asks.
-        service = request.service or service_of_key(index, request.key)
+        service = request.service or newest_service_of_key(index, request.key)
         known = {leaf.service for leaf in index.leaves}
         if service is None or service not in known:
             return Reason.UNKNOWN_SERVICE
