Hand a claim bucket's lease over instead of waiting for it to lapse

Cause: a new owner of a bucket waited 2.5 s before its first run unless the former owner was gone or had given the bucket up in the store. At the start of a fleet and after each change of a home the former owner is usually alive, and with a deadline of 1 s all bookings of the bucket were refused.

Change: a member that agrees to a lease ends its own lease of that bucket and ignores answers of its own writes up to the granted version. Its reply names its incarnation. When every former owner has agreed since this daemon became owner, or is gone, the wait ends. A round begins at once when the members or an owner change. An owner that does not answer is still waited for. The counter booking_handovers shows the handovers.

--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -308,9 +308,11 @@
 
 @dataclass(slots=True)
 class ClaimLeaseReply:
-    """Name the buckets for which the member agrees."""
+    """Name the buckets for which the member agrees and has no lease itself."""
 
     buckets: list[int] = field(default_factory=list)
+    # The process that answers; empty from a daemon that does not tell.
+    incarnation: str = ""
 
 
 Message = (
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/claim_leases.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claim_leases.py
@@ -1,15 +1,18 @@
 """Ownership of claim buckets, kept alive by the other members.
 
 An owner may answer NOT_RUN from its copy of a bucket. The members prolong that
-right while the store is down or no booking arrives.
+right while the store is down or no booking arrives. A former owner that agrees
+ends its own lease, so that the new owner need not wait until it lapses.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.claim_bucket import BucketOwner
 from gypsumvane_core.messages import ClaimLease
 from gypsumvane_core.messages import ClaimLeaseReply
 from gypsumvane_core.messages import ClaimLeaseRequest
@@ -28,6 +31,8 @@
 
 # A round that is lost once still leaves time for another.
 ROUNDS_PER_LEASE = 4
+# Changes that come together share a round.
+EARLY_ROUND_PAUSE_S = 0.02
 
 
 class ClaimLeases:
@@ -49,6 +54,11 @@
         self._membership = membership
         self._ledgers = ledgers
         self._interval_s = timings.lease_s / ROUNDS_PER_LEASE
+        # Set to begin the next round early.
+        self._early = asyncio.Event()
+        membership.on_change(self._early.set)
+        for ledger in ledgers:
+            ledger.on_owner_changed = self._early.set
         self._task = asyncio.create_task(self._run(), name="claim-leases")
 
     async def close(self) -> None:
@@ -61,13 +71,14 @@
     ) -> ClaimLeaseReply:
         """Agree to the leases of a home that this daemon also sees as home."""
         return ClaimLeaseReply(
+            incarnation=self._identity.incarnation,
             buckets=[
                 lease.bucket
                 for lease in request.leases
                 if 0 <= lease.bucket < len(self._ledgers)
                 and self._home_of(lease.bucket) == context.hello.vm_id
-                and self._ledgers[lease.bucket].grants(lease.version)
-            ]
+                and self._ledgers[lease.bucket].grant(lease.version)
+            ],
         )
 
     async def _run(self) -> None:
@@ -76,13 +87,18 @@
                 await self._round()
             except Exception:
                 logger.exception("leases of claim buckets were not prolonged")
-            await asyncio.sleep(self._interval_s)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s):
+                    await self._early.wait()
+                    await asyncio.sleep(EARLY_ROUND_PAUSE_S)
+            self._early.clear()
 
     async def _round(self) -> None:
         held = []
         for bucket, ledger in enumerate(self._ledgers):
             home = self._home_of(bucket) == self._identity.vm_id
             if home and ledger.owned:
+                ledger.check_handover()
                 held.append(ClaimLease(bucket=bucket, version=ledger.version))
             elif home:
                 ledger.take_over()
@@ -111,7 +127,14 @@
             )
         except PeerError:
             return []
-        return reply.buckets if isinstance(reply, ClaimLeaseReply) else []
+        if not isinstance(reply, ClaimLeaseReply):
+            return []
+        if reply.incarnation:
+            former = BucketOwner(vm_id, reply.incarnation)
+            for lease in request.leases:
+                if lease.bucket in reply.buckets:
+                    self._ledgers[lease.bucket].note_released(former, lease.version)
+        return reply.buckets
 
     def _home_of(self, bucket: int) -> str | None:
         return self._membership.home_of_key(self._ledgers[bucket].store_key)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/claim_ledger.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claim_ledger.py
@@ -100,6 +100,15 @@
         self._stale = True
         self._lease_from_s = float("-inf")
         self._send_not_before_s = float("-inf")
+        # Version at which this daemon became owner, and the former owners that
+        # have ended their leases since then.
+        self._owner_since_version = 0
+        self._released: set[BucketOwner] = set()
+        # Another daemon was granted the lease at this version, so an own write
+        # up to it proves no ownership, however late its answer arrives.
+        self._granted_version = 0
+        # Called when former owners should be asked to end their leases.
+        self.on_owner_changed: Callable[[], None] = lambda: None
         # Own attempts that were never sent or that every leaf refused.
         self._not_run: OrderedDict[str, None] = OrderedDict()
         self._takes: list[_Take] = []
@@ -187,9 +196,32 @@
         if self.owned:
             self._lease_from_s = max(self._lease_from_s, sent_at_s)
 
-    def grants(self, version: int) -> bool:
-        """Return whether another daemon, at this version, may be the owner."""
-        return self._bucket.owner != self._owner or self.version < version
+    def grant(self, version: int) -> bool:
+        """Return whether another daemon, at this version, may be the owner.
+
+        An own lease ends then, until a write after this version confirms it.
+        """
+        if self._bucket.owner == self._owner and self.version >= version:
+            return False
+        self._granted_version = max(self._granted_version, version)
+        self._lease_from_s = float("-inf")
+        return True
+
+    def note_released(self, former: BucketOwner, version: int) -> None:
+        """Note that a former owner granted the lease at a version."""
+        if version >= self._owner_since_version:
+            self._released.add(former)
+        self.check_handover()
+
+    def check_handover(self) -> None:
+        """Let runs begin once no former owner has a lease any more."""
+        now_s = self._clock.monotonic_s()
+        if self._bucket.owner != self._owner or now_s >= self._send_not_before_s:
+            return
+        former = self._bucket.former_owners
+        if all(owner in self._released or self._is_gone(owner) for owner in former):
+            self._send_not_before_s = now_s
+            self._metrics.count("booking_handovers")
 
     async def give_up(self) -> None:
         """Let another daemon become the owner without waiting."""
@@ -297,15 +329,21 @@
         return True
 
     def _note_owner(self, *, former: BucketOwner, sent_at_s: float) -> None:
-        if self._bucket.owner != self._owner or self._may_lose_owner:
+        outdated = self.version <= self._granted_version
+        if self._bucket.owner != self._owner or self._may_lose_owner or outdated:
             self._lease_from_s = float("-inf")
             return
         self._lease_from_s = sent_at_s
-        if former == self._owner or not self._bucket.former_owners:
+        if former == self._owner:
+            return
+        self._owner_since_version = self.version
+        self._released.clear()
+        if not self._bucket.former_owners:
             return
         # A former owner may answer from its copy until its lease ends.
         wait_s = self._timings.lease_s + self._timings.margin_s
         self._send_not_before_s = self._clock.monotonic_s() + wait_s
+        self.on_owner_changed()
 
     def _settled(self) -> bool:
         owned = self._bucket.owner == self._owner
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -207,6 +207,7 @@
 
 struct ClaimLeaseReply {
   buckets @0 :List(Int64);
+  incarnation @1 :Text;
 }
 
 struct Frame {
