Wait within the deadline for the store, the lease and the key's home

Cause: a booking was refused at once when the store did not answer, when the lease wait was longer than the deadline, or after three tries at an unreachable home; a forwarded request whose connection was lost was unresolved although the home or its successor could tell.

Change: a claim is tried again, as another attempt, while the store does not answer; a request waits for a handover; and a request is forwarded again while its home is missing, refuses as no home, or was lost. All waits leave a quarter of the deadline, at most 150 ms, for the run and the answer, and at most 64 requests of a daemon wait for each reason. After a lost forward the answer is never NOT_RUN, because the lost request may still be read. New tests cover the handover, its fence, and each wait.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_deadline.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_deadline.py
@@ -8,6 +8,9 @@
 if TYPE_CHECKING:
     from gypsumvane_core.clock import Clock
 
+# Time kept for the run and the way back when a request waits before its run.
+ANSWER_TIME_S = 0.15
+
 
 @dataclass(frozen=True, slots=True)
 class Deadline:
@@ -25,6 +28,11 @@
         """Return the deadline that is so far away."""
         return cls(clock.monotonic_s() + left_s, clock.unix_s() + left_s)
 
+    def earlier(self, clock: Clock) -> Deadline:
+        """Return the time by which a wait must end so that an answer is in time."""
+        margin_s = min(ANSWER_TIME_S, self.left_s(clock) / 4)
+        return Deadline(self.at_s - margin_s, self.at_unix_s - margin_s)
+
     def left_s(self, clock: Clock) -> float:
         """Return the time left, never below zero."""
         left_s = min(self.at_s - clock.monotonic_s(), self.at_unix_s - clock.unix_s())
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
@@ -54,8 +54,9 @@
 RESERVE_MAX = 1000
 # Leaves room for the other fields in a frame of 1 MiB.
 BODY_BYTES_MAX = 512 * 1024
-FORWARD_TRIES = 3
 FORWARD_PAUSE_S = 0.05
+# Requests that wait for another home at once; further ones are answered at once.
+WAITING_MAX = 64
 # The home answers this much before the caller's deadline.
 ANSWER_MARGIN_MS = 10
 STOP_TIMEOUT_S = 2.0
@@ -81,6 +82,8 @@
         self._claim_timings = claim_timings or ClaimTimings()
         self._checkpoint_timings = checkpoint_timings or CheckpointTimings()
         self._work: set[asyncio.Task[Outcome]] = set()
+        # Requests that wait before they are forwarded again.
+        self._waiting = 0
         self._metrics: MetricsService
         self._peers: PeerNetwork
         self._membership: MembershipPort
@@ -202,20 +205,47 @@
 
     async def _route(self, request: BookingRequest) -> Outcome:
         deadline = Deadline.after(self._clock, request.deadline_left_ms / 1000)
-        reason = Reason.NO_HOME
-        for turn in range(FORWARD_TRIES):
-            if turn:
-                await asyncio.sleep(FORWARD_PAUSE_S)
-            home = self._home_of(request)
-            if home == self._identity.vm_id:
-                return await self._run_here(request, deadline)
-            if home is None:
-                continue
-            answer = await self._forward(home, request, deadline)
-            if not isinstance(answer, Reason):
-                return answer
-            reason = answer
-        return await self._settle(request, reason)
+        forward_by = deadline.earlier(self._clock)
+        lost = False
+        while True:
+            answer = await self._try_home(request, deadline)
+            if isinstance(answer, Failed) and answer.reason is Reason.PEER_LOST:
+                lost = True
+            elif not isinstance(answer, Reason) and not (lost and _unsettled(answer)):
+                break
+            if not self._may_wait(forward_by):
+                break
+            reason = answer if isinstance(answer, Reason) else Reason.PEER_LOST
+            self._metrics.count("booking_forward_retries", reason=reason.value)
+            await self._pause()
+        if isinstance(answer, Reason):
+            answer = await self._settle(request, answer)
+        if lost and isinstance(answer, Refused):
+            # The request that was lost may still be read and run.
+            return Failed(reason=Reason.PEER_LOST, verdict=Verdict.MAY_HAVE_RUN)
+        return answer
+
+    async def _try_home(
+        self, request: BookingRequest, deadline: Deadline
+    ) -> Outcome | Reason:
+        """Return the home's answer, or why it certainly did nothing."""
+        home = self._home_of(request)
+        if home is None:
+            return Reason.NO_HOME
+        if home == self._identity.vm_id:
+            return await self._run_here(request, deadline)
+        return await self._forward(home, request, deadline)
+
+    def _may_wait(self, forward_by: Deadline) -> bool:
+        left_s = forward_by.left_s(self._clock)
+        return left_s >= FORWARD_PAUSE_S and self._waiting < WAITING_MAX
+
+    async def _pause(self) -> None:
+        self._waiting += 1
+        try:
+            await asyncio.sleep(FORWARD_PAUSE_S)
+        finally:
+            self._waiting -= 1
 
     def _home_of(self, request: BookingRequest) -> str | None:
         key = ReservedKey.parse(request.key)
@@ -279,6 +309,13 @@
         )
 
 
+def _unsettled(outcome: Outcome) -> bool:
+    """Return whether a later repeat of the key may bring another answer."""
+    if isinstance(outcome, Refused):
+        return outcome.reason is not Reason.KEY_REUSED
+    return isinstance(outcome, Failed) and outcome.reason is Reason.KEY_IN_PROGRESS
+
+
 def _invalid(request: BookingRequest) -> Reason | None:
     if not request.key:
         return Reason.KEY_MISSING
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/claimed_runs.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/claimed_runs.py
@@ -46,6 +46,12 @@
 
 # Results answered from memory until their record is in the store.
 RESULTS_MAX = 2_000
+# Pause before a claim is tried again while the store does not answer.
+STORE_RETRY_S = 0.1
+# Requests that wait for the store at once; further ones are refused at once, so
+# that a long outage does not fill the daemon with waiting bookings.
+WAITING_MAX = 64
+LEASE_RECHECK_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +80,10 @@
         self._membership = membership
         self._documents = documents
         self._runner = runner
+        self._metrics = metrics
         self._attempts = 0
+        # Requests that wait for the store.
+        self._waiting = 0
         # Keys of which a try is in progress here, with its fingerprint.
         self._in_progress: dict[str, str] = {}
         self._recent: OrderedDict[str, _Recent] = OrderedDict()
@@ -137,25 +146,49 @@
         target = self._runner.target(request)
         if isinstance(target, Reason):
             return await self.settle(request, target)
+        ledger = self.ledgers[bucket_of(request.key)]
+        # Later claims leave no time for the run and the answer.
+        claim_by = deadline.earlier(self._clock)
+        while True:
+            take = self._new_take(key_hash, request)
+            try:
+                async with asyncio.timeout(claim_by.left_s(self._clock)):
+                    decision = await ledger.take(take)
+            except TimeoutError:
+                return self._without_claim(ledger, request, Reason.DEADLINE)
+            except ClaimsUnavailableError as error:
+                if not await self._wait_for_store(ledger, claim_by):
+                    return _unavailable(known_open=error.known_open)
+                continue
+            if decision.answer is not ClaimAnswer.GRANTED:
+                return _outcome_of(decision)
+            return await self._run_claimed(ledger, take, request, target, deadline)
+
+    def _new_take(self, key_hash: str, request: BookingRequest) -> TakeClaim:
+        # Each turn is another attempt, because the claim of the one before is
+        # released by a later write.
         self._attempts += 1
-        take = TakeClaim(
+        return TakeClaim(
             key_hash=key_hash,
             fingerprint=request.fingerprint,
             attempt=f"{self._identity.incarnation}-{self._attempts}",
         )
-        ledger = self.ledgers[bucket_of(request.key)]
+
+    async def _wait_for_store(self, ledger: ClaimLedger, claim_by: Deadline) -> bool:
+        """Wait before the next turn and return whether there should be one."""
+        home = self._membership.home_of_key(ledger.store_key) == self._identity.vm_id
+        left_s = claim_by.left_s(self._clock)
+        if not home or left_s < STORE_RETRY_S or self._waiting >= WAITING_MAX:
+            return False
+        self._metrics.count("booking_claim_retries")
+        self._waiting += 1
         try:
-            async with asyncio.timeout(deadline.left_s(self._clock)):
-                decision = await ledger.take(take)
-        except TimeoutError:
-            return await self._without_claim(ledger, request, Reason.DEADLINE)
-        except ClaimsUnavailableError as error:
-            return _unavailable(known_open=error.known_open)
-        if decision.answer is not ClaimAnswer.GRANTED:
-            return _outcome_of(decision)
-        return await self._run_claimed(ledger, take, request, target, deadline)
-
-    async def _without_claim(
+            await asyncio.sleep(STORE_RETRY_S)
+        finally:
+            self._waiting -= 1
+        return True
+
+    def _without_claim(
         self, ledger: ClaimLedger, request: BookingRequest, reason: Reason
     ) -> Outcome:
         # There is no time left to read the bucket.
@@ -187,13 +220,16 @@
                 ledger.give_back(ReleaseClaim(take.key_hash, take.attempt))
 
     async def _wait_for_lease(self, ledger: ClaimLedger, deadline: Deadline) -> bool:
-        wait_s = ledger.send_not_before_s - self._clock.monotonic_s()
-        if wait_s <= 0:
-            return True
-        if wait_s >= deadline.left_s(self._clock):
-            return False
-        await asyncio.sleep(wait_s)
-        return True
+        # A handover may end the wait early, also one beyond the deadline.
+        send_by = deadline.earlier(self._clock)
+        while True:
+            wait_s = ledger.send_not_before_s - self._clock.monotonic_s()
+            if wait_s <= 0:
+                return True
+            left_s = send_by.left_s(self._clock)
+            if left_s <= 0:
+                return False
+            await asyncio.sleep(min(wait_s, left_s, LEASE_RECHECK_S))
 
     def _record(self, ledger: ClaimLedger, take: TakeClaim, outcome: Completed) -> None:
         result = RecordedResult.bounded(outcome.status, outcome.body)
--- a/packages/gypsumvane-daemon/tests/test_daemon_claim_leases.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_claim_leases.py
@@ -7,6 +7,7 @@
 
 from booking_fleet import Fleet
 from booking_fleet import virtual_loop
+from gypsumvane_core.outcome import Completed
 from gypsumvane_core.outcome import Refused
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
@@ -67,6 +68,58 @@
         self.assertEqual(self.world.runs["key-1"], 1)
         self.assert_true_answer("vm-1", "key-1")
 
+    def test_former_owner_hands_its_lease_over(self) -> None:
+        """Guard against bookings refused until the lease of a live owner lapses."""
+        # The former owner cannot give the bucket up in the store.
+        self.world.cut_off = {"vm-1"}
+        self.world.homes["*"] = "vm-2"
+        self.pass_time(0.6)
+        outcome = self.loop.run_until_complete(self.fleet.book("vm-2", "key-1"))
+        self.assertIsInstance(outcome, Completed)
+        self.assert_true_answer("vm-1", "key-1")
+
+    def test_handover_fences_a_late_answer_of_the_store(self) -> None:
+        """Guard against a lease that an answer from before the handover renews."""
+        ledger = self.fleet.daemons["vm-1"].bookings._claimed.ledgers[0]
+        self.assertTrue(ledger.owned)
+        self.assertTrue(ledger.grant(ledger.version + 1))
+        self.assertFalse(ledger.owned)
+        # The answer of a write from before the other owner's write.
+        ledger._note_owner(former=ledger._owner, sent_at_s=self.loop.time())
+        self.assertFalse(ledger.owned)
+        ledger.extend(self.loop.time())
+        self.assertFalse(ledger.owned)
+
+    def test_new_owner_waits_for_a_former_one_that_does_not_agree(self) -> None:
+        """Guard against a handover by a daemon that still sees itself as home."""
+        self.isolate_vm_1(home="vm-2")
+        self.pass_time(0.8)
+        outcome = self.loop.run_until_complete(self.fleet.book("vm-2", "key-1"))
+        self.assertEqual(outcome, Refused(Reason.DEADLINE))
+        self.assertEqual(self.world.runs["key-1"], 0)
+
+    def test_booking_waits_for_the_store(self) -> None:
+        """Guard against refusals in an outage that ends within the deadline."""
+        self.world.cut_off = {"vm-1"} | OTHERS
+        task = self.begin("vm-2", "key-1")
+        self.pass_time(1.0)
+        self.assertFalse(task.done())
+        self.world.cut_off = set()
+        outcome = self.loop.run_until_complete(task)
+        self.assertIsInstance(outcome, Completed)
+        self.assertEqual(self.world.runs["key-1"], 1)
+
+    def test_lost_home_is_asked_again_and_never_denied(self) -> None:
+        """Guard against NOT_RUN or a second run when a forwarded request is lost."""
+        self.world.faults["peer"] = ["lost"]
+        ran = self.loop.run_until_complete(self.fleet.book("vm-2", "key-1"))
+        self.assertEqual(ran.verdict, Verdict.RAN)
+        self.assertEqual(self.world.runs["key-1"], 1)
+        self.world.faults["peer"] = ["lost"] + ["unsent"] * 100
+        self.world.faults["leaf"] = ["not_run"] * 2
+        other = self.loop.run_until_complete(self.fleet.book("vm-2", "key-2"))
+        self.assertEqual(other.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_owner_remembers_all_former_owners(self) -> None:
         """Guard against a short owner that hides the one before it."""
         self.isolate_vm_1(home="vm-2")
