Give an index a current version

Cause: without a move document every version of an index got work. Leaves of a new version that started beside the old ones got a full share before any move, and after a move the state depended on the move document.

Change: the index document has current_version (empty: all leaves, so stored documents stay valid). Without a running move only its leaves get work. The end of a move is written to the index document first, then to the move document with the index revision; until that revision is applied the end of the move counts, so no order of arrival and no outage between the writes returns traffic. A move that does not start at the current version and a document that changes the current version by hand are refused. config show and move show name it. choose_version is asked once a query and returns the version together with the old version while that still gets work.

Conclusion: a version gets its first work from its move.

--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/config_show.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/config_show.py
@@ -10,6 +10,7 @@
 from gypsumvane_cli.command import require_success
 from gypsumvane_cli.errors import invalid
 from gypsumvane_cli.exit_code import ExitCode
+from gypsumvane_core.document import INDEX_PREFIX
 
 if TYPE_CHECKING:
     from gypsumvane_cli.command import CommandContext
@@ -51,11 +52,19 @@
             {**body, "vms": in_force.body["vms"]},
             f"{name}: revision {body['revision']} by {body['author']} "
             f"({body['reason']}), change {body['change_id']}",
+            *_version_lines(name, body["body"]),
             json.dumps(body["body"], indent=2),
             *(_vm_line(item) for item in in_force.body["vms"]),
         )
 
 
+def _version_lines(name: str, body: dict[str, object]) -> list[str]:
+    if not name.startswith(INDEX_PREFIX):
+        return []
+    version = body.get("current_version") or "none, all leaves may be used"
+    return [f"current version: {version}"]
+
+
 def _vm_line(item: dict[str, object]) -> str:
     if not item["reached"]:
         return f"{item['vm_id']}: not reached"
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_start.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_start.py
@@ -62,7 +62,8 @@
                 raise invalid(f"--{name} is missing")
         move = self._move(index, context)
         fields = change_fields(context)
-        body = {**fields, **move.model_dump(exclude={"index", "state", "state_reason"})}
+        ends = {"index", "state", "state_reason", "index_revision"}
+        body = {**fields, **move.model_dump(exclude=ends)}
         if context.flag("canary_share") is None:
             del body["canary_share"]
         request = ChangeRequest(
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/move_lines.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/move_lines.py
@@ -21,6 +21,8 @@
     reason = status.get("state_reason") or move.get("state_reason")
     if reason:
         lines.append(f"reason: {reason}")
+    if status.get("current_version"):
+        lines.append(f"current version {status['current_version']}")
     if status:
         late = ", will be late" if status["late"] else ""
         lines.append(f"{status['phase']}, share {status['share']:.3f}{late}")
--- a/packages/gypsumvane-cli/tests/test_cli_commands.py
+++ b/packages/gypsumvane-cli/tests/test_cli_commands.py
@@ -141,11 +141,17 @@
             late=False,
             routes=[route],
             applied={"vm-1": 0.25},
+            current_version="v1",
         )
         body = {**move_body("running"), "status": asdict(status)}
         self.server.script("GET /v1/moves/stock", Scripted(200, body))
         self.assertEqual(await self.run_client("move", "watch", "stock"), 1)
-        for text in ("v2: taken_back", "12 answers (6 failed", "share 0.250"):
+        for text in (
+            "v2: taken_back",
+            "current version v1",
+            "12 answers (6 failed",
+            "share 0.250",
+        ):
             self.assertIn(text, self.out.getvalue())
 
     async def test_move_watch_ends_with_the_move(self) -> None:
--- a/packages/gypsumvane-core/src/gypsumvane_core/document_change.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_change.py
@@ -22,6 +22,8 @@
     change_id: str
     author: str
     reason: str
+    # A version move may change the current version of an index.
+    by_move: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,7 @@
     expected_revision: int | None = None
     # Why the same request with another change id is refused, if it is.
     repeat_problem: str = ""
+    by_move: bool = False
 
     @classmethod
     def of(cls, change: DocumentChange) -> DocumentEdit:
@@ -53,6 +56,7 @@
             fingerprint=xxh64_hexdigest(change.body),
             produce=lambda _: change.body,
             expected_revision=change.expected_revision,
+            by_move=change.by_move,
         )
 
 
--- a/packages/gypsumvane-core/src/gypsumvane_core/document_edits.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_edits.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from gypsumvane_core.document import INDEX_PREFIX
 from gypsumvane_core.document import MOVE_PREFIX
 from gypsumvane_core.document_models import DomainOut
 from gypsumvane_core.document_models import DomainsDocument
+from gypsumvane_core.document_models import IndexDocument
 from gypsumvane_core.document_models import MoveDocument
 from gypsumvane_core.document_models import MoveState
 from gypsumvane_core.move_transitions import may_follow
+from gypsumvane_core.version_in_force import version_in_force
 
 
 def take_domain_out(body: bytes | None, entry: DomainOut) -> bytes:
@@ -24,14 +27,31 @@
     return _domains(_others(body, failure_domain))
 
 
-def start_move(body: bytes | None, move: MoveDocument) -> bytes:
-    """Replace a finished move; raises ValueError while one is running."""
+def start_move(
+    body: bytes | None,
+    move: MoveDocument,
+    *,
+    index: IndexDocument | None = None,
+    index_revision: int = 0,
+) -> bytes:
+    """Replace a finished move.
+
+    Raises ValueError while one is running, and for a move that does not begin
+    at the current version of the index.
+    """
+    current = None
     if body is not None:
         current = MoveDocument.model_validate_json(body)
         if current.state is MoveState.RUNNING:
             raise ValueError(f"move {current.move_id} is running")
         if current.move_id == move.move_id:
             raise ValueError(f"move {move.move_id} is {current.state.value} already")
+    version = version_in_force(index, index_revision, current)
+    if version and version != move.from_version:
+        raise ValueError(
+            f"from_version {move.from_version} is not the current version of "
+            f"{move.index}, which is {version}"
+        )
     return move.model_dump_json().encode()
 
 
@@ -43,18 +63,46 @@
     if move_id and current.move_id != move_id:
         raise ValueError(f"the current move is {current.move_id}")
     taken_back = current.model_copy(
-        update={"state": MoveState.TAKEN_BACK, "state_reason": reason}
+        update={
+            "state": MoveState.TAKEN_BACK,
+            "state_reason": reason,
+            # A move that was done has named its version in the index document.
+            "index_revision": 0,
+        }
     )
     return taken_back.model_dump_json().encode()
 
 
-def check_successor(name: str, old_body: bytes | None, new_body: bytes) -> None:
+def check_successor(
+    name: str, old_body: bytes | None, new_body: bytes, *, by_move: bool = False
+) -> None:
     """Refuse a change that withdraws what a move has recorded.
 
     Raises ValueError.
     """
-    if not name.startswith(MOVE_PREFIX) or old_body is None:
+    if old_body is None:
         return
+    if name.startswith(INDEX_PREFIX) and not by_move:
+        _check_current_version(old_body, new_body)
+    if name.startswith(MOVE_PREFIX):
+        _check_move(old_body, new_body)
+
+
+def _check_current_version(old_body: bytes, new_body: bytes) -> None:
+    """Refuse an index document that gives all traffic to another version at once."""
+    try:
+        old = IndexDocument.model_validate_json(old_body)
+    except ValueError:
+        return
+    new = IndexDocument.model_validate_json(new_body)
+    if old.current_version and new.current_version != old.current_version:
+        raise ValueError(
+            f"current_version must stay {old.current_version}; only a version move "
+            f"changes it"
+        )
+
+
+def _check_move(old_body: bytes, new_body: bytes) -> None:
     try:
         old = MoveDocument.model_validate_json(old_body)
     except ValueError:
--- a/packages/gypsumvane-core/src/gypsumvane_core/document_models.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document_models.py
@@ -126,6 +126,8 @@
     name: Name
     kind: IndexKind
     non_idempotent: bool = False
+    # Only leaves of this version get work while no move is running; empty: all.
+    current_version: str = Field(default="", pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?$")
     leaves: list[LeafModel]
     # Snapshot number to the services that hold a part of it.
     partition_maps: dict[int, list[Name]]
@@ -144,6 +146,26 @@
             raise ValueError("leaf ids repeat")
         return self
 
+    @model_validator(mode="after")
+    def _check_current_version(self) -> IndexDocument:
+        if not self.current_version or not self.partition_maps:
+            return self
+        newest = max(self.partition_maps)
+        served = {
+            leaf.service for leaf in self.leaves if leaf.version == self.current_version
+        }
+        missing = sorted(set(self.partition_maps[newest]) - served)
+        if missing:
+            raise ValueError(
+                f"services without leaves of the current version "
+                f"{self.current_version}: {missing}"
+            )
+        return self
+
+    def has_version(self, version: str) -> bool:
+        """Return whether a leaf runs this version."""
+        return any(leaf.version == version for leaf in self.leaves)
+
 
 class MoveState(StrEnum):
     """Name the states of a version move."""
@@ -165,6 +187,9 @@
     canary_share: float = Field(default=0.02, gt=0, le=0.5)
     state: MoveState = MoveState.RUNNING
     state_reason: str = ""
+    # Revision of the index document that names the version the move ended with;
+    # 0 while no revision does.
+    index_revision: int = Field(default=0, ge=0)
 
     @model_validator(mode="after")
     def _check_times(self) -> MoveDocument:
--- a/packages/gypsumvane-core/src/gypsumvane_core/index_routes.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/index_routes.py
@@ -24,6 +24,18 @@
 
     version: str | None = None
     avoided: str | None = None
+    # No other version stands in where the version has no leaf.
+    only: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class MoveChoice:
+    """Tell which version a request uses and whether the old one still serves."""
+
+    version: VersionChoice = VersionChoice()
+    # The old version of a running move while it still gets work. Hedges and
+    # retries of requests for the new version go there.
+    old: VersionChoice | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,4 +168,6 @@
     if choice.version is None:
         return list(leaves)
     matching = [leaf for leaf in leaves if leaf.version == choice.version]
+    if choice.only:
+        return matching
     return matching or [leaf for leaf in leaves if leaf.version != choice.avoided]
--- a/packages/gypsumvane-core/src/gypsumvane_core/move_status.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_status.py
@@ -38,3 +38,5 @@
     routes: list[RouteStatus] = field(default_factory=list)
     # Share that each live member applies; None when it has not reported.
     applied: dict[str, float | None] = field(default_factory=dict)
+    # Version of the index that gets the work without a running move; empty: all.
+    current_version: str = ""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
@@ -115,7 +115,9 @@
             body = edit.produce(current.body)
             document = self._document(edit, revision=current.revision + 1, body=body)
             parse_body(document.name, document.body)
-            check_successor(document.name, current.body, document.body)
+            check_successor(
+                document.name, current.body, document.body, by_move=edit.by_move
+            )
         except ValueError as error:
             return ChangeInvalid(change_id=edit.change_id, message=plain_error(error))
         if len(body) > BODY_BYTES_MAX:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_index.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_index.py
@@ -5,11 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from gypsumvane_core.document_models import MoveState
 from gypsumvane_core.extra_budget import ExtraBudget
 from gypsumvane_core.hedge_delay import HedgeDelays
 from gypsumvane_core.index_routes import IndexRoutes
-from gypsumvane_core.index_routes import VersionChoice
 
 if TYPE_CHECKING:
     from gypsumvane_core.clock import Clock
@@ -17,6 +15,8 @@
     from gypsumvane_core.document_models import IndexDocument
     from gypsumvane_core.document_models import Policy
     from gypsumvane_core.gone_snapshots import GoneSnapshots
+    from gypsumvane_core.index_routes import MoveChoice
+    from gypsumvane_core.index_routes import VersionChoice
     from gypsumvane_daemon.gateway_ports import BriefsPort
 
 # Briefs arrive every 500 ms, so routes this old are hardly staler than they
@@ -72,27 +72,13 @@
         if document is not None:
             self.delays.keep_only({leaf.service for leaf in document.leaves})
 
-    def version_choice(self, version: str | None) -> VersionChoice:
-        """Return a version and the version that it must not be replaced by."""
-        move = self._catalogue.move(self.name)
-        if version is None or move is None or version == move.to_version:
-            return VersionChoice(version=version)
-        return VersionChoice(version=version, avoided=move.to_version)
-
     def extra_routes(
-        self, document: IndexDocument, version: VersionChoice
+        self, document: IndexDocument, choice: MoveChoice
     ) -> IndexRoutes | None:
-        """Return the routes of hedges and retries where they differ.
-
-        A request for the new version of a running move is hedged and repeated
-        at the old version.
-        """
-        move = self._catalogue.move(self.name)
-        if move is None or move.state is not MoveState.RUNNING:
-            return None
-        if version.version != move.to_version:
+        """Return the routes of hedges and retries where they differ."""
+        if choice.old is None or choice.old == choice.version:
             return None
-        return self.routes(document, self.version_choice(move.from_version))
+        return self.routes(document, choice.old)
 
     def routes(self, document: IndexDocument, version: VersionChoice) -> IndexRoutes:
         """Return the routes, computed again when they are old."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_plan.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_plan.py
@@ -39,6 +39,8 @@
     policy: Policy
     version: VersionChoice
     routes: IndexRoutes
+    # Routes of hedges and retries where they differ.
+    extra_routes: IndexRoutes | None
     answer_by_s: float
     caller_id: str
     body: bytes
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_ports.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from gypsumvane_core.document import DocumentCatalogue
+    from gypsumvane_core.index_routes import MoveChoice
     from gypsumvane_core.messages import Message
     from gypsumvane_core.messages import PartialBatch
     from gypsumvane_core.messages import PartialRequest
@@ -79,8 +80,8 @@
 class MovesPort(Protocol):
     """Choose versions and collect evidence; see MoveService."""
 
-    def choose_version(self, index: str, route: str, draw: float) -> str | None:
-        """Return the version that a request uses."""
+    def choose_version(self, index: str, route: str, draw: float) -> MoveChoice:
+        """Return the version that a request uses and the old one beside it."""
 
     def record(
         self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/gateway_service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import math
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -41,7 +40,6 @@
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.document_models import IndexDocument
     from gypsumvane_core.document_models import Policy
-    from gypsumvane_core.index_routes import IndexRoutes
     from gypsumvane_core.query_answer import LookupAnswer
     from gypsumvane_core.query_answer import SearchAnswer
     from gypsumvane_core.query_attempt import Attempt
@@ -68,9 +66,6 @@
     snapshot_required=False,
 )
 
-# A request with this draw uses the new version of a move only at a share of 1.
-HIGHEST_DRAW = math.nextafter(1.0, 0.0)
-
 
 class GatewayService(Service):
     """Search all services of an index, or look a key up in one."""
@@ -185,10 +180,8 @@
         if answer_by_s <= now_s:
             return Refused(reason=Reason.DEADLINE, message="no time is left")
         draw = self._rng.random()
-        version = index.version_choice(
-            self._moves.choose_version(index.name, kind.route, draw)
-        )
-        routes = index.routes(document, version)
+        choice = self._moves.choose_version(index.name, kind.route, draw)
+        routes = index.routes(document, choice.version)
         if routes.choice is None or not routes.choice.services:
             return Refused(reason=Reason.NO_SNAPSHOT, message="no partition map")
         return QueryPlan(
@@ -196,8 +189,9 @@
             index=index,
             document=document,
             policy=policy,
-            version=version,
+            version=choice.version,
             routes=routes,
+            extra_routes=index.extra_routes(document, choice),
             answer_by_s=answer_by_s,
             caller_id=request.caller_id,
             body=body,
@@ -221,15 +215,6 @@
             )
         return document
 
-    def _extra_routes(self, plan: QueryPlan) -> IndexRoutes | None:
-        """Return the routes of hedges and retries where they differ."""
-        moves = self._moves
-        last = moves.choose_version(plan.index.name, plan.kind.route, HIGHEST_DRAW)
-        if last == plan.version.version:
-            # The share is 1; the old version gets no work any more.
-            return None
-        return plan.index.extra_routes(plan.document, plan.version)
-
     async def _run(self, plan: QueryPlan) -> QueryState:
         self._query_count += 1
         query_id = f"{self._identity.incarnation}-{self._query_count}"
@@ -248,7 +233,7 @@
             ),
             services_of=plan.services_of,
             tools=self._tools(plan),
-            extra_routes=self._extra_routes(plan),
+            extra_routes=plan.extra_routes,
         )
         template = PartialBatch(
             query_id=query_id,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_runner.py
@@ -8,7 +8,6 @@
 from gypsumvane_core.booking_target import LeafOrder
 from gypsumvane_core.booking_target import draw_of_key
 from gypsumvane_core.booking_target import service_of_key
-from gypsumvane_core.document_models import MoveState
 from gypsumvane_core.messages import BookingReply
 from gypsumvane_core.messages import BookingRequest
 from gypsumvane_core.messages import LeafRunReply
@@ -93,15 +92,15 @@
 
     def _versions(self, request: BookingRequest) -> list[str] | None:
         """Return the versions that may run a request, None for all."""
-        move = self._documents.catalogue.move(request.index)
-        if move is None:
+        choice = self._moves.choose_version(
+            request.index, request.route, draw_of_key(request.key)
+        )
+        version = choice.version.version
+        if version is None:
             return None
-        draw = draw_of_key(request.key)
-        version = self._moves.choose_version(request.index, request.route, draw)
-        if version == move.to_version and move.state is MoveState.RUNNING:
-            # The old version still serves.
-            return [move.to_version, move.from_version]
-        return None if version is None else [version]
+        old = None if choice.old is None else choice.old.version
+        # The old version still serves where the new one cannot.
+        return [version] if old in (None, version) else [version, old]
 
     async def run(
         self,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/move_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/move_service.py
@@ -9,13 +9,17 @@
 from typing import cast
 
 from gypsumvane_core.answer_sampler import AnswerSample
+from gypsumvane_core.document import INDEX_PREFIX
 from gypsumvane_core.document import MOVE_PREFIX
 from gypsumvane_core.document_models import MoveState
+from gypsumvane_core.index_routes import MoveChoice
+from gypsumvane_core.index_routes import VersionChoice
 from gypsumvane_core.messages import MoveFact
 from gypsumvane_core.move_share import MoveSchedule
 from gypsumvane_core.move_status import MoveStatus
 from gypsumvane_core.move_status import RouteStatus
 from gypsumvane_core.move_tracker import MoveTracker
+from gypsumvane_core.version_in_force import version_in_force
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.move_writer import MoveWriter
@@ -38,6 +42,7 @@
 # A daemon that just started may not know yet that a move is taken back.
 FIRST_HEARTBEAT_WAIT_S = 2.0
 DONE_REASON = "the share is 1 on every live member"
+ALL_VERSIONS = MoveChoice()
 
 
 class MoveService(Service):
@@ -55,6 +60,8 @@
         self._writer: MoveWriter
         # By index; only the newest move of an index is followed.
         self._trackers: dict[str, MoveTracker] = {}
+        # By index; what requests use while no move is running.
+        self._settled: dict[str, MoveChoice] = {}
         # Facts about moves whose document is not applied here yet.
         self._facts: dict[str, MoveFact] = {}
         self._sources: dict[str, str] = {}
@@ -78,6 +85,8 @@
         self._membership.add_contributor(self)
         for move in self._documents.catalogue.moves():
             self._on_document(MOVE_PREFIX + move.index)
+        for index in self._documents.catalogue.indexes():
+            self._settle(index.name)
         self._task = asyncio.create_task(self._run(), name="moves")
 
     async def stop(self) -> None:
@@ -89,17 +98,49 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def choose_version(self, index: str, route: str, draw: float) -> str | None:
-        """Return the version that a request uses, None without a move.
+    def choose_version(self, index: str, route: str, draw: float) -> MoveChoice:
+        """Return the version that a request uses and the old one beside it.
 
         ``draw`` is a random number in [0, 1).
         """
         tracker = self._trackers.get(index)
-        if tracker is None:
-            return None
-        if draw < self._share(tracker):
-            return tracker.move.to_version
-        return tracker.move.from_version
+        if tracker is None or tracker.state is not MoveState.RUNNING:
+            return self._settled.get(index, ALL_VERSIONS)
+        share = self._share(tracker)
+        new, old = tracker.move.to_version, tracker.move.from_version
+        # A version under test gets no requests of the old one.
+        old_choice = VersionChoice(version=old, avoided=new)
+        return MoveChoice(
+            version=VersionChoice(version=new) if draw < share else old_choice,
+            old=old_choice if share < 1.0 else None,
+        )
+
+    def _settle(self, index: str) -> None:
+        """Work out what requests of an index use while no move is running."""
+        catalogue = self._documents.catalogue
+        document = catalogue.index(index)
+        tracker = self._trackers.get(index)
+        version = self._version_in_force(index)
+        if not version:
+            self._settled.pop(index, None)
+            return
+        only = document is not None and document.current_version == version
+        avoided = None
+        if tracker is not None and tracker.state is MoveState.TAKEN_BACK:
+            avoided = tracker.move.to_version
+        choice = VersionChoice(version=version, avoided=avoided, only=only)
+        self._settled[index] = MoveChoice(version=choice)
+
+    def _version_in_force(self, index: str) -> str:
+        catalogue = self._documents.catalogue
+        stored = catalogue.get(INDEX_PREFIX + index)
+        tracker = self._trackers.get(index)
+        return version_in_force(
+            catalogue.index(index),
+            0 if stored is None else stored.revision,
+            None if tracker is None else tracker.move,
+            None if tracker is None else tracker.state,
+        )
 
     def record(
         self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
@@ -130,6 +171,7 @@
                 member.vm_id: self._applied_by(tracker, member.vm_id)
                 for member in self._membership.live_members()
             },
+            current_version=self._version_in_force(index),
         )
 
     def contribute(self, heartbeat: Heartbeat, vm_id: str) -> None:
@@ -167,6 +209,9 @@
             self._note_end(tracker, source=vm_id)
 
     def _on_document(self, name: str) -> None:
+        if name.startswith(INDEX_PREFIX):
+            self._settle(name.removeprefix(INDEX_PREFIX))
+            return
         index = name.removeprefix(MOVE_PREFIX)
         move = self._documents.catalogue.move(index)
         if not name.startswith(MOVE_PREFIX) or move is None:
@@ -182,6 +227,7 @@
             )
             self._replace(index, tracker)
         tracker.update(move)
+        self._settle(index)
 
     def _replace(self, index: str, tracker: MoveTracker) -> None:
         former = self._trackers.get(index)
@@ -209,6 +255,7 @@
             self._note_end(tracker, source="evidence")
 
     def _note_end(self, tracker: MoveTracker, *, source: str) -> None:
+        self._settle(tracker.move.index)
         self._sources[tracker.move.move_id] = source
         self._metrics.count("moves_taken_back")
         logger.warning(
@@ -226,12 +273,14 @@
             return
         if tracker.state is MoveState.TAKEN_BACK:
             state, reason = MoveState.TAKEN_BACK, tracker.taken_back_reason or ""
-        elif move.state is MoveState.RUNNING and self._is_done(tracker):
+        elif move.state is MoveState.DONE or self._is_done(tracker):
             state, reason = MoveState.DONE, DONE_REASON
         else:
             return
         now_s = self._clock.monotonic_s()
-        if move.state is state or now_s < self._next_write_s.get(index, 0.0):
+        if move.state is state and self._writer.is_recorded(move):
+            return
+        if now_s < self._next_write_s.get(index, 0.0):
             return
         former = self._writes.get(index)
         if former is not None and not former.done():
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_moves.py
@@ -12,6 +12,7 @@
 from aiohttp.web import json_response
 from xxhash import xxh64_hexdigest
 
+from gypsumvane_core.document import INDEX_PREFIX
 from gypsumvane_core.document import MOVE_PREFIX
 from gypsumvane_core.document_change import DocumentEdit
 from gypsumvane_core.document_edits import start_move
@@ -101,11 +102,17 @@
             )
         except ValueError as error:
             raise OperatorError(400, "invalid", plain_error(error)) from error
+        stored = documents.catalogue.get(INDEX_PREFIX + index)
         return await self._edit(
             index,
             start,
             action=f"start:{start.move_id}",
-            produce=partial(start_move, move=move),
+            produce=partial(
+                start_move,
+                move=move,
+                index=documents.catalogue.index(index),
+                index_revision=0 if stored is None else stored.revision,
+            ),
             repeat_problem=f"move {start.move_id} was started before",
         )
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/service_ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/service_ports.py
@@ -14,6 +14,7 @@
     from gypsumvane_core.document import DocumentCatalogue
     from gypsumvane_core.document_change import ChangeOutcome
     from gypsumvane_core.document_change import DocumentChange
+    from gypsumvane_core.index_routes import MoveChoice
     from gypsumvane_core.messages import Heartbeat
     from gypsumvane_core.messages import LeafRunReply
     from gypsumvane_core.messages import LeafRunRequest
@@ -66,6 +67,9 @@
     def add_contributor(self, contributor: Contributor) -> None:
         """Add fields to heartbeats."""
 
+    def heartbeat_now(self) -> None:
+        """Send the next heartbeat to each peer at once."""
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call the listener after each change of members or homes."""
 
@@ -105,8 +109,8 @@
 class MovesPort(Protocol):
     """Choose versions and collect evidence."""
 
-    def choose_version(self, index: str, route: str, draw: float) -> str | None:
-        """Return the version that a request uses, None without a move."""
+    def choose_version(self, index: str, route: str, draw: float) -> MoveChoice:
+        """Return the version that a request uses and the old one beside it."""
 
     def record(
         self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -15,6 +15,7 @@
 from gypsumvane_core.clock import Clock
 from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.index_routes import MoveChoice
 from gypsumvane_core.messages import BookingReply
 from gypsumvane_core.messages import BookingRequest
 from gypsumvane_core.messages import Hello
@@ -192,6 +193,9 @@
     def on_change(self, listener: Any) -> None:
         """Ignore the listener."""
 
+    def heartbeat_now(self) -> None:
+        """Send no heartbeat."""
+
 
 class FakeUpstreams(FakeService):
     """Count runs per key and answer as the faults say."""
@@ -269,6 +273,10 @@
 
     name = "moves"
 
+    def choose_version(self, *_: Any) -> MoveChoice:
+        """Allow all versions."""
+        return MoveChoice()
+
     def record(self, *_: Any, **__: Any) -> None:
         """Ignore the evidence."""
 
--- a/packages/gypsumvane-daemon/tests/gateway_fakes.py
+++ b/packages/gypsumvane-daemon/tests/gateway_fakes.py
@@ -13,13 +13,13 @@
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.index_routes import MoveChoice
 from gypsumvane_core.messages import Cancel
 from gypsumvane_core.messages import PartialBatch
 from gypsumvane_core.messages import PartialRequest
 from gypsumvane_core.messages import PartialResult
 from gypsumvane_core.messages import PartialResults
 from gypsumvane_core.messages import UpstreamBrief
-from gypsumvane_daemon.gateway_service import HIGHEST_DRAW
 from gypsumvane_daemon.gateway_service import GatewayService
 from gypsumvane_daemon.identity import DaemonIdentity
 from gypsumvane_daemon.kernel import Kernel
@@ -220,13 +220,13 @@
     name = "moves"
 
     def __init__(self) -> None:
-        self.version: str | None = None
-        # The version that a draw of nearly 1 chooses.
-        self.last_version: str | None = None
+        self.choice = MoveChoice()
+        self.asked = 0
         self.recorded: list[tuple[str, bool]] = []
 
-    def choose_version(self, index: str, route: str, draw: float) -> str | None:
-        return self.last_version if draw == HIGHEST_DRAW else self.version
+    def choose_version(self, index: str, route: str, draw: float) -> MoveChoice:
+        self.asked += 1
+        return self.choice
 
     def record(
         self, index: str, route: str, version: str, *, failed: bool, latency_ms: float
--- a/packages/gypsumvane-daemon/tests/move_fleet.py
+++ b/packages/gypsumvane-daemon/tests/move_fleet.py
@@ -14,11 +14,17 @@
 from booking_fleet import settings_of
 from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.document import parse_body
 from gypsumvane_core.document_change import ChangeAccepted
 from gypsumvane_core.document_change import ChangeConflict
+from gypsumvane_core.document_change import ChangeInvalid
 from gypsumvane_core.document_change import ChangeOutcome
 from gypsumvane_core.document_change import ChangeUnavailable
 from gypsumvane_core.document_change import DocumentChange
+from gypsumvane_core.document_edits import check_successor
+from gypsumvane_core.document_models import IndexDocument
+from gypsumvane_core.document_models import IndexKind
+from gypsumvane_core.document_models import LeafModel
 from gypsumvane_core.document_models import MoveDocument
 from gypsumvane_core.document_models import MoveState
 from gypsumvane_core.messages import Heartbeat
@@ -30,36 +36,84 @@
 from gypsumvane_daemon.move_service import MoveService
 
 NAME = "move/ledger"
+INDEX = "index/ledger"
+
+
+def index_body(*versions: str, current: str) -> bytes:
+    """Return an index with one leaf of each version."""
+    leaves = [
+        LeafModel(
+            leaf_id=f"s0-{version}",
+            service="s0",
+            failure_domain="a",
+            address="127.0.0.1:1",
+            version=version,
+        )
+        for version in versions
+    ]
+    index = IndexDocument(
+        name="ledger",
+        kind=IndexKind.LOOKUP,
+        leaves=leaves,
+        partition_maps={1: ["s0"]},
+        current_version=current,
+    )
+    return index.model_dump_json().encode()
 
 
 @dataclass
-class StoredMoves:
-    """Hold the stored document, with outages and lost answers."""
+class StoredDocuments:
+    """Hold the stored documents, with outages."""
 
-    document: Document | None = None
+    documents: dict[str, Document] = field(default_factory=dict)
     down: bool = False
     states: list[MoveState] = field(default_factory=list)
 
     def write(self, change: DocumentChange) -> ChangeOutcome:
-        """Write when the revision is the expected one."""
+        """Write when the revision is the expected one and the change is allowed."""
         if self.down:
             return ChangeUnavailable(change.change_id, "outage")
-        revision = self.document.revision if self.document else 0
+        old = self.documents.get(change.name)
+        revision = old.revision if old else 0
         if revision != change.expected_revision:
             return ChangeConflict(change.change_id, revision, "another")
-        self.document = Document(
-            NAME, revision + 1, change.change_id, change.author, "test", 0, change.body
+        try:
+            parse_body(change.name, change.body)
+            check_successor(
+                change.name,
+                old.body if old else None,
+                change.body,
+                by_move=change.by_move,
+            )
+        except ValueError as error:
+            return ChangeInvalid(change.change_id, str(error))
+        self.documents[change.name] = Document(
+            change.name,
+            revision + 1,
+            change.change_id,
+            change.author,
+            "test",
+            0,
+            change.body,
         )
-        self.states.append(MoveDocument.model_validate_json(change.body).state)
+        if change.name == NAME:
+            state = MoveDocument.model_validate_json(change.body).state
+            if not self.states or self.states[-1] is not state:
+                self.states.append(state)
         return ChangeAccepted(change.change_id, revision + 1)
 
+    def current_version(self) -> str:
+        """Return the version that the stored index document names."""
+        body = self.documents[INDEX].body
+        return IndexDocument.model_validate_json(body).current_version
+
 
 class MoveDocuments(Service):
-    """Apply the stored document when told."""
+    """Apply the stored documents when told."""
 
     name = "documents"
 
-    def __init__(self, stored: StoredMoves) -> None:
+    def __init__(self, stored: StoredDocuments) -> None:
         self.stored = stored
         self.catalogue = DocumentCatalogue()
         self.listeners: list[Any] = []
@@ -73,18 +127,28 @@
     def on_change(self, listener: Any) -> None:
         self.listeners.append(listener)
 
-    def apply(self) -> None:
-        """Apply the stored revision."""
-        document = self.stored.document
-        if document is not None and self.catalogue.apply(document):
-            for listener in self.listeners:
-                listener(document.name)
+    def apply(self, *names: str) -> None:
+        """Apply the stored revisions, of all documents unless named."""
+        for name in names or sorted(self.stored.documents, reverse=True):
+            if self.catalogue.apply(self.stored.documents[name]):
+                for listener in self.listeners:
+                    listener(name)
 
     async def submit(self, change: DocumentChange) -> ChangeOutcome:
         await asyncio.sleep(3.0 if self.stored.down else 0.01)
         return self.stored.write(change)
 
 
+class MoveMembership(FakeMembership):
+    """Exchange heartbeats at once when asked to."""
+
+    fleet: MoveFleet
+
+    def heartbeat_now(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.fleet.exchange, self.vm_id)
+
+
 class MoveDaemon:
     """Run one move service with its fakes."""
 
@@ -93,7 +157,8 @@
         self.documents = MoveDocuments(fleet.stored)
         self.moves = MoveService(self.identity, clock=LoopClock(), rng=fleet.rng)
         self.kernel = Kernel()
-        membership = FakeMembership(fleet.world, vm_id)
+        membership = MoveMembership(fleet.world, vm_id)
+        membership.fleet = fleet
         for service in (MetricsService(), self.documents, membership, self.moves):
             self.kernel.register(service)
 
@@ -104,7 +169,7 @@
     def __init__(self, seed: int = 1) -> None:
         self.rng = random.Random(seed)
         self.world = World()
-        self.stored = StoredMoves()
+        self.stored = StoredDocuments()
         self.daemons: dict[str, MoveDaemon] = {}
         self.apart: set[str] = set()
         self.failing = {"v1": 0.01, "v2": 0.01}
@@ -144,21 +209,34 @@
             complete_by_unix_s=now_s + length_s,
             canary_share=canary,
         )
-        body = move.model_dump_json().encode()
-        self.stored.write(DocumentChange(NAME, body, 0, "start", "operator", "test"))
+        self.write(NAME, move.model_dump_json().encode())
         self.spread()
 
+    def write(self, name: str, body: bytes) -> ChangeOutcome:
+        """Write a document as an operator."""
+        old = self.stored.documents.get(name)
+        revision = old.revision if old else 0
+        return self.stored.write(
+            DocumentChange(name, body, revision, "change", "operator", "test")
+        )
+
     def spread(self) -> None:
         """Apply the stored document and exchange heartbeats."""
         for daemon in self.daemons.values():
             if not self.stored.down:
                 daemon.documents.apply()
         for sender in self.daemons:
-            for receiver in self.daemons:
-                if sender != receiver and not self.apart & {sender, receiver}:
-                    heartbeat = Heartbeat()
-                    self.daemons[sender].moves.contribute(heartbeat, receiver)
-                    self.daemons[receiver].moves.receive(heartbeat, sender)
+            self.exchange(sender)
+
+    def exchange(self, sender: str) -> None:
+        """Send a heartbeat to all peers and take the replies."""
+        for receiver in self.daemons:
+            if sender == receiver or self.apart & {sender, receiver}:
+                continue
+            for one, other in ((sender, receiver), (receiver, sender)):
+                heartbeat = Heartbeat()
+                self.daemons[one].moves.contribute(heartbeat, other)
+                self.daemons[other].moves.receive(heartbeat, one)
 
     async def pass_time(self, seconds: float) -> None:
         """Send traffic and heartbeats for some time."""
@@ -180,7 +258,8 @@
 
     def _answer(self, daemon: MoveDaemon, route: str) -> None:
         draw = self.rng.random()
-        version = daemon.moves.choose_version("ledger", route, draw) or "v1"
+        choice = daemon.moves.choose_version("ledger", route, draw)
+        version = choice.version.version or "v1"
         self.sent[version] += 1
         as_version = version
         if self.bad_routes is not None and route not in self.bad_routes:
--- a/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
@@ -10,6 +10,8 @@
 from gateway_fakes import GatewayRig
 from gateway_fakes import hits_body
 from gateway_fakes import index_body
+from gypsumvane_core.index_routes import MoveChoice
+from gypsumvane_core.index_routes import VersionChoice
 from gypsumvane_core.key_service import service_of_key
 from gypsumvane_core.query_answer import AnswerOutcome
 from gypsumvane_core.query_answer import LookupAnswer
@@ -139,17 +141,10 @@
             if leaf["leaf_id"].endswith("-a")
         ]
         self.rig.apply_index(body)
-        move = {
-            "move_id": "m1",
-            "index": "stock",
-            "from_version": "v1",
-            "to_version": "v2",
-            "start_unix_s": 1.0,
-            "complete_by_unix_s": 2.0,
-        }
-        self.rig.documents.apply("move/stock", move)
-        self.rig.moves.version = "v2"
-        self.rig.moves.last_version = "v1"
+        new_version = VersionChoice(version="v2")
+        self.rig.moves.choice = MoveChoice(
+            version=new_version, old=VersionChoice(version="v1", avoided="v2")
+        )
         new = [v for k, v in self.rig.upstreams.leaves.items() if len(k) > 4]
         for leaf in new:
             leaf.kind, leaf.verdict, leaf.reason = "failed", "ran", "upstream_error"
@@ -159,10 +154,16 @@
         # At a share of 1 the old version gets no retries either.
         old = [v for k, v in self.rig.upstreams.leaves.items() if len(k) == 4]
         asked = sum(leaf.asked for leaf in old)
-        self.rig.moves.last_version = "v2"
+        self.rig.moves.choice = MoveChoice(version=new_version)
         await self.search()
         self.assertEqual(sum(leaf.asked for leaf in old), asked)
 
+    async def test_version_is_chosen_once(self) -> None:
+        """Guard against two choices of one query that contradict each other."""
+        self.rig.apply_index(index_body())
+        await self.search()
+        self.assertEqual(self.rig.moves.asked, 1)
+
     async def test_query_restarts_once_when_the_snapshot_is_gone(self) -> None:
         """Guard against mixed snapshots, and against restarts without end."""
         self.rig.apply_index(index_body(snapshots=(1, 2, 3)))
--- a/packages/gypsumvane-daemon/tests/test_daemon_move_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_move_service.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import json
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from booking_fleet import virtual_loop
+from gypsumvane_core.document_change import ChangeInvalid
+from gypsumvane_core.document_edits import take_back_move
 from gypsumvane_core.document_models import MoveState
+from gypsumvane_core.index_routes import MoveChoice
+from gypsumvane_core.index_routes import VersionChoice
+from move_fleet import INDEX
+from move_fleet import NAME
 from move_fleet import MoveFleet
+from move_fleet import index_body
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -33,8 +42,17 @@
         self.loop.run_until_complete(work)
 
     async def _begin(self) -> None:
+        self.fleet.write(INDEX, index_body("v1", "v2", current="v1"))
         self.fleet.begin_move()
 
+    def versions(self) -> set[str | None]:
+        """Return the versions that requests use at all daemons."""
+        return {
+            daemon.moves.choose_version("ledger", "search", draw).version.version
+            for daemon in self.fleet.daemons.values()
+            for draw in (0.0, 0.5, 0.999)
+        }
+
     def pass_time(self, seconds: float) -> None:
         """Send traffic for some time."""
         self.run_now(self.fleet.pass_time(seconds))
@@ -93,3 +111,135 @@
         self.fleet.apart = set()
         self.pass_time(3)
         self.assertEqual(self.fleet.stored.states[-1], MoveState.DONE)
+
+    def test_done_makes_the_version_the_current_one(self) -> None:
+        """Guard against a state that depends on the move document staying there."""
+        self.pass_time(35)
+        self.assertEqual(self.fleet.stored.current_version(), "v2")
+        self.assertEqual(self.versions(), {"v2"})
+        move = self.fleet.daemons["vm-1"].documents.catalogue.move("ledger")
+        index = self.fleet.daemons["vm-1"].documents.catalogue.get(INDEX)
+        assert move is not None
+        assert index is not None
+        self.assertEqual(move.index_revision, index.revision)
+        del self.fleet.stored.documents[NAME]
+        self.run_now(self.fleet.start("vm-2"))
+        self.assertEqual(self.versions(), {"v2"})
+
+    def test_done_is_not_written_before_the_index_document(self) -> None:
+        """Guard against "done" while the index document names the old version."""
+        self.pass_time(28)
+        self.fleet.stored.down = True
+        self.pass_time(10)
+        self.assertEqual(self.versions(), {"v2"})
+        self.assertEqual(self.fleet.stored.current_version(), "v1")
+        self.assertEqual(self.fleet.stored.states, [MoveState.RUNNING])
+        self.fleet.stored.down = False
+        self.pass_time(6)
+        self.assertEqual(self.fleet.stored.states[-1], MoveState.DONE)
+        self.assertEqual(self.fleet.stored.current_version(), "v2")
+
+    def test_service_without_the_new_version(self) -> None:
+        """Guard against "done" while a service still needs the old version."""
+        body = json.loads(index_body("v1", "v2", current="v1"))
+        body["leaves"].append(body["leaves"][0] | {"leaf_id": "s1-v1", "service": "s1"})
+        body["partition_maps"]["1"].append("s1")
+        self.fleet.write(INDEX, json.dumps(body).encode())
+        self.pass_time(35)
+        self.assertEqual(self.fleet.stored.states, [MoveState.RUNNING])
+        body["leaves"].append(body["leaves"][1] | {"leaf_id": "s1-v2", "service": "s1"})
+        self.fleet.write(INDEX, json.dumps(body).encode())
+        self.pass_time(5)
+        self.assertEqual(self.fleet.stored.states[-1], MoveState.DONE)
+        self.assertEqual(self.fleet.stored.current_version(), "v2")
+
+    def test_move_document_that_arrives_first(self) -> None:
+        """Guard against a return to the old version between two documents."""
+        self.pass_time(35)
+        self.run_now(self.fleet.start("vm-3"))
+        late = self.fleet.daemons["vm-3"].documents
+        late.catalogue = type(late.catalogue)()
+        old = replace(
+            self.fleet.stored.documents[INDEX],
+            revision=1,
+            body=index_body("v1", "v2", current="v1"),
+        )
+        late.catalogue.apply(old)
+        late.apply(NAME)
+        self.assertEqual(self.versions(), {"v2"})
+        late.apply()
+        self.assertEqual(self.versions(), {"v2"})
+
+    def test_taken_back_leaves_the_current_version(self) -> None:
+        """Guard against a bad version that becomes the current one."""
+        self.fleet.failing["v2"] = 1.0
+        self.pass_time(10)
+        self.assertEqual(self.fleet.stored.current_version(), "v1")
+        self.assertEqual(self.versions(), {"v1"})
+
+    def test_done_move_that_is_taken_back(self) -> None:
+        """Guard against a current version that outlives taking its move back."""
+        self.pass_time(35)
+        document = self.fleet.stored.documents[NAME]
+        body = take_back_move(document.body, move_id="m1", reason="wrong layout")
+        self.fleet.write(NAME, body)
+        self.fleet.spread()
+        self.assertEqual(self.versions(), {"v1"})
+        self.pass_time(5)
+        self.assertEqual(self.fleet.stored.current_version(), "v1")
+        self.assertEqual(self.versions(), {"v1"})
+        self.assertEqual(self.fleet.stored.states[-1], MoveState.TAKEN_BACK)
+
+    def test_index_without_a_current_version_gets_one(self) -> None:
+        """Guard against a taken back version that gets work from "all leaves"."""
+        self.run_now(self.fleet.stop())
+        self.fleet = MoveFleet()
+        self.run_now(self.fleet.start(*VMS))
+        self.fleet.write(INDEX, index_body("v1", "v2", current=""))
+        self.fleet.spread()
+        self.assertEqual(self.versions(), {None})
+        self.run_now(self._begin_only())
+        self.fleet.failing["v2"] = 1.0
+        self.pass_time(10)
+        self.assertEqual(self.versions(), {"v1"})
+        self.assertEqual(self.fleet.stored.current_version(), "v1")
+
+    async def _begin_only(self) -> None:
+        self.fleet.begin_move()
+
+
+class CurrentVersionTest(unittest.TestCase):
+    """Check which leaves get work without a move."""
+
+    def setUp(self) -> None:
+        self.loop = virtual_loop()
+        self.fleet = MoveFleet()
+        self.loop.run_until_complete(self.fleet.start("vm-1"))
+
+    def tearDown(self) -> None:
+        self.loop.run_until_complete(self.fleet.stop())
+        self.loop.close()
+
+    def choice(self) -> MoveChoice:
+        """Return what requests use."""
+        return self.fleet.daemons["vm-1"].moves.choose_version("ledger", "run", 0.0)
+
+    def test_new_leaves_get_no_work_before_a_move(self) -> None:
+        """Guard against traffic for a version that no move has tested (R5)."""
+        self.fleet.write(INDEX, index_body("v1", "v2", current="v1"))
+        self.fleet.spread()
+        expected = MoveChoice(version=VersionChoice(version="v1", only=True))
+        self.assertEqual(self.choice(), expected)
+
+    def test_documents_without_a_current_version_stay_valid(self) -> None:
+        """Guard against stored documents that stop working."""
+        self.fleet.write(INDEX, index_body("v1", "v2", current=""))
+        self.fleet.spread()
+        self.assertEqual(self.choice(), MoveChoice())
+
+    def test_operators_do_not_change_the_current_version(self) -> None:
+        """Guard against a stale file that moves all traffic at once."""
+        self.fleet.write(INDEX, index_body("v1", "v2", current="v1"))
+        for current in ("", "v2"):
+            outcome = self.fleet.write(INDEX, index_body("v1", "v2", current=current))
+            self.assertIsInstance(outcome, ChangeInvalid)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster_plan.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/cluster_plan.py
@@ -95,6 +95,8 @@
                 if leaf.index == self.name
             ],
             partition_maps={snapshot: names for snapshot in self.snapshots},
+            # The leaves of the new version wait for their move.
+            current_version="v1" if self.new_replicas else "",
         )
 
 
--- a/tests/test_system_moves.py
+++ b/tests/test_system_moves.py
@@ -29,8 +29,16 @@
 
     async def start_move(self, index: str, *, length_s: float = LENGTH_S) -> None:
         """Start a move now and wait until every daemon applies it."""
+        body = self.start_body(index, length_s)
+        path = f"/v1/moves/{index}/start"
+        reply = await self.cluster.operate("POST", path, body)
+        self.assertEqual(reply.status, 200, reply.values)
+        await self.wait_in_force(f"move/{index}", reply.values["revision"])
+
+    def start_body(self, index: str, length_s: float) -> dict[str, Any]:
+        """Return the request that starts a move now."""
         now_s = time.time()
-        body = {
+        return {
             "change_id": f"start-{index}",
             "reason": "test of a version move",
             "move_id": f"move-{index}",
@@ -40,10 +48,13 @@
             "complete_by_unix_s": now_s + length_s,
             "canary_share": CANARY,
         }
-        path = f"/v1/moves/{index}/start"
-        reply = await self.cluster.operate("POST", path, body)
-        self.assertEqual(reply.status, 200, reply.values)
-        await self.wait_in_force(f"move/{index}", reply.values["revision"])
+
+    async def current_versions(self, index: str) -> set[str]:
+        """Return the current version at each running daemon."""
+        name = f"index/{index}"
+        numbers = self.running()
+        found = [await self.document(name, daemon=number) for number in numbers]
+        return {values["body"]["current_version"] for values in found}
 
     async def move(self, index: str, daemon: int) -> dict[str, Any]:
         """Return a move as one daemon knows it."""
@@ -99,7 +110,9 @@
     """Check single moves."""
 
     plan = ClusterPlan(
-        indexes=[index_plan(name) for name in ("good", "fails", "slow", "later")],
+        indexes=[
+            index_plan(name) for name in ("good", "waits", "fails", "slow", "later")
+        ],
         daemons=3,
         domains=["a", "b", "c"],
         daemon_settings=SHORT_KEEP,
@@ -116,11 +129,24 @@
                 for vm_id, share in values["status"]["applied"].items():
                     self.assertEqual(share, 1.0, (number, vm_id))
             await self.wait_state("good", "done")
+            self.assertEqual(await self.current_versions("good"), {NEW})
             await self.check_unused(load, "good", OLD)
         self.check_truthful(load)
         self.assertEqual(load.outcomes["failed"], 0)
         self.assertEqual(await self.counter_sum("cold_excess"), 0)
 
+    async def test_new_leaves_wait_for_their_move(self) -> None:
+        """Guard against work for leaves of a version before any move (R5)."""
+        async with self.load("waits") as load:
+            await load.complete_again()
+            await self.check_unused(load, "waits", NEW)
+            body = {**self.start_body("waits", 600.0), "from_version": "v0"}
+            path = "/v1/moves/waits/start"
+            reply = await self.cluster.operate("POST", path, body)
+            self.assertEqual(reply.status, 400, reply.values)
+            self.assertIn("current version of waits, which is v1", str(reply.values))
+        self.check_truthful(load)
+
     async def test_version_that_fails_at_once(self) -> None:
         """Guard against traffic for a version that fails (R5)."""
         await self.cluster.upstreams.set(FAIL, index="fails", version=NEW)
@@ -154,6 +180,7 @@
             await self.check_canary("slow")
             await self.check_unused(load, "slow", NEW)
             await self.wait_recorded("slow", "taken_back")
+            self.assertEqual(await self.current_versions("slow"), {OLD})
         self.check_truthful(load)
 
     async def test_version_that_fails_later(self) -> None:
@@ -199,6 +226,8 @@
             await self.check_unused(load, "outage", OLD)
             await self.cluster.store.post("/control/outage", on=False)
             await self.wait_state("outage", "done")
+            self.assertEqual(await self.current_versions("outage"), {NEW})
+            await self.check_unused(load, "outage", OLD)
         self.check_truthful(load)
 
     async def test_failure_domain_out_during_a_move(self) -> None:
