Tell peers of bad answers and verdicts about a version at once

Cause: at 80 searches/s and a canary share of 0.1 each of 4 daemons sees two canary searches a second; a verdict needs the evidence of all. Evidence of peers was up to 0.5 s old, and a daemon's verdict reached the others with the next heartbeat.

Change: a daemon sends its next heartbeat at once when at least half of the new version's answers of its last step were bad, and when it learns that a move is taken back. The heartbeats are the existing ones, one in progress for each peer.

--- a/packages/gypsumvane-core/src/gypsumvane_core/move_tracker.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_tracker.py
@@ -26,6 +26,10 @@
 # Good answers that outweigh one bad answer above the rate of the old version.
 GOOD_PER_BAD_ANSWER = 20
 
+# Single slow answers among many are usual and wait for the next heartbeat, so
+# that a move under load does not double the heartbeats.
+SUSPICIOUS_RATE = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class RouteEvidence:
@@ -81,6 +85,9 @@
         self._thresholds: dict[str, SlowThreshold] = {}
         self._failures: dict[str, MoveHistory] = {}
         self._slow: dict[str, MoveHistory] = {}
+        # Own answers of the new version at the last step, and the bad ones.
+        self._own_new = (0, 0)
+        self._suspicious = False
 
     def update(self, move: MoveDocument) -> None:
         """Apply a newer revision of the document."""
@@ -132,6 +139,7 @@
         """Compare the versions and return why the new one is bad, if it is."""
         for (route, version), sample in self._sampler.flush(now_s):
             self._count(route, version, sample)
+        self._note_own_answers()
         if self.state is not MoveState.RUNNING:
             return None
         reason = None
@@ -141,6 +149,19 @@
             self._prove(now_unix_s)
         return reason
 
+    @property
+    def suspicious(self) -> bool:
+        """Return whether peers should learn of the last step's own answers soon."""
+        return self.state is MoveState.RUNNING and self._suspicious
+
+    def _note_own_answers(self) -> None:
+        rows = self.evidence.own()
+        answers = sum(row.new_answers for row in rows)
+        bad = sum(row.new_failures + row.new_slow for row in rows)
+        step_answers, step_bad = answers - self._own_new[0], bad - self._own_new[1]
+        self._own_new = (answers, bad)
+        self._suspicious = step_bad > 0 and step_bad >= SUSPICIOUS_RATE * step_answers
+
     def routes(self) -> list[RouteEvidence]:
         """Return the evidence of each route."""
         found = []
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -574,6 +574,10 @@
             self._kick_all()
             self._changed()
 
+    def heartbeat_now(self) -> None:
+        """Send the next heartbeat to each peer at once."""
+        self._kick_all()
+
     def _kick_all(self) -> None:
         for kick in self._kicks.values():
             kick.set()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/move_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/move_service.py
@@ -253,11 +253,17 @@
         reason = tracker.step(self._clock.monotonic_s(), self._clock.unix_s())
         if reason is not None and tracker.take_back(reason):
             self._note_end(tracker, source="evidence")
+        elif tracker.suspicious:
+            # Each daemon alone sees too few canary answers to condemn a version
+            # soon; counts that wait for the next heartbeat are up to 0.5 s old.
+            self._membership.heartbeat_now()
 
     def _note_end(self, tracker: MoveTracker, *, source: str) -> None:
         self._settle(tracker.move.index)
         self._sources[tracker.move.move_id] = source
         self._metrics.count("moves_taken_back")
+        # Peers go on sending to the version until they know the fact.
+        self._membership.heartbeat_now()
         logger.warning(
             "move taken back",
             extra={
--- a/packages/gypsumvane-daemon/tests/move_fleet.py
+++ b/packages/gypsumvane-daemon/tests/move_fleet.py
@@ -172,6 +172,8 @@
         self.stored = StoredDocuments()
         self.daemons: dict[str, MoveDaemon] = {}
         self.apart: set[str] = set()
+        # Whether heartbeats are sent regularly, not only when asked for.
+        self.regular = True
         self.failing = {"v1": 0.01, "v2": 0.01}
         self.latency_ms = {"v1": 10.0, "v2": 10.0}
         self.routes = ["search", "run"]
@@ -225,7 +227,7 @@
         for daemon in self.daemons.values():
             if not self.stored.down:
                 daemon.documents.apply()
-        for sender in self.daemons:
+        for sender in self.daemons if self.regular else ():
             self.exchange(sender)
 
     def exchange(self, sender: str) -> None:
--- a/packages/gypsumvane-daemon/tests/test_daemon_move_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_move_service.py
@@ -76,6 +76,21 @@
         self.pass_time(40)
         self.assertEqual(self.fleet.sent["v2"], sent)
 
+    def test_verdict_does_not_wait_for_heartbeats(self) -> None:
+        """Guard against evidence and verdicts that reach peers with a delay."""
+        self.pass_time(2)
+        self.fleet.regular = False
+        self.fleet.failing["v2"] = 1.0
+        self.pass_time(8)
+        self.assertEqual(set(self.fleet.shares().values()), {0.0})
+        states = [
+            status.state_source
+            for daemon in self.fleet.daemons.values()
+            if (status := daemon.moves.status("ledger")) is not None
+        ]
+        # One daemon judged, with the evidence of all; the others were told.
+        self.assertEqual(states.count("evidence"), 1, states)
+
     def test_version_that_turns_bad_late_on_one_route(self) -> None:
         """Guard against a comparison diluted by time or by other routes."""
         self.pass_time(18)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
@@ -104,7 +104,7 @@
     """Let the new version fail and return how long it still got work."""
     await start_move(cluster, BAD_LENGTH_S)
     await asyncio.sleep(SETTLE_S)
-    # Without a move every version gets work, which does not count here.
+    # Searches that were in progress when the move began do not count here.
     await cluster.upstreams.act("reset_counters", index=INDEX)
     await asyncio.sleep(FAULT_AFTER_S)
     before = await received_share(cluster)
