Judge a version that fails nearly always without leaving steps out

Cause: the comparison leaves the two worst steps out, so that a leaf that stalls does not condemn a version. Of the about 14 canary answers that a verdict took, 6 were thrown away that way.

Change: when at least 80% of the new version's answers in the last 4 to 8 steps are bad, in at least 4 of the steps, the two worst steps count as much as the worst of the others.

--- a/packages/gypsumvane-core/src/gypsumvane_core/move_comparison.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_comparison.py
@@ -22,6 +22,11 @@
 # The worst steps are left out, because a leaf that stalls makes many answers of
 # one version bad together, which the bound does not allow for.
 STEPS_LEFT_OUT = 2
+# Leaving steps out costs a version that always fails about 6 of 14 canary
+# answers. When nearly all answers are bad in this many steps it is no stall of
+# two steps; the worst steps then count no more than the worst of the others.
+NEARLY_ALL = 0.8
+BAD_STEPS_MIN = 4
 _TILTS = [0.05 * 1.27**power for power in range(24)]
 
 
@@ -48,6 +53,16 @@
             self.new_bad + other.new_bad,
         )
 
+    def capped(self, new_bad_max: int) -> Stratum:
+        """Return the stratum without the bad new answers above a number."""
+        above = max(0, self.new_bad - new_bad_max)
+        return Stratum(
+            self.old_answers,
+            self.old_bad,
+            self.new_answers - above,
+            self.new_bad - above,
+        )
+
     def excess(self) -> float:
         """Return by how much the new version's bad answers exceed their share."""
         answers = self.old_answers + self.new_answers
@@ -93,8 +108,28 @@
 
 def is_worse(strata: Sequence[Stratum], *, margin: float) -> bool:
     """Return whether the new version is certainly and clearly worse."""
+    return _is_clearly_worse(_by_excess(strata)[:-STEPS_LEFT_OUT], margin)
+
+
+def is_nearly_always_bad(strata: Sequence[Stratum], *, margin: float) -> bool:
+    """Return whether nearly all answers of the new version are bad for a while."""
+    ordered = _by_excess(strata)
+    if sum(s.new_bad > 0 for s in ordered) < BAD_STEPS_MIN:
+        return False
+    new_bad = sum(s.new_bad for s in ordered)
+    if new_bad < NEARLY_ALL * sum(s.new_answers for s in ordered):
+        return False
+    others, worst = ordered[:-STEPS_LEFT_OUT], ordered[-STEPS_LEFT_OUT:]
+    capped = [s.capped(others[-1].new_bad) for s in worst]
+    return _is_clearly_worse([*others, *(s for s in capped if s.new_answers)], margin)
+
+
+def _by_excess(strata: Sequence[Stratum]) -> list[Stratum]:
     mixed = [s for s in strata if s.new_answers and s.old_answers]
-    mixed = sorted(mixed, key=Stratum.excess)[:-STEPS_LEFT_OUT]
+    return sorted(mixed, key=Stratum.excess)
+
+
+def _is_clearly_worse(mixed: Sequence[Stratum], margin: float) -> bool:
     if not mixed:
         return False
     total = Stratum()
--- a/packages/gypsumvane-core/src/gypsumvane_core/move_history.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/move_history.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from gypsumvane_core.move_comparison import BAD_STEPS_MIN
 from gypsumvane_core.move_comparison import Stratum
+from gypsumvane_core.move_comparison import is_nearly_always_bad
 from gypsumvane_core.move_comparison import is_worse
 
 FINE_STEPS_MAX = 64
@@ -15,6 +17,9 @@
 # Short windows show a version that turns bad late, the whole history one that
 # is bad rarely.
 WINDOWS = (4, 16, FINE_STEPS_MAX)
+# The steps since a fault began; each length is tried, because good answers from
+# before the fault would hide it.
+FAULT_WINDOWS = range(BAD_STEPS_MIN, 2 * BAD_STEPS_MIN + 1)
 
 
 @dataclass(slots=True)
@@ -45,4 +50,10 @@
         fine = list(self._fine)
         windows = [fine[-size:] for size in WINDOWS if size <= len(fine)]
         windows.append([*self._coarse, *fine])
-        return any(is_worse(window, margin=margin) for window in windows)
+        if any(is_worse(window, margin=margin) for window in windows):
+            return True
+        return any(
+            is_nearly_always_bad(fine[-size:], margin=margin)
+            for size in FAULT_WINDOWS
+            if size <= len(fine)
+        )
--- a/packages/gypsumvane-core/tests/test_core_move_comparison.py
+++ b/packages/gypsumvane-core/tests/test_core_move_comparison.py
@@ -135,6 +135,25 @@
                 self.assertIsNotNone(found)
                 self.assertGreaterEqual(found or 0, begin)
 
+    def test_version_that_always_fails_is_condemned_soon(self) -> None:
+        """Guard against canary answers that the rule for stalls throws away."""
+        history = MoveHistory()
+        for _ in range(20):
+            history.add(Stratum(18, 0, 2, 0))
+        steps = 0
+        while not history.is_worse(margin=FAILURE_MARGIN):
+            steps += 1
+            self.assertLess(steps, 6, "more than 1.25 s at 8 canary answers a second")
+            history.add(Stratum(18, 0, 2, 2))
+
+    def test_stall_of_a_new_leaf_is_no_fault(self) -> None:
+        """Guard against a good version condemned for a stall of two steps."""
+        history = MoveHistory()
+        for step in range(60):
+            bad = 6 if step in (30, 31) else 0
+            history.add(Stratum(60, 0, 6, bad))
+            self.assertFalse(history.is_worse(margin=FAILURE_MARGIN), step)
+
     def test_chance_of_a_single_failing_canary(self) -> None:
         """Guard against a verdict on two failures, which happen by chance."""
         quiet = Stratum(98, 0, 2, 0)
