Tell a lost forward from a home that lost its leaf

Cause: both ended as peer_lost, so that a final answer of the home was forwarded again and came back as key_unresolved.

Change: the lost forward is one object, compared by identity.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/booking_service.py
@@ -62,6 +62,9 @@
 STOP_TIMEOUT_S = 2.0
 # A refusal waits this long for the store's word on earlier tries of the key.
 REFUSE_TIMEOUT_S = 0.25
+# The home's answer is unknown. A home that lost its leaf answers with the same
+# reason, which is final, so this object is compared by identity.
+FORWARD_LOST = Failed(reason=Reason.PEER_LOST, verdict=Verdict.MAY_HAVE_RUN)
 
 
 class BookingService(Service):
@@ -209,7 +212,7 @@
         lost = False
         while True:
             answer = await self._try_home(request, deadline)
-            if isinstance(answer, Failed) and answer.reason is Reason.PEER_LOST:
+            if answer is FORWARD_LOST:
                 lost = True
             elif not isinstance(answer, Reason) and not (lost and _unsettled(answer)):
                 break
@@ -222,7 +225,7 @@
             answer = await self._settle(request, answer)
         if lost and isinstance(answer, Refused):
             # The request that was lost may still be read and run.
-            return Failed(reason=Reason.PEER_LOST, verdict=Verdict.MAY_HAVE_RUN)
+            return FORWARD_LOST
         return answer
 
     async def _try_home(
@@ -273,11 +276,9 @@
         except FrameError:
             return Reason.BAD_REQUEST
         except PeerError as error:
-            if not error.sent:
-                return Reason.PEER_UNAVAILABLE
-            return Failed(reason=Reason.PEER_LOST, verdict=Verdict.MAY_HAVE_RUN)
+            return FORWARD_LOST if error.sent else Reason.PEER_UNAVAILABLE
         if not isinstance(reply, BookingReply):
-            return Failed(reason=Reason.PEER_LOST, verdict=Verdict.MAY_HAVE_RUN)
+            return FORWARD_LOST
         outcome = outcome_of(reply)
         if isinstance(outcome, Refused) and outcome.reason is Reason.NOT_HOME:
             return Reason.NOT_HOME
--- a/packages/gypsumvane-daemon/tests/test_daemon_claim_leases.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_claim_leases.py
@@ -90,6 +90,17 @@
         ledger.extend(self.loop.time())
         self.assertFalse(ledger.owned)
 
+    def test_late_agreement_is_no_handover(self) -> None:
+        """Guard against an agreement from before the former owner came back."""
+        self.isolate_vm_1(home="vm-2")
+        self.pass_time(0.8)
+        ledger = self.fleet.daemons["vm-2"].bookings._claimed.ledgers[0]
+        former = ledger._bucket.former_owners[0]
+        ledger.note_released(former, ledger._owner_since_version - 1)
+        self.assertGreater(ledger.send_not_before_s, self.loop.time())
+        ledger.note_released(former, ledger._owner_since_version)
+        self.assertLessEqual(ledger.send_not_before_s, self.loop.time())
+
     def test_new_owner_waits_for_a_former_one_that_does_not_agree(self) -> None:
         """Guard against a handover by a daemon that still sees itself as home."""
         self.isolate_vm_1(home="vm-2")
