Test versions that are bad later, under load, on one route or slow

Cause: the system tests covered versions that fail or are slow at once and one that fails while the share rises; none failed only under load or on one route, and only one checked that a version does not return.

Change: four system tests. Each checks the canary share up to the verdict, no work afterwards, also when the fault is gone and a killed daemon is back, and that the current version stays.

--- /dev/null
+++ b/tests/test_system_bad_versions.py
@@ -0,0 +1,168 @@
+"""Versions that are bad only later, under load, on one route, or that are slow."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_devtools.cluster_plan import ClusterPlan
+from tests.system_case import SHORT_KEEP
+from tests.test_system_moves import CANARY
+from tests.test_system_moves import FAIL
+from tests.test_system_moves import NEW
+from tests.test_system_moves import OLD
+from tests.test_system_moves import MoveCase
+from tests.test_system_moves import index_plan
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+NO_FAULT = {"fault": {"mode": "none"}}
+# The canary lasts 30 s and the share then rises so slowly that it stays small.
+LONG_S = 3600.0
+LOOKUP_PAUSE_S = 0.005
+
+
+class BadVersionTest(MoveCase):
+    """Check that a bad version keeps its canary share and does not return."""
+
+    plan = ClusterPlan(
+        indexes=[index_plan(name) for name in ("late", "loaded", "route", "slower")],
+        daemons=3,
+        domains=["a", "b", "c"],
+        daemon_settings=SHORT_KEEP,
+    )
+
+    async def check_stays_back(self, load: Any, index: str) -> None:
+        """Check that the version gets no work, also when its fault is gone."""
+        await self.check_unused(load, index, NEW)
+        await self.wait_recorded(index, "taken_back")
+        await self.cluster.upstreams.set(NO_FAULT, index=index, version=NEW)
+        await self.check_unused(load, index, NEW)
+        # A new process knows the move from documents and peers only.
+        await self.cluster.kill_daemon(2, vm_lost=False)
+        await self.cluster.start_daemon(2)
+        await self.wait_settled()
+        await self.check_unused(load, index, NEW)
+        await self.wait_state(index, "taken_back")
+        self.assertEqual(await self.current_versions(index), {OLD})
+
+    async def reason_of(self, index: str) -> str:
+        """Return why a move was taken back."""
+        values = await self.move(index, 0)
+        return str(values["status"]["state_reason"])
+
+    async def warm_new_leaves(self, index: str) -> None:
+        """Wait until each service has a new leaf that is allowed two calls at once.
+
+        A caller alone is sent to the warm leaf, so that the other stays cold.
+        """
+        leaves = [
+            leaf
+            for leaf in self.cluster.upstreams.leaves
+            if leaf.index == index and leaf.version == NEW
+        ]
+
+        async def warm() -> bool:
+            services = set()
+            for leaf in leaves:
+                home = await self.home_number(leaf.leaf_id)
+                path = f"/v1/leaves/{leaf.leaf_id}"
+                reply = await self.cluster.operate("GET", path, daemon=home or 0)
+                if (reply.values["limit"] or 0) >= 2:
+                    services.add(leaf.service)
+            return services == {leaf.service for leaf in leaves}
+
+        await self.until(warm, f"new leaves of {index} are warm")
+
+    @asynccontextmanager
+    async def lookups(self, index: str) -> AsyncIterator[None]:
+        """Look keys up at all daemons until the block ends."""
+
+        async def look_up() -> None:
+            number = 0
+            while True:
+                number += 1
+                # A daemon that a test restarts refuses connections.
+                with contextlib.suppress(OSError):
+                    await self.cluster.request(
+                        "lookup", index, {"key": f"key-{number}"}, daemon=number % 2
+                    )
+                await asyncio.sleep(LOOKUP_PAUSE_S)
+
+        tasks = [asyncio.create_task(look_up()) for _ in range(2)]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def check_lookup_canary(self, index: str) -> None:
+        """Check that the new version got at most its canary share of lookups."""
+        new = await self.received("lookup", index=index, version=NEW)
+        old = await self.received("lookup", index=index, version=OLD)
+        mean = CANARY * (new + old)
+        self.assertLessEqual(new, 1.1 * (mean + 6 * math.sqrt(mean + 1)), (new, old))
+
+    async def test_fails_later_in_the_canary(self) -> None:
+        """Guard against a verdict diluted by the good answers before the fault."""
+        await self.start_move("late", length_s=LONG_S)
+        async with self.load("late") as load:
+            await load.more(600)
+            self.assertEqual(set(await self.states("late")), {"running"})
+            await self.cluster.upstreams.set(FAIL, index="late", version=NEW)
+            await self.wait_state("late", "taken_back")
+            await self.check_canary("late")
+            self.assertIn("fails more often on search", await self.reason_of("late"))
+            await self.check_stays_back(load, "late")
+        self.check_truthful(load)
+
+    async def test_fails_only_under_load(self) -> None:
+        """Guard against a version that passes its canary because load is low."""
+        fault = {"fault": {"mode": "fail", "above_in_progress": 1}}
+        await self.cluster.upstreams.set(fault, index="loaded", version=NEW)
+        await self.start_move("loaded", length_s=LONG_S)
+        # One caller never has two requests at a leaf.
+        async with self.load("loaded", callers=1) as load:
+            await self.warm_new_leaves("loaded")
+            self.assertEqual(set(await self.states("loaded")), {"running"})
+        self.check_truthful(load)
+        async with self.load("loaded", callers=24) as load:
+            await self.wait_state("loaded", "taken_back")
+            await self.check_canary("loaded")
+            await self.check_stays_back(load, "loaded")
+        self.check_truthful(load)
+
+    async def test_fails_on_one_route(self) -> None:
+        """Guard against a fault that good answers of another route hide."""
+        fault = {"fault": {"mode": "fail", "route": "lookup"}}
+        await self.cluster.upstreams.set(fault, index="route", version=NEW)
+        await self.start_move("route", length_s=LONG_S)
+        async with self.load("route") as load, self.lookups("route"):
+            await self.wait_state("route", "taken_back")
+            await self.check_canary("route")
+            await self.check_lookup_canary("route")
+            self.assertIn("fails more often on lookup", await self.reason_of("route"))
+            await self.check_stays_back(load, "route")
+            looked_up = await self.received("lookup", index="route", version=NEW)
+            self.assertEqual(looked_up, 0)
+        self.check_truthful(load)
+
+    async def test_slows_down_later(self) -> None:
+        """Guard against a version whose answers are right but come late."""
+        slow = {"fault": {"mode": "slow", "slow_factor": 8.0}}
+        await self.start_move("slower", length_s=LONG_S)
+        async with self.load("slower") as load:
+            await load.more(400)
+            self.assertEqual(set(await self.states("slower")), {"running"})
+            await self.cluster.upstreams.set(slow, index="slower", version=NEW)
+            await self.wait_state("slower", "taken_back")
+            await self.check_canary("slower")
+            self.assertIn("is slower on search", await self.reason_of("slower"))
+            await self.check_stays_back(load, "slower")
+        self.check_truthful(load)
