Prove limits and truth while failure domains lose each other

Cause: no test cut two groups of daemons off from each other. Change: the peer links between daemons 0, 1 and 2, 3 swallow all frames under load, once with the store in reach of all and once out of reach of one group; the leaves of a service restart cold meanwhile.

--- a/tests/test_system_membership.py
+++ b/tests/test_system_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from gypsumvane_core.document_models import FleetDocument
 from gypsumvane_core.document_models import Policy
 from gypsumvane_devtools.cluster_plan import ClusterPlan
@@ -29,9 +31,9 @@
         """Return the names of the daemons that are left."""
         return [f"vm-{number}" for number in range(4) if number not in lost]
 
-    async def check_leaves(self) -> None:
+    async def check_leaves(self, *, leaves_fell: bool = False) -> None:
         """Check that limits held and cold leaves were spared."""
-        await self.check_limits()
+        await self.check_limits(leaves_fell=leaves_fell)
         self.assertEqual(await self.counter_sum("cold_excess"), 0)
 
 
@@ -186,3 +188,40 @@
         self.check_truthful(load)
         self.assertEqual(load.gaps(), [])
         await self.check_leaves()
+
+    async def check_partition(self, *, store_lost: bool) -> None:
+        """Cut two failure domains off from the others and let them come back."""
+        groups = ((0, 1), (2, 3))
+        async with self.load(INDEX) as load:
+            await load.more(40)
+            for own, others in (groups, groups[::-1]):
+                for target, opener in itertools.product(own, others):
+                    opener_id = f"vm-{opener}"
+                    await self.add_rule(
+                        f"peer-vm-{target}", "half_open", first_match=opener_id
+                    )
+            if store_lost:
+                for number in groups[1]:
+                    await self.add_rule(f"store-vm-{number}", "refuse")
+                    await self.cluster.proxy.post(
+                        f"/control/links/store-vm-{number}/cut"
+                    )
+                await self.wait_members(self.others(2, 3), daemon=0)
+            await load.more(60)
+            # A leaf that starts cold has one sender at most.
+            await self.cluster.upstreams.act("restart", 0.2, service="stock-01")
+            await load.more(60)
+            await self.clear_proxy()
+            await self.wait_settled()
+            await load.complete_again(60)
+        self.check_truthful(load)
+        self.assertTrue(load.incomplete, "the partition was not noticed")
+        await self.check_leaves(leaves_fell=True)
+
+    async def test_domains_lose_each_other(self) -> None:
+        """Guard against two homes of one leaf on both sides of a partition (R3)."""
+        await self.check_partition(store_lost=False)
+
+    async def test_domains_lose_each_other_and_the_store(self) -> None:
+        """Guard against a group that serves on with a view that was replaced (R3)."""
+        await self.check_partition(store_lost=True)
