Answer malformed HTTP with typed JSON

Cause: bytes that aiohttp cannot parse, and unknown Expect headers, reach no middleware; callers and operators got plain text that repeated their bytes, and each such request logged a stack trace.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -24,6 +24,7 @@
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.settings import split_address
 from gypsumvane_daemon.tls import server_context
+from gypsumvane_daemon.typed_runner import TypedRunner
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -112,8 +113,11 @@
     async def _listen(self, app: web.Application) -> None:
         settings = self._identity.settings.callers
         host, port = split_address(settings.address)
-        self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=STOP_TIMEOUT_S
+        self._runner = TypedRunner(
+            app,
+            self._malformed_response,
+            access_log=None,
+            shutdown_timeout=STOP_TIMEOUT_S,
         )
         await self._runner.setup()
         self._site = web.TCPSite(
@@ -157,6 +161,10 @@
         self._request_count += 1
         return f"{self._identity.incarnation}.{self._request_count}"
 
+    def _malformed_response(self, status: int) -> web.Response:
+        message = "the HTTP request is malformed or not supported"
+        return self._refuse("", Reason.BAD_REQUEST, message, status)
+
     def _error_response(self, error: Exception, request_id: str) -> web.Response:
         if isinstance(error, CallerError):
             return self._refuse(request_id, error.reason, error.message, error.status)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from aiohttp.web import Application
-from aiohttp.web import AppRunner
 from aiohttp.web import StreamResponse
 from aiohttp.web import TCPSite
 from aiohttp.web import middleware
@@ -16,16 +15,19 @@
 from gypsumvane_daemon.operator_documents import DocumentRoutes
 from gypsumvane_daemon.operator_errors import answer_errors
 from gypsumvane_daemon.operator_errors import error_response
+from gypsumvane_daemon.operator_errors import malformed_response
 from gypsumvane_daemon.operator_errors import missing_part
 from gypsumvane_daemon.operator_moves import MoveRoutes
 from gypsumvane_daemon.operator_status import StatusRoutes
 from gypsumvane_daemon.settings import split_address
 from gypsumvane_daemon.tls import server_context
+from gypsumvane_daemon.typed_runner import TypedRunner
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from aiohttp.web import AppRunner
     from aiohttp.web import Request
 
     from gypsumvane_core.clock import Clock
@@ -58,7 +60,9 @@
         DocumentRoutes(self._documents, self._clock).add_to(app.router)
         MoveRoutes(self._documents, kernel).add_to(app.router)
         StatusRoutes(self._identity, kernel).add_to(app.router)
-        self._runner = AppRunner(app, access_log=None, shutdown_timeout=STOP_TIMEOUT_S)
+        self._runner = TypedRunner(
+            app, malformed_response, access_log=None, shutdown_timeout=STOP_TIMEOUT_S
+        )
         await self._runner.setup()
         settings = self._identity.settings.operators
         host, port = split_address(settings.address)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_errors.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_errors.py
@@ -48,6 +48,13 @@
     return json_response({"outcome": outcome, "message": message}, status=status)
 
 
+def malformed_response(status: int) -> Response:
+    """Return the error for bytes that are not valid HTTP."""
+    return error_response(
+        status, "bad_request", "the HTTP request is malformed or not supported"
+    )
+
+
 @middleware
 async def answer_errors(
     request: Request, handler: Callable[[Request], Awaitable[StreamResponse]]
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/typed_runner.py
@@ -0,0 +1,81 @@
+"""HTTP listeners that answer malformed requests in their own form."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp.web import AppRunner
+from aiohttp.web import HTTPException
+from aiohttp.web import RequestHandler
+from aiohttp.web import Server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp.web import Application
+    from aiohttp.web import BaseRequest
+    from aiohttp.web import Response
+    from aiohttp.web import StreamResponse
+
+    ErrorReply = Callable[[int], Response]
+
+
+class TypedRunner(AppRunner):
+    """Run an application; what aiohttp cannot parse gets a typed error too.
+
+    Such requests reach no middleware. aiohttp would answer them with plain text
+    that repeats their bytes, and log a stack trace for each.
+    """
+
+    def __init__(
+        self, app: Application, error_reply: ErrorReply, **options: Any
+    ) -> None:
+        super().__init__(app, **options)
+        self._error_reply = error_reply
+
+    async def _make_server(self) -> Server:
+        server = await super()._make_server()
+        return _TypedServer(self._error_reply, server)
+
+
+class _TypedServer(Server):
+    def __init__(self, error_reply: ErrorReply, server: Server) -> None:
+        super().__init__(
+            self._handle,
+            request_factory=server.request_factory,
+            **server._kwargs,
+        )
+        self.error_reply = error_reply
+        self._application_handler = server.request_handler
+
+    async def _handle(self, request: BaseRequest) -> StreamResponse:
+        try:
+            return await self._application_handler(request)
+        except HTTPException as error:
+            # An Expect header that aiohttp refuses before any middleware runs.
+            return self.error_reply(error.status)
+
+    def __call__(self) -> RequestHandler:
+        return _TypedHandler(self, loop=self._loop, **self._kwargs)
+
+
+class _TypedHandler(RequestHandler):
+    def __init__(self, server: _TypedServer, **options: Any) -> None:
+        super().__init__(server, **options)
+        self._error_reply = server.error_reply
+
+    def handle_error(
+        self,
+        request: BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> Response:
+        if status >= 500:
+            self.log_exception("request failed outside its handler", exc_info=exc)
+        if request.writer.output_size > 0:
+            raise ConnectionError("a part of the response is already sent")
+        response = self._error_reply(status)
+        response.force_close()
+        return response
