Plot latencies and series on the page of measurements

Cause: the page had tables only. Change: experiments record one value for each second (complete answers while a domain is out or a daemon is killed, share of the new version); the report writes SVG files to docs/plots/. Latency bars come from figures already stored.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/daemon_killed.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/daemon_killed.py
@@ -10,7 +10,9 @@
 from gypsumvane_devtools.load_process import run_load_process
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import COMPLETE_SERIES
 from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import complete_by_second
 from gypsumvane_devtools.measure.load_helpers import highest_counter
 from gypsumvane_devtools.measure.load_helpers import load_plan
 from gypsumvane_devtools.measure.load_helpers import search_plan
@@ -62,6 +64,7 @@
             await asyncio.sleep(KILL_AFTER_S)
             await cluster.kill_daemon(3, vm_lost=variant == VM_LOST)
             result = await running
+            self.series[COMPLETE_SERIES] = complete_by_second(result)
             values = {
                 "running_max": await highest_counter(cluster, "running_max"),
                 "connections_max": await highest_counter(cluster, "connections_max"),
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/experiment.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/experiment.py
@@ -40,6 +40,10 @@
     set_up: ClassVar[str]
     rounds: ClassVar[int] = 3
 
+    def __init__(self) -> None:
+        # Filled by `measure` with one value for each second, by name.
+        self.series: dict[str, list[float]] = {}
+
     @abstractmethod
     async def measure(self, variant: str, number: int) -> dict[str, float]:
         """Run one variant once and return its values."""
@@ -88,9 +92,14 @@
         # machine does not favour one variant.
         ordered = variants if number % 2 == 0 else variants[::-1]
         for variant in ordered:
+            self.series = {}
             values = await self.measure(variant, number)
             rounded = {key: round(value, 4) for key, value in values.items()}
-            figure = Figure(variant, number, rounded)
+            series = {
+                name: [round(value, 4) for value in points]
+                for name, points in self.series.items()
+            }
+            figure = Figure(variant, number, rounded, series)
             table.figures.append(figure)
             on_figure(figure)
 
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/failure_domain.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/failure_domain.py
@@ -14,7 +14,9 @@
 from gypsumvane_devtools.measure.figures import CURRENT
 from gypsumvane_devtools.measure.figures import at_least
 from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import COMPLETE_SERIES
 from gypsumvane_devtools.measure.load_helpers import INDEX
+from gypsumvane_devtools.measure.load_helpers import complete_by_second
 from gypsumvane_devtools.measure.load_helpers import counter_sum
 from gypsumvane_devtools.measure.load_helpers import highest_counter
 from gypsumvane_devtools.measure.load_helpers import load_plan
@@ -66,6 +68,7 @@
             await cluster.upstreams.act("mark_in", failure_domain=DOMAIN)
             await change_domain(cluster, "in")
             result = await running
+            self.series[COMPLETE_SERIES] = complete_by_second(result)
         return {
             "accepted_ms": accepted_s * 1000,
             "calls_before": before,
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/figures.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/figures.py
@@ -17,6 +17,8 @@
     variant: str
     round: int
     values: dict[str, float]
+    # One value for each second of the run, by the name of the plot.
+    series: dict[str, list[float]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
@@ -13,8 +13,10 @@
 
 if TYPE_CHECKING:
     from gypsumvane_devtools.cluster import Cluster
+    from gypsumvane_devtools.load_result import LoadResult
 
 INDEX = "stock"
+COMPLETE_SERIES = "complete answers in time, share of each second"
 # Experiments whose subject is not cold starts use leaves that start warm, and
 # this policy lets the daemons trust them after a few answers.
 WARM_POLICY = {"warm_good_answers": 2, "cold_spacing_ms": 5}
@@ -54,6 +56,14 @@
     return LoadPlan.model_validate({**defaults, **values})
 
 
+def complete_by_second(result: LoadResult) -> list[float]:
+    """Return the share of complete answers in time for each second of a run."""
+    return [
+        second.complete_in_time / second.offered if second.offered else 1.0
+        for second in result.seconds
+    ]
+
+
 async def busiest_leaf(cluster: Cluster) -> str:
     """Return the leaf that has received the most requests."""
     counters = await cluster.upstreams.counters(index=INDEX)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/report.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/report.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import json
+import re
+import statistics
 import time
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 from typing import Any
 
+from gypsumvane_devtools.measure.plot import bar_plot
+from gypsumvane_devtools.measure.plot import line_plot
+
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -30,10 +35,17 @@
 
 
 def write_page(directory: Path, page: Path) -> None:
-    """Generate the page from all stored results."""
+    """Generate the page and its plots from all stored results."""
     parts = [PAGE_HEAD]
     for path in sorted(directory.glob("*.json")):
-        parts.append(section(json.loads(path.read_text(encoding="utf-8"))))
+        result = json.loads(path.read_text(encoding="utf-8"))
+        parts.append(section(result))
+        plots = plots_of(result)
+        parts += [f"![{name}](plots/{name}.svg)\n" for name in plots]
+        for name, content in plots.items():
+            plot = page.parent / "plots" / f"{name}.svg"
+            plot.parent.mkdir(exist_ok=True)
+            plot.write_text(content, encoding="utf-8")
     page.write_text("\n".join(parts), encoding="utf-8")
 
 
@@ -57,6 +69,46 @@
     return "\n".join([*lines, *check_table(result), *figure_table(result)])
 
 
+def plots_of(result: dict[str, Any]) -> dict[str, str]:
+    """Return the plots of an experiment by file name."""
+    plots = {}
+    figures = result["figures"]
+    variants = list(dict.fromkeys(figure["variant"] for figure in figures))
+    if len(variants) > 1 and all("p99_ms" in f["values"] for f in figures):
+        plots[f"{result['name']}-latency"] = bar_plot(
+            "latency in ms, medians of the rounds", latency_bars(figures, variants)
+        )
+    for variant in variants:
+        lines: dict[str, dict[str, list[float]]] = {}
+        for figure in figures:
+            if figure["variant"] == variant:
+                for title, points in figure.get("series", {}).items():
+                    label = f"round {figure['round'] + 1}"
+                    lines.setdefault(title, {})[label] = points
+        for title, series in lines.items():
+            name = re.sub(r"[^a-z0-9]+", "-", f"{result['name']}-{variant}")
+            plots[name] = line_plot(f"{variant}: {title}", series)
+    return plots
+
+
+def latency_bars(
+    figures: list[dict[str, Any]], variants: list[str]
+) -> dict[str, float]:
+    """Return the median of each latency quantile of each variant."""
+    bars = {}
+    for quantile in ("p50_ms", "p95_ms", "p99_ms"):
+        for variant in variants:
+            values = [
+                figure["values"][quantile]
+                for figure in figures
+                if figure["variant"] == variant and quantile in figure["values"]
+            ]
+            if values:
+                label = f"{quantile.removesuffix('_ms')} {variant}"
+                bars[label] = statistics.median(values)
+    return bars
+
+
 def check_table(result: dict[str, Any]) -> list[str]:
     """Return the table of checks."""
     if not result["checks"]:
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/version_move.py
@@ -34,6 +34,7 @@
 WATCH_S = 8.0
 POLL_S = 0.05
 SETTLE_S = 1.0
+SHARE_SERIES = "new version, share of the searches of each second"
 
 
 class VersionMoveExperiment(Experiment):
@@ -63,9 +64,11 @@
                 cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S, seed=number + 1
             )
             running = asyncio.create_task(run_load_process(load))
+            shares = asyncio.create_task(share_by_second(cluster, running))
             measure = move_good if variant == GOOD else move_bad
             values = await measure(cluster)
             result = await running
+            self.series[SHARE_SERIES] = await shares
         return {**values, "complete_share": result.share_complete_in_time()}
 
     def verdict(self, table: FigureTable) -> list[Check]:
@@ -160,6 +163,21 @@
     return new / max(1, new + await received(cluster, "v1"))
 
 
+async def share_by_second(cluster: Cluster, running: asyncio.Task[Any]) -> list[float]:
+    """Return the share of the new version in each second of the load."""
+    shares: list[float] = []
+    new, old = await received(cluster, NEW), await received(cluster, "v1")
+    while not running.done():
+        await asyncio.sleep(1.0)
+        newer, older = await received(cluster, NEW), await received(cluster, "v1")
+        # Counters that were reset meanwhile count from 0.
+        more_new = newer - new if newer >= new else newer
+        more_old = older - old if older >= old else older
+        shares.append(more_new / max(1, more_new + more_old))
+        new, old = newer, older
+    return shares
+
+
 async def last_new_work_s(cluster: Cluster) -> float:
     """Return when the new version received its last search, counted from now."""
     began_s = time.monotonic()
--- a/packages/gypsumvane-devtools/tests/test_devtools_measure.py
+++ b/packages/gypsumvane-devtools/tests/test_devtools_measure.py
@@ -30,13 +30,16 @@
     set_up: ClassVar[str] = "a list"
 
     def __init__(self, values: list[float]) -> None:
+        super().__init__()
         self.left = values
         self.order: list[str] = []
 
     async def measure(self, variant: str, number: int) -> dict[str, float]:
         """Return the next value."""
         self.order.append(variant)
-        return {"value": self.left.pop(0)}
+        self.series["share"] = [0.0, 1.0]
+        value = self.left.pop(0)
+        return {"value": value, "p99_ms": value}
 
     def verdict(self, table: FigureTable) -> list[Check]:
         """Compare with the target."""
@@ -74,7 +77,13 @@
             stored = json.loads((Path(name) / "counting.json").read_text())
             write_page(Path(name), Path(name) / "page.md")
             page = (Path(name) / "page.md").read_text()
+            plots = {path.name for path in (Path(name) / "plots").iterdir()}
+            line = (Path(name) / "plots" / "counting-current.svg").read_text()
         self.assertFalse(stored["met"])
         self.assertIn("Target not met", page)
         self.assertIn("| current | 2 | 3 |", page)
+        for plot in ("latency", "current", "baseline"):
+            self.assertIn(f"counting-{plot}.svg", plots)
+            self.assertIn(f"(plots/counting-{plot}.svg)", page)
+        self.assertEqual(line.count("<polyline"), 3)
         self.assertEqual(page.count("| baseline |"), 3)
