Use one form for documents, answers and reading commands

Change: Document is itself the message; Answer is the base of both answers; one reply function, one admission path; CommandContext.read. Result: about 60 lines fewer; unit tests of core, cli and daemon pass.

--- a/packages/gypsumvane-cli/src/gypsumvane_cli/command.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/command.py
@@ -41,6 +41,12 @@
         """Return the value of a flag."""
         return self.flags[name].value
 
+    async def read(self, path: str) -> dict[str, Any]:
+        """Return the body of a successful answer; raises CommandError otherwise."""
+        answer = await self.client.read(path)
+        require_success(answer)
+        return answer.body
+
 
 class Command(ABC):
     """Carry out one command."""
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/config_show.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/config_show.py
@@ -7,7 +7,6 @@
 from urllib.parse import quote
 
 from gypsumvane_cli.command import Command
-from gypsumvane_cli.command import require_success
 from gypsumvane_cli.errors import invalid
 from gypsumvane_cli.exit_code import ExitCode
 
@@ -32,27 +31,23 @@
     async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
         """Print the documents."""
         if not arguments:
-            answer = await context.client.read("/v1/documents")
-            require_success(answer)
-            rows = answer.body["documents"]
-            context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
+            body = await context.read("/v1/documents")
+            rows = body["documents"]
+            context.output.show_table(body, columns=COLUMNS, rows=rows)
             return ExitCode.DONE
         await self._show_one(arguments[0], context)
         return ExitCode.DONE
 
     async def _show_one(self, name: str, context: CommandContext) -> None:
         path = quote(name)
-        answer = await context.client.read(f"/v1/documents/{path}")
-        require_success(answer)
-        in_force = await context.client.read(f"/v1/in-force/{path}")
-        require_success(in_force)
-        body = answer.body
+        body = await context.read(f"/v1/documents/{path}")
+        in_force = await context.read(f"/v1/in-force/{path}")
         context.output.show(
-            {**body, "vms": in_force.body["vms"]},
+            {**body, "vms": in_force["vms"]},
             f"{name}: revision {body['revision']} by {body['author']} "
             f"({body['reason']}), change {body['change_id']}",
             json.dumps(body["body"], indent=2),
-            *(_vm_line(item) for item in in_force.body["vms"]),
+            *(_vm_line(item) for item in in_force["vms"]),
         )
 
 
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/domain_list.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/domain_list.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_cli.command import Command
-from gypsumvane_cli.command import require_success
 from gypsumvane_cli.exit_code import ExitCode
 from gypsumvane_cli.output import format_time
 
@@ -23,11 +22,9 @@
 
     async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
         """Print the failure domains."""
-        answer = await context.client.read("/v1/domains")
-        require_success(answer)
+        body = await context.read("/v1/domains")
         rows = [
-            {**item, "since": format_time(item["since_unix_s"])}
-            for item in answer.body["out"]
+            {**item, "since": format_time(item["since_unix_s"])} for item in body["out"]
         ]
-        context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
+        context.output.show_table(body, columns=COLUMNS, rows=rows)
         return ExitCode.DONE
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/leaf_explain.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/leaf_explain.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_cli.command import Command
-from gypsumvane_cli.command import require_success
 from gypsumvane_cli.exit_code import ExitCode
 from gypsumvane_cli.local_check import check_name
 
@@ -25,8 +24,7 @@
     async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
         """Print what the asked daemon knows of the leaf."""
         leaf_id = check_name(arguments[0])
-        answer = await context.client.read(f"/v1/leaves/{leaf_id}")
-        require_success(answer)
-        rows = [{"key": key, "value": value} for key, value in answer.body.items()]
-        context.output.show_table(answer.body, columns=COLUMNS, rows=rows)
+        body = await context.read(f"/v1/leaves/{leaf_id}")
+        rows = [{"key": key, "value": value} for key, value in body.items()]
+        context.output.show_table(body, columns=COLUMNS, rows=rows)
         return ExitCode.DONE
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_show.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/move_show.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_cli.command import Command
-from gypsumvane_cli.command import require_success
 from gypsumvane_cli.exit_code import ExitCode
 from gypsumvane_cli.local_check import check_name
 from gypsumvane_cli.move_lines import move_lines
@@ -24,7 +23,6 @@
     async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
         """Print the move."""
         index = check_name(arguments[0])
-        answer = await context.client.read(f"/v1/moves/{index}")
-        require_success(answer)
-        context.output.show(answer.body, *move_lines(answer.body))
+        body = await context.read(f"/v1/moves/{index}")
+        context.output.show(body, *move_lines(body))
         return ExitCode.DONE
--- a/packages/gypsumvane-cli/src/gypsumvane_cli/commands/vm_list.py
+++ b/packages/gypsumvane-cli/src/gypsumvane_cli/commands/vm_list.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_cli.command import Command
-from gypsumvane_cli.command import require_success
 from gypsumvane_cli.exit_code import ExitCode
 
 if TYPE_CHECKING:
@@ -30,9 +29,8 @@
 
     async def run(self, arguments: list[str], context: CommandContext) -> ExitCode:
         """Print the VMs."""
-        answer = await context.client.read("/v1/vms")
-        require_success(answer)
-        body = answer.body
+        body = await context.read("/v1/vms")
+        body = body
         state = body.get("asked_vm_state") or "unknown"
         note = f"asked {body['asked_vm']} ({state}), epoch {body['epoch'] or '-'}"
         context.output.show_table(body, columns=COLUMNS, rows=body["vms"], notes=[note])
--- a/packages/gypsumvane-core/src/gypsumvane_core/document.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/document.py
@@ -18,25 +18,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from gypsumvane_core.messages import Document
+
 FLEET = "fleet"
 DOMAINS = "domains"
 INDEX_PREFIX = "index/"
 MOVE_PREFIX = "move/"
 
 
-@dataclass(frozen=True, slots=True)
-class Document:
-    """Carry one revision of a configuration document."""
-
-    name: str
-    revision: int
-    change_id: str
-    author: str
-    reason: str
-    accepted_unix_ms: int
-    body: bytes
-
-
 def parse_body(name: str, body: bytes) -> DocumentModel:
     """Validate the body of a document by its name.
 
--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -142,9 +142,9 @@
     in_force_since_unix_ms: int = 0
 
 
-@dataclass(slots=True)
-class DocumentCopy:
-    """Carry one configuration document."""
+@dataclass(frozen=True, slots=True)
+class Document:
+    """Carry one revision of a configuration document."""
 
     name: str = ""
     revision: int = 0
@@ -166,7 +166,7 @@
 class DocumentsReply:
     """Return newer documents."""
 
-    documents: list[DocumentCopy] = field(default_factory=list)
+    documents: list[Document] = field(default_factory=list)
     # The sender has loaded its documents from the store or a peer.
     ready: bool = False
     # Further documents did not fit; ask again with the new revisions.
@@ -177,7 +177,7 @@
 class DocumentPush:
     """Send changed documents."""
 
-    documents: list[DocumentCopy] = field(default_factory=list)
+    documents: list[Document] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/packages/gypsumvane-core/src/gypsumvane_core/query_answer.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/query_answer.py
@@ -40,8 +40,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SearchAnswer:
-    """Answer a search."""
+class Answer:
+    """Hold what the answers of all kinds state."""
 
     request_id: str
     outcome: AnswerOutcome
@@ -49,21 +49,21 @@
     reason: Reason | None = None
     message: str = ""
     snapshot: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SearchAnswer(Answer):
+    """Answer a search."""
+
     coverage: Coverage = field(default_factory=Coverage)
     hits: list[dict[str, Any]] = field(default_factory=list)
     total: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class LookupAnswer:
+class LookupAnswer(Answer):
     """Answer a lookup."""
 
-    request_id: str
-    outcome: AnswerOutcome
-    verdict: Verdict
-    reason: Reason | None = None
-    message: str = ""
-    snapshot: int = 0
     service: str = ""
     found: bool = False
     record: dict[str, Any] | None = None
--- a/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
@@ -10,7 +10,7 @@
 from pydantic import ConfigDict
 from pydantic import Field
 
-from gypsumvane_core.document import Document
+from gypsumvane_core.messages import Document
 
 # A body must fit into one peer frame (1 MiB) and one store value (1 MB).
 BODY_BYTES_MAX = 768 << 10
--- a/packages/gypsumvane-core/tests/test_core_document.py
+++ b/packages/gypsumvane-core/tests/test_core_document.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.messages import Document
 
 
 def domains_document(revision: int, body: bytes = b'{"out": []}') -> Document:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/applied_documents.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/applied_documents.py
@@ -7,9 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
-from gypsumvane_core.messages import DocumentCopy
+from gypsumvane_core.messages import Document
 from gypsumvane_core.messages import DocumentRevision
 
 if TYPE_CHECKING:
@@ -101,29 +100,3 @@
     def _count(self, counter: str, *, source: str) -> None:
         if self.metrics is not None:
             self.metrics.count(counter, source=source)
-
-
-def copy_of(document: Document) -> DocumentCopy:
-    """Return the message form of a document."""
-    return DocumentCopy(
-        name=document.name,
-        revision=document.revision,
-        change_id=document.change_id,
-        author=document.author,
-        reason=document.reason,
-        accepted_unix_ms=document.accepted_unix_ms,
-        body=document.body,
-    )
-
-
-def document_of(copy: DocumentCopy) -> Document:
-    """Return the document of its message form."""
-    return Document(
-        name=copy.name,
-        revision=copy.revision,
-        change_id=copy.change_id,
-        author=copy.author,
-        reason=copy.reason,
-        accepted_unix_ms=copy.accepted_unix_ms,
-        body=copy.body,
-    )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_replies.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_replies.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from gypsumvane_core.outcome import Outcome
+    from gypsumvane_core.query_answer import Answer
     from gypsumvane_core.query_answer import Coverage
     from gypsumvane_core.query_answer import LookupAnswer
     from gypsumvane_core.query_answer import SearchAnswer
@@ -79,35 +80,18 @@
 
 def search_reply(answer: SearchAnswer) -> web.Response:
     """Return the answer of a search."""
-    if answer.reason is not None:
-        return _unanswered_reply(answer)
-    return json_reply(
-        {
-            "outcome": answer.outcome,
-            "verdict": answer.verdict,
-            "request_id": answer.request_id,
-            "snapshot": answer.snapshot,
-            "coverage": _coverage(answer.coverage),
-            "hits": answer.hits,
-            "total": answer.total,
-        }
+    return _answer_reply(
+        answer,
+        coverage=_coverage(answer.coverage),
+        hits=answer.hits,
+        total=answer.total,
     )
 
 
 def lookup_reply(answer: LookupAnswer) -> web.Response:
     """Return the answer of a lookup."""
-    if answer.reason is not None:
-        return _unanswered_reply(answer)
-    return json_reply(
-        {
-            "outcome": answer.outcome,
-            "verdict": answer.verdict,
-            "request_id": answer.request_id,
-            "snapshot": answer.snapshot,
-            "service": answer.service,
-            "found": answer.found,
-            "record": answer.record,
-        }
+    return _answer_reply(
+        answer, service=answer.service, found=answer.found, record=answer.record
     )
 
 
@@ -150,14 +134,23 @@
     )
 
 
-def _unanswered_reply(answer: SearchAnswer | LookupAnswer) -> web.Response:
-    assert answer.reason is not None
-    return error_reply(
-        request_id=answer.request_id,
-        reason=answer.reason,
-        message=answer.message,
-        verdict=answer.verdict,
-        outcome=answer.outcome,
+def _answer_reply(answer: Answer, **content: Any) -> web.Response:
+    if answer.reason is not None:
+        return error_reply(
+            request_id=answer.request_id,
+            reason=answer.reason,
+            message=answer.message,
+            verdict=answer.verdict,
+            outcome=answer.outcome,
+        )
+    return json_reply(
+        {
+            "outcome": answer.outcome,
+            "verdict": answer.verdict,
+            "request_id": answer.request_id,
+            "snapshot": answer.snapshot,
+            **content,
+        }
     )
 
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_routes.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
@@ -15,6 +16,7 @@
 from gypsumvane_core.messages import BookingRequest
 from gypsumvane_core.outcome import Completed
 from gypsumvane_core.priority import Priority
+from gypsumvane_core.query_answer import Answer
 from gypsumvane_core.query_answer import AnswerOutcome
 from gypsumvane_core.query_request import LookupRequest
 from gypsumvane_core.query_request import SearchRequest
@@ -33,6 +35,9 @@
 from gypsumvane_daemon.caller_replies import search_reply
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from gypsumvane_core.clock import Clock
     from gypsumvane_daemon.caller_headers import CallerHeaders
     from gypsumvane_daemon.caller_ports import AdmissionPort
@@ -44,6 +49,7 @@
 
 REQUEST_ID_KEY = web.RequestKey("request_id", str)
 BodyType = TypeVar("BodyType", bound=BaseModel)
+AnswerType = TypeVar("AnswerType", bound=Answer)
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,43 +86,44 @@
         """Search all services of an index."""
         call = await self._read(request)
         body = parse_body(SearchBody, call.body)
-        ticket = await self._admit(call, Priority.SEARCH)
-        in_time = False
-        try:
-            answer = await self._links.gateway.search(
-                SearchRequest(
-                    request_id=call.request_id,
-                    index=call.index,
-                    query=body.query,
-                    deadline_s=call.deadline_s,
-                    limit=body.limit,
-                    offset=body.offset,
-                    caller_id=call.headers.caller_id,
-                )
-            )
-            in_time = self._is_in_time(call, answer.outcome)
-            return search_reply(answer)
-        finally:
-            ticket.finish(in_time)
+        search = SearchRequest(
+            request_id=call.request_id,
+            index=call.index,
+            query=body.query,
+            deadline_s=call.deadline_s,
+            limit=body.limit,
+            offset=body.offset,
+            caller_id=call.headers.caller_id,
+        )
+        ask = partial(self._links.gateway.search, search)
+        return search_reply(await self._ask(call, Priority.SEARCH, ask))
 
     async def lookup(self, request: web.Request) -> web.Response:
         """Look a key up in its service."""
         call = await self._read(request)
         body = parse_body(LookupBody, call.body)
-        ticket = await self._admit(call, Priority.LOOKUP)
+        lookup = LookupRequest(
+            request_id=call.request_id,
+            index=call.index,
+            key=body.key,
+            deadline_s=call.deadline_s,
+            caller_id=call.headers.caller_id,
+        )
+        ask = partial(self._links.gateway.lookup, lookup)
+        return lookup_reply(await self._ask(call, Priority.LOOKUP, ask))
+
+    async def _ask(
+        self,
+        call: _Call,
+        priority: Priority,
+        ask: Callable[[], Awaitable[AnswerType]],
+    ) -> AnswerType:
+        ticket = await self._admit(call, priority)
         in_time = False
         try:
-            answer = await self._links.gateway.lookup(
-                LookupRequest(
-                    request_id=call.request_id,
-                    index=call.index,
-                    key=body.key,
-                    deadline_s=call.deadline_s,
-                    caller_id=call.headers.caller_id,
-                )
-            )
+            answer = await ask()
             in_time = self._is_in_time(call, answer.outcome)
-            return lookup_reply(answer)
+            return answer
         finally:
             ticket.finish(in_time)
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_service.py
@@ -31,8 +31,8 @@
     from random import Random
 
     from gypsumvane_core.clock import Clock
-    from gypsumvane_core.document import Document
     from gypsumvane_core.document import DocumentCatalogue
+    from gypsumvane_core.messages import Document
     from gypsumvane_core.messages import Heartbeat
     from gypsumvane_core.stored_document import RecentChange
     from gypsumvane_daemon.applied_documents import InForce
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_spread.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_spread.py
@@ -6,14 +6,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from gypsumvane_core.messages import DocumentCopy
+from gypsumvane_core.messages import Document
 from gypsumvane_core.messages import DocumentPush
 from gypsumvane_core.messages import DocumentPushReply
 from gypsumvane_core.messages import DocumentRevision
 from gypsumvane_core.messages import DocumentsReply
 from gypsumvane_core.messages import DocumentsRequest
-from gypsumvane_daemon.applied_documents import copy_of
-from gypsumvane_daemon.applied_documents import document_of
 from gypsumvane_daemon.peer_codec import FrameError
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
@@ -21,7 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from gypsumvane_core.document import Document
     from gypsumvane_daemon.applied_documents import AppliedDocuments
     from gypsumvane_daemon.peer_network import PeerContext
 
@@ -59,12 +56,12 @@
 
     async def push(self, document: Document, peer_ids: list[str]) -> list[PeerRevision]:
         """Send a document to peers and return what each has in force."""
-        return await self._ask(copy_of(document), peer_ids)
+        return await self._ask(document, peer_ids)
 
     async def in_force(self, name: str, peer_ids: list[str]) -> list[PeerRevision]:
         """Ask peers which revision they have in force."""
         # Revision 0 is never newer, so this push only asks.
-        return await self._ask(DocumentCopy(name=name), peer_ids)
+        return await self._ask(Document(name=name), peer_ids)
 
     async def fetch(self, peer_id: str) -> FetchResult:
         """Apply all documents that a peer has newer."""
@@ -75,7 +72,7 @@
             if reply is None:
                 return FetchResult(answered=False, peer_ready=False)
             for copy in reply.documents:
-                self._applied.apply(document_of(copy), source="peer")
+                self._applied.apply(copy, source="peer")
                 seen[copy.name] = max(copy.revision, seen.get(copy.name, 0))
             if not reply.more or not reply.documents:
                 return FetchResult(answered=True, peer_ready=reply.ready)
@@ -103,10 +100,10 @@
             return None
         return reply if isinstance(reply, DocumentsReply) else None
 
-    async def _ask(self, copy: DocumentCopy, peer_ids: list[str]) -> list[PeerRevision]:
+    async def _ask(self, copy: Document, peer_ids: list[str]) -> list[PeerRevision]:
         return await asyncio.gather(*(self._ask_one(copy, p) for p in peer_ids))
 
-    async def _ask_one(self, copy: DocumentCopy, peer_id: str) -> PeerRevision:
+    async def _ask_one(self, copy: Document, peer_id: str) -> PeerRevision:
         hello = self._peers.hello_of(peer_id)
         vm_id = peer_id if hello is None else hello.vm_id
         push = DocumentPush(documents=[copy])
@@ -127,7 +124,7 @@
     ) -> DocumentPushReply:
         for copy in push.documents:
             if copy.revision > 0:
-                self._applied.apply(document_of(copy), source="peer")
+                self._applied.apply(copy, source="peer")
         names = [copy.name for copy in push.documents]
         return DocumentPushReply(known=self._applied.report(names))
 
@@ -142,5 +139,5 @@
             if reply.documents and size_bytes > REPLY_BYTES_MAX:
                 reply.more = True
                 break
-            reply.documents.append(copy_of(document))
+            reply.documents.append(document)
         return reply
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/document_submission.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from gypsumvane_core.document import Document
 from gypsumvane_core.document import parse_body
 from gypsumvane_core.document_change import ChangeAccepted
 from gypsumvane_core.document_change import ChangeConflict
@@ -14,6 +13,7 @@
 from gypsumvane_core.document_change import ChangeUnavailable
 from gypsumvane_core.document_change import ChangeUnknown
 from gypsumvane_core.document_edits import check_successor
+from gypsumvane_core.messages import Document
 from gypsumvane_core.stored_document import BODY_BYTES_MAX
 from gypsumvane_core.stored_document import StoredDocument
 from gypsumvane_core.stored_document import decode_stored
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_answers.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_answers.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from gypsumvane_core.document import Document
+    from gypsumvane_core.messages import Document
     from gypsumvane_daemon.applied_documents import InForce
     from gypsumvane_daemon.document_spread import PeerRevision
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -96,7 +96,7 @@
   inForceSinceUnixMs @3 :Int64;
 }
 
-struct DocumentCopy {
+struct Document {
   name @0 :Text;
   revision @1 :Int64;
   changeId @2 :Text;
@@ -111,13 +111,13 @@
 }
 
 struct DocumentsReply {
-  documents @0 :List(DocumentCopy);
+  documents @0 :List(Document);
   ready @1 :Bool;
   more @2 :Bool;
 }
 
 struct DocumentPush {
-  documents @0 :List(DocumentCopy);
+  documents @0 :List(Document);
 }
 
 struct DocumentPushReply {
--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -13,10 +13,10 @@
 from typing import Any
 
 from gypsumvane_core.clock import Clock
-from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
 from gypsumvane_core.messages import BookingReply
 from gypsumvane_core.messages import BookingRequest
+from gypsumvane_core.messages import Document
 from gypsumvane_core.messages import Hello
 from gypsumvane_core.messages import LeafRunReply
 from gypsumvane_core.messages import LeafRunRequest
--- a/packages/gypsumvane-daemon/tests/gateway_fakes.py
+++ b/packages/gypsumvane-daemon/tests/gateway_fakes.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from gypsumvane_core.clock import SystemClock
-from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
 from gypsumvane_core.messages import Cancel
+from gypsumvane_core.messages import Document
 from gypsumvane_core.messages import PartialBatch
 from gypsumvane_core.messages import PartialRequest
 from gypsumvane_core.messages import PartialResult
--- a/packages/gypsumvane-daemon/tests/move_fleet.py
+++ b/packages/gypsumvane-daemon/tests/move_fleet.py
@@ -12,7 +12,6 @@
 from booking_fleet import LoopClock
 from booking_fleet import World
 from booking_fleet import settings_of
-from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
 from gypsumvane_core.document_change import ChangeAccepted
 from gypsumvane_core.document_change import ChangeConflict
@@ -21,6 +20,7 @@
 from gypsumvane_core.document_change import DocumentChange
 from gypsumvane_core.document_models import MoveDocument
 from gypsumvane_core.document_models import MoveState
+from gypsumvane_core.messages import Document
 from gypsumvane_core.messages import Heartbeat
 from gypsumvane_core.messages import Member
 from gypsumvane_daemon.identity import DaemonIdentity
--- a/packages/gypsumvane-daemon/tests/test_daemon_document_machine.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_document_machine.py
@@ -33,7 +33,6 @@
 from gypsumvane_core.messages import DocumentPush
 from gypsumvane_core.stored_document import StoredDocument
 from gypsumvane_core.stored_document import decode_stored
-from gypsumvane_daemon.applied_documents import copy_of
 from gypsumvane_daemon.peer_network import PeerError
 
 if TYPE_CHECKING:
@@ -236,7 +235,7 @@
         if not written:
             return
         document = written[choice % len(written)].document()
-        push = DocumentPush(documents=[copy_of(document)])
+        push = DocumentPush(documents=[document])
         sender = self.daemons[(vm + 1) % len(self.daemons)]
 
         async def work() -> None:
--- a/packages/gypsumvane-daemon/tests/upstream_fakes.py
+++ b/packages/gypsumvane-daemon/tests/upstream_fakes.py
@@ -10,8 +10,8 @@
 
 from aiohttp import web
 
-from gypsumvane_core.document import Document
 from gypsumvane_core.document import DocumentCatalogue
+from gypsumvane_core.messages import Document
 from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.settings import Settings
