--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/address_book.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/address_book.py
@@ -33,13 +33,17 @@
         self._clock = clock
         self._addresses = list(first_addresses)
         self._expires_s = 0.0
+        self._refreshing = False
 
     async def addresses(self) -> list[str]:
         """Return the addresses in the order in which to try them."""
-        if self._clock() >= self._expires_s:
-            # Other requests use the old list while the new one is fetched.
-            self._expires_s = self._clock() + RETRY_S
-            await self._refresh()
+        # Other requests use the old list while the new one is fetched.
+        if not self._refreshing and self._clock() >= self._expires_s:
+            self._refreshing = True
+            try:
+                await self._refresh()
+            finally:
+                self._refreshing = False
         return self._addresses
 
     async def _refresh(self) -> None:
@@ -49,6 +53,7 @@
                 self._addresses = list(values["addresses"])
                 self._expires_s = self._clock() + float(values["keep_s"])
                 return
+        self._expires_s = self._clock() + RETRY_S
 
     async def _ask(self, address: str) -> dict[str, Any] | None:
         url = f"http://{address}/v1/entry-addresses"
