--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_status.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_status.py
@@ -8,6 +8,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.reason import Reason
 from gypsumvane_core.upstream_state import UpstreamState
 from gypsumvane_core.upstream_trust import StatusReport
 from gypsumvane_daemon.upstream_client import LeafCallError
@@ -78,6 +79,10 @@
         try:
             answer = await self._state.client.status()
         except LeafCallError as error:
+            if error.foreign:
+                reason = Reason.ANSWER_MISMATCH.value
+                self._links.count("leaf_answers_dropped", reason=reason)
+                return
             self._failures += 1
             # A full upstream may be late with its status; a closed connection
             # is an outage.
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/daemon_killed.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/daemon_killed.py
@@ -8,6 +8,8 @@
 
 from gypsumvane_devtools.measure.experiment import Experiment
 from gypsumvane_devtools.measure.figures import at_most
+from gypsumvane_devtools.measure.load_helpers import COMPLETE_SERIES
+from gypsumvane_devtools.measure.load_helpers import complete_by_second
 from gypsumvane_devtools.measure.load_helpers import highest_counter
 from gypsumvane_devtools.measure.load_helpers import loaded
 from gypsumvane_devtools.measure.load_helpers import search_plan
@@ -58,6 +60,7 @@
                 await asyncio.sleep(KILL_AFTER_S)
                 await cluster.kill_daemon(3, vm_lost=variant == VM_LOST)
             result = running.result()
+            self.series[COMPLETE_SERIES] = complete_by_second(result)
             values = {
                 "running_max": await highest_counter(cluster, "running_max"),
                 "connections_max": await highest_counter(cluster, "connections_max"),
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/load_helpers.py
@@ -22,6 +22,7 @@
     from gypsumvane_devtools.load_result import LoadResult
 
 INDEX = "stock"
+COMPLETE_SERIES = "complete answers in time, share of each second"
 # Experiments whose subject is not cold starts use leaves that start warm, and
 # this policy lets the daemons trust them after a few answers.
 WARM_POLICY = {"warm_good_answers": 2, "cold_spacing_ms": 5}
@@ -101,6 +102,14 @@
         running.cancel()
 
 
+def complete_by_second(result: LoadResult) -> list[float]:
+    """Return the share of complete answers in time for each second of a run."""
+    return [
+        second.complete_in_time / second.offered if second.offered else 1.0
+        for second in result.seconds
+    ]
+
+
 async def busiest_leaf(cluster: Cluster) -> str:
     """Return the leaf that has received the most requests."""
     counters = await cluster.upstreams.counters(index=INDEX)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/proxy_rules.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/proxy_rules.py
@@ -23,6 +23,12 @@
     CUT_AFTER = "cut_after"
     LOSE_ANSWER = "lose_answer"
     HOLD_ANSWERS = "hold_answers"
+    # Delivers an answer twice, the second time after `delay_ms`.
+    REPEAT = "repeat"
+    # Exchanges an answer with the next one on the same connection.
+    SWAP = "swap"
+    # Delivers the link's previous answer, of any connection, instead.
+    FOREIGN = "foreign"
     HALF_OPEN = "half_open"
     SLOW_BYTES = "slow_bytes"
     REFUSE = "refuse"
--- a/packages/gypsumvane-devtools/tests/test_devtools_proxy.py
+++ b/packages/gypsumvane-devtools/tests/test_devtools_proxy.py
@@ -99,6 +99,25 @@
         await self.link.release(crossed=True)
         self.assertEqual(await reader.readexactly(14), frame(b"two") + frame(b"one"))
 
+    async def test_wrong_answers(self) -> None:
+        """Guard against wrong answers that are not delivered or not counted."""
+        reader, writer = await self.connect()
+
+        async def check(kind: str, sent: bytes, received: bytes) -> None:
+            self.add(kind=kind, count=1)
+            writer.write(sent)
+            self.assertEqual(await reader.readexactly(len(received)), received)
+
+        await check("repeat", b"one", b"oneone")
+        await check("foreign", b"two", b"two")
+        await check("foreign", b"three", b"two")
+        self.link.framing = Framing.FRAMES
+        reader, writer = await self.connect()
+        self.add(kind="swap", count=1)
+        one, two = frame(b"one"), frame(b"two")
+        await check("swap", one + two, two + one)
+        self.assertEqual((self.link.wrong_answers, self.link.after_wrong_max), (4, 2))
+
     async def test_half_open_swallows_bytes(self) -> None:
         """Guard against a half-open connection that still delivers."""
         reader, writer = await self.connect()
