Split the membership service into modules with one job each

Change: heartbeats (heartbeat_exchange.py), views between daemons (view_exchange.py), joining (view_join.py), the write loop (view_writer.py), release of leaves (leaf_release.py), confirmation and the store watcher's role (confirmation_watch.py), entry addresses (entry_listing.py) and the signals between them (membership_signals.py). MembershipService builds them and answers other services; listed_while_leaving and last_listed_s are in EntryListing.

--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/confirmation_watch.py
@@ -0,0 +1,67 @@
+"""Changes of the confirmation, of homes and of the store watcher's role."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.assignment import rank
+
+if TYPE_CHECKING:
+    from gypsumvane_core.membership import MembershipState
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.membership_ports import StorePort
+    from gypsumvane_daemon.membership_signals import MembershipSignals
+    from gypsumvane_daemon.metrics import MetricsService
+
+logger = logging.getLogger(__name__)
+
+
+class ConfirmationWatch:
+    """Announce what changes with time and choose whether to watch the store."""
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        state: MembershipState,
+        *,
+        store: StorePort,
+        metrics: MetricsService,
+        signals: MembershipSignals,
+    ) -> None:
+        self._identity = identity
+        self._interval_s = identity.settings.membership.heartbeat_interval_ms / 1000
+        self._state = state
+        self._store = store
+        self._metrics = metrics
+        self._signals = signals
+        self._confirmed = False
+
+    async def run(self) -> None:
+        """Look twice per heartbeat interval."""
+        while True:
+            self._store.set_watching(self._should_watch())
+            if self._state.take_home_change():
+                self._signals.changed()
+            self.note()
+            await asyncio.sleep(self._interval_s / 2)
+
+    def note(self) -> None:
+        """Announce a change of the confirmation."""
+        confirmed = self._state.confirmed()
+        if confirmed != self._confirmed:
+            self._confirmed = confirmed
+            self._metrics.count("confirmation_changes", confirmed=str(confirmed))
+            logger.info("confirmation changed", extra={"confirmed": confirmed})
+            self._signals.changed()
+
+    def _should_watch(self) -> bool:
+        own = self._identity
+        domain = [
+            m.vm_id
+            for m in self._state.live_members()
+            if m.failure_domain == own.failure_domain and not self._state.suspected(m)
+        ]
+        watchers = own.settings.platform.store_watchers_per_domain
+        return own.vm_id in rank("store-watchers", domain)[:watchers]
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/heartbeat_exchange.py
@@ -0,0 +1,200 @@
+"""Heartbeats: one task per peer, and the answers to those of peers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.messages import Heartbeat
+from gypsumvane_core.messages import HeartbeatReply
+from gypsumvane_daemon.peer_network import PeerError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from gypsumvane_core.membership import MembershipState
+    from gypsumvane_core.messages import Member
+    from gypsumvane_daemon.confirmation_watch import ConfirmationWatch
+    from gypsumvane_daemon.identity import DaemonIdentity
+    from gypsumvane_daemon.membership_ports import HeartbeatContributor
+    from gypsumvane_daemon.membership_signals import MembershipSignals
+    from gypsumvane_daemon.metrics import MetricsService
+    from gypsumvane_daemon.peer_network import PeerContext
+    from gypsumvane_daemon.peer_network import PeerNetwork
+    from gypsumvane_daemon.view_exchange import ViewExchange
+
+logger = logging.getLogger(__name__)
+
+# Bounds the last round of heartbeats.
+FAREWELL_TIMEOUT_S = 1.0
+
+
+class HeartbeatExchange:
+    """Exchange heartbeats with every other member."""
+
+    def __init__(
+        self,
+        identity: DaemonIdentity,
+        state: MembershipState,
+        *,
+        network: PeerNetwork,
+        metrics: MetricsService,
+        signals: MembershipSignals,
+        views: ViewExchange,
+        confirmation: ConfirmationWatch,
+        contributors: Iterable[HeartbeatContributor],
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._identity = identity
+        self._seeds = identity.settings.membership.seed_addresses
+        self._interval_s = identity.settings.membership.heartbeat_interval_ms / 1000
+        self._state = state
+        self._network = network
+        self._metrics = metrics
+        self._signals = signals
+        self._views = views
+        self._confirmation = confirmation
+        self._contributors = contributors
+        self._is_ready = is_ready
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._kicks: dict[str, asyncio.Event] = {}
+        network.register(Heartbeat, self._on_heartbeat)
+
+    async def run(self) -> None:
+        """Keep one connection and one task for each peer of the view."""
+        while True:
+            await self._signals.peers.wait()
+            self._signals.peers.clear()
+            addresses = self._peer_addresses()
+            await self._network.set_peers(addresses)
+            for vm_id in set(self._tasks) - set(addresses):
+                self._tasks.pop(vm_id).cancel()
+                self._kicks.pop(vm_id, None)
+            for vm_id in set(addresses) - set(self._tasks):
+                self._kicks[vm_id] = asyncio.Event()
+                self._tasks[vm_id] = asyncio.create_task(
+                    self._beat(vm_id), name=f"heartbeat-{vm_id}"
+                )
+
+    async def close(self) -> None:
+        """End the tasks of all peers."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    def kick(self) -> None:
+        """Send the next heartbeat to every peer now."""
+        for kick in self._kicks.values():
+            kick.set()
+
+    async def farewell(self) -> None:
+        """Send a last heartbeat to every peer."""
+        rounds = [self._exchange(vm_id) for vm_id in self._network.peer_ids()]
+        async with asyncio.timeout(FAREWELL_TIMEOUT_S):
+            await asyncio.gather(*rounds, return_exceptions=True)
+
+    def note_gone(self, count: int, source: str) -> None:
+        """Announce new gone facts."""
+        if count:
+            self._metrics.count("gone_incarnations", count, source=source)
+            logger.info("incarnations are gone", extra={"count": count})
+            self._signals.writer.set()
+            self.kick()
+            self._signals.changed()
+
+    def _peer_addresses(self) -> dict[str, str]:
+        view = self._state.view
+        others: Iterable[Member] = []
+        if view is not None:
+            others = view.others(self._identity.incarnation)
+        known = {
+            m.vm_id: m.peer_address
+            for m in others
+            if m.vm_id != self._identity.vm_id and m.peer_address
+        }
+        if self._state.is_member():
+            return known
+        seeds = {
+            f"seed:{address}": address
+            for address in self._seeds
+            if address not in known.values() and address != self._identity.peer_address
+        }
+        return known | seeds
+
+    async def _beat(self, vm_id: str) -> None:
+        kick = self._kicks[vm_id]
+        while True:
+            kick.clear()
+            await self._exchange(vm_id)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s):
+                    await kick.wait()
+
+    async def _exchange(self, vm_id: str) -> None:
+        sent_at_s = self._state.clock.monotonic_s()
+        heartbeat = Heartbeat(
+            ready=self._is_ready(), **self._state.heartbeat(reply=False)
+        )
+        for contributor in self._contributors:
+            contributor.contribute(heartbeat, vm_id)
+        try:
+            reply = await self._network.request(
+                vm_id, heartbeat, timeout_s=2 * self._interval_s
+            )
+        except PeerError:
+            self._note_silence(vm_id, sent_at_s)
+            return
+        if isinstance(reply, HeartbeatReply):
+            await self._take_reply(vm_id, reply, sent_at_s)
+
+    def _note_silence(self, vm_id: str, sent_at_s: float) -> None:
+        self._metrics.count("heartbeats_unanswered")
+        view = self._state.view
+        for member in view.others(self._identity.incarnation) if view else ():
+            if member.vm_id == vm_id:
+                self._state.suspicion.note_failure(member.incarnation, sent_at_s)
+                if self._state.suspected(member):
+                    self._network.reset(vm_id)
+
+    async def _take_reply(
+        self, vm_id: str, reply: HeartbeatReply, sent_at_s: float
+    ) -> None:
+        known_gone = len(self._state.gone.known_at_s)
+        hello = self._network.hello_of(vm_id)
+        sender = vm_id if hello is None else hello.vm_id
+        self._state.receive_reply(sender, reply, sent_at_s=sent_at_s)
+        self._after_heartbeat(reply, sender, known_gone)
+        if reply.epoch > self._state.epoch:
+            try:
+                await self._views.request(vm_id)
+            except PeerError:
+                self._metrics.count("view_requests_lost")
+        elif reply.epoch < self._state.epoch:
+            self._views.push(vm_id)
+
+    async def _on_heartbeat(
+        self, heartbeat: Heartbeat, context: PeerContext
+    ) -> HeartbeatReply:
+        known_gone = len(self._state.gone.known_at_s)
+        sender = context.hello.vm_id
+        self._state.receive(heartbeat)
+        self._after_heartbeat(heartbeat, sender, known_gone)
+        reply = HeartbeatReply(
+            ready=self._is_ready(), **self._state.heartbeat(reply=True)
+        )
+        for contributor in self._contributors:
+            contributor.contribute(reply, sender)
+        return reply
+
+    def _after_heartbeat(
+        self, heartbeat: Heartbeat, vm_id: str, known_gone: int
+    ) -> None:
+        for contributor in self._contributors:
+            contributor.receive(heartbeat, vm_id)
+        self.note_gone(len(self._state.gone.known_at_s) - known_gone, "heartbeat")
+        self._confirmation.note()
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_release.py
@@ -0,0 +1,45 @@
+"""Release of leaves that have another home now."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.membership import MembershipState
+    from gypsumvane_daemon.membership_signals import MembershipSignals
+
+RELEASE_POLL_S = 0.02
+
+
+class LeafRelease:
+    """Acknowledge an epoch once the leaves given up with it were idle."""
+
+    def __init__(
+        self,
+        state: MembershipState,
+        *,
+        signals: MembershipSignals,
+        is_idle: Callable[[str], bool],
+        on_acknowledged: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._signals = signals
+        self._is_idle = is_idle
+        self._on_acknowledged = on_acknowledged
+
+    async def run(self) -> None:
+        """Follow the views."""
+        while True:
+            await self._signals.release.wait()
+            self._signals.release.clear()
+            while self._state.view is not None:
+                leaves = self._state.leaves_to_release()
+                idle = [leaf for leaf in leaves if self._is_idle(leaf)]
+                if self._state.acknowledge(idle):
+                    self._on_acknowledged()
+                if self._state.acknowledged_epoch == self._state.epoch:
+                    break
+                await asyncio.sleep(RELEASE_POLL_S)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
@@ -112,11 +112,11 @@
         keep_s = settings.entry.keep_ms / 1000
         announce_ms = ANNOUNCE_INTERVALS * settings.membership.heartbeat_interval_ms
         unlisted_s = self._clock.monotonic_s() + announce_ms / 1000
-        membership = self._membership
+        entries = self._membership.entries
 
         def kept_by_no_caller() -> bool:
-            membership.listed_while_leaving = not self._may_stop_serving()
-            listed_s = max(unlisted_s, membership.last_listed_s)
+            entries.listed_while_leaving = not self._may_stop_serving()
+            listed_s = max(unlisted_s, entries.last_listed_s)
             return self._clock.monotonic_s() >= listed_s + keep_s
 
         await self._wait_until(lambda: kept_by_no_caller() and self._may_stop_serving())
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_signals.py
@@ -0,0 +1,57 @@
+"""Signals between the parts of the membership of one daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class MembershipSignals:
+    """Wake the loops of the membership and tell listeners about changes."""
+
+    def __init__(self) -> None:
+        # The set of peers may differ from the view.
+        self.peers = asyncio.Event()
+        # The view may have to be written.
+        self.writer = asyncio.Event()
+        # A new view may take leaves from this daemon.
+        self.release = asyncio.Event()
+        self._listeners: list[Callable[[], None]] = []
+        self._changed = asyncio.Condition()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call the listener after each change of members or homes."""
+        self._listeners.append(listener)
+
+    def changed(self) -> None:
+        """Tell the listeners and all that wait for a change."""
+        for listener in self._listeners:
+            listener()
+        task = asyncio.create_task(self._notify())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def wait_until(
+        self, condition: Callable[[], bool], *, timeout_s: float
+    ) -> None:
+        """Wait for a change that makes the condition true.
+
+        Raises TimeoutError.
+        """
+        async with asyncio.timeout(timeout_s), self._changed:
+            await self._changed.wait_for(condition)
+
+    async def close(self) -> None:
+        """End all tasks."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
