Leave out of heartbeats what the peer already has

Cause: every heartbeat carried the incarnation, the document digest, gone facts, move facts and evidence, which rarely change.

Change: Beat is the short form of a heartbeat. Both ends of a connection keep the last heartbeat of each direction; a field as before is left out and marked. Frames of a connection arrive in order or the connection ends, and a heartbeat counts as sent only once it is written, so both ends agree; a new connection begins with a whole heartbeat. Epoch, acknowledged epoch, age of the confirmation, promise and settlement are part of every heartbeat: freshness is never taken from an earlier one. Peers of protocol version 1 get plain heartbeats.

--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/heartbeat_delta.py
@@ -0,0 +1,95 @@
+"""Short forms of heartbeats: what the peer already has is left out.
+
+Both ends keep the last heartbeat of one direction of one connection. Frames
+of a connection arrive in order or the connection ends, so that both ends have
+the same one; a new connection begins with a whole heartbeat. What confirms a
+view (epoch, acknowledgement, age of the confirmation, promise) is part of
+every short form.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gypsumvane_core.messages import Beat
+from gypsumvane_core.messages import BeatReply
+from gypsumvane_core.messages import Heartbeat
+from gypsumvane_core.messages import HeartbeatReply
+
+# Their order gives the bits of Beat.unchanged.
+KEPT_FIELDS = ("incarnation", "document_digest", "gone", "move_facts", "evidence")
+AGE_MS_MAX = (1 << 32) - 1
+
+
+class HeartbeatShortener:
+    """Shorten the heartbeats that are sent on one connection."""
+
+    def __init__(self) -> None:
+        self._sent: Heartbeat | None = None
+
+    def shorten(self, heartbeat: Heartbeat) -> Beat:
+        """Return the short form; ``note`` follows once it is written."""
+        sent = self._sent
+        cls = BeatReply if isinstance(heartbeat, HeartbeatReply) else Beat
+        beat = cls(
+            epoch=heartbeat.epoch,
+            acknowledged_epoch=heartbeat.acknowledged_epoch,
+            store_confirmed=heartbeat.confirmation_age_ms >= 0,
+            confirmation_age_ms=_bounded(heartbeat.confirmation_age_ms),
+            leaving=heartbeat.leaving_for_ms >= 0,
+            leaving_for_ms=_bounded(heartbeat.leaving_for_ms),
+            promise=heartbeat.promise,
+            ready=heartbeat.ready,
+            settled=heartbeat.settled,
+            briefs=heartbeat.briefs,
+        )
+        for bit, name in enumerate(KEPT_FIELDS):
+            value = getattr(heartbeat, name)
+            if sent is not None and getattr(sent, name) == value:
+                beat.unchanged |= 1 << bit
+            else:
+                setattr(beat, name, value)
+        return beat
+
+    def note(self, heartbeat: Heartbeat) -> None:
+        """Remember a heartbeat that was written to the connection."""
+        self._sent = heartbeat
+
+
+class HeartbeatCompleter:
+    """Complete the short forms that are received on one connection."""
+
+    def __init__(self) -> None:
+        self._received: Heartbeat | None = None
+
+    def complete(self, beat: Beat) -> Heartbeat:
+        """Return the whole heartbeat.
+
+        Raises ValueError when it leaves out what was never received.
+        """
+        received = self._received
+        if received is None and beat.unchanged:
+            raise ValueError("the first heartbeat of a connection is not whole")
+        kept: dict[str, Any] = {
+            name: getattr(received if beat.unchanged >> bit & 1 else beat, name)
+            for bit, name in enumerate(KEPT_FIELDS)
+        }
+        cls = HeartbeatReply if isinstance(beat, BeatReply) else Heartbeat
+        self._received = cls(
+            epoch=beat.epoch,
+            acknowledged_epoch=beat.acknowledged_epoch,
+            confirmation_age_ms=beat.confirmation_age_ms
+            if beat.store_confirmed
+            else -1,
+            promise=beat.promise,
+            leaving_for_ms=beat.leaving_for_ms if beat.leaving else -1,
+            ready=beat.ready,
+            settled=beat.settled,
+            briefs=beat.briefs,
+            **kept,
+        )
+        return self._received
+
+
+def _bounded(age_ms: int) -> int:
+    return min(max(age_ms, 0), AGE_MS_MAX)
--- a/packages/gypsumvane-core/src/gypsumvane_core/messages.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/messages.py
@@ -84,6 +84,35 @@
     """Answer a heartbeat."""
 
 
+@dataclass(slots=True)
+class Beat:
+    """Carry a heartbeat without what the peer already has."""
+
+    epoch: int = 0
+    acknowledged_epoch: int = 0
+    confirmation_age_ms: int = 0
+    leaving_for_ms: int = 0
+    promise: bool = False
+    ready: bool = False
+    settled: bool = False
+    # Whether confirmation_age_ms and leaving_for_ms are set.
+    store_confirmed: bool = False
+    leaving: bool = False
+    # One bit for each field that is as in the heartbeat before.
+    unchanged: int = 0
+    document_digest: int = 0
+    incarnation: str = ""
+    gone: list[str] = field(default_factory=list)
+    move_facts: list[MoveFact] = field(default_factory=list)
+    evidence: list[MoveEvidence] = field(default_factory=list)
+    briefs: list[UpstreamBrief] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class BeatReply(Beat):
+    """Carry the answer to a heartbeat."""
+
+
 @dataclass(slots=True)
 class Member:
     """Describe one daemon of the view."""
@@ -317,6 +346,8 @@
     Hello
     | Heartbeat
     | HeartbeatReply
+    | Beat
+    | BeatReply
     | ViewUpdate
     | ViewRequest
     | JoinRequest
--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_heartbeat_delta.py
@@ -0,0 +1,92 @@
+"""Tests of the short forms of heartbeats."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from gypsumvane_core.heartbeat_delta import KEPT_FIELDS
+from gypsumvane_core.heartbeat_delta import HeartbeatCompleter
+from gypsumvane_core.heartbeat_delta import HeartbeatShortener
+from gypsumvane_core.messages import Beat
+from gypsumvane_core.messages import Heartbeat
+from gypsumvane_core.messages import HeartbeatReply
+from gypsumvane_core.messages import MoveEvidence
+from gypsumvane_core.messages import MoveFact
+from gypsumvane_core.messages import UpstreamBrief
+
+settings.register_profile("heartbeats", derandomize=True, deadline=None)
+SEEDED = settings(settings.get_profile("heartbeats"), max_examples=200)
+
+AGES = st.sampled_from([-1, 0, 1, 500, 1 << 20])
+NAMES = st.sampled_from(["", "a", "b"])
+FIELDS = {
+    "epoch": st.integers(0, 5),
+    "acknowledged_epoch": st.integers(0, 5),
+    "confirmation_age_ms": AGES,
+    "promise": st.booleans(),
+    "document_digest": st.integers(0, 2),
+    "leaving_for_ms": AGES,
+    "ready": st.booleans(),
+    "gone": st.lists(NAMES, max_size=2),
+    "move_facts": st.lists(st.builds(MoveFact, move_id=NAMES), max_size=2),
+    "evidence": st.lists(st.builds(MoveEvidence, old_answers=AGES), max_size=2),
+    "briefs": st.lists(st.builds(UpstreamBrief, leaf_id=NAMES), max_size=2),
+    "incarnation": NAMES,
+    "settled": st.booleans(),
+}
+HEARTBEATS = st.builds(Heartbeat, **FIELDS) | st.builds(HeartbeatReply, **FIELDS)
+
+
+class HeartbeatDeltaTest(unittest.TestCase):
+    """Check that the receiver gets exactly what was sent."""
+
+    @SEEDED
+    @given(st.lists(st.tuples(HEARTBEATS, st.booleans()), max_size=8))
+    def test_receiver_gets_each_heartbeat_whole(
+        self, sent: list[tuple[Heartbeat, bool]]
+    ) -> None:
+        """Guard against a field that is taken from the wrong heartbeat.
+
+        A heartbeat that could not be written must not count as received.
+        """
+        shortener, completer = HeartbeatShortener(), HeartbeatCompleter()
+        for heartbeat, written in sent:
+            beat = shortener.shorten(heartbeat)
+            if written:
+                shortener.note(heartbeat)
+                self.assertEqual(completer.complete(beat), heartbeat)
+
+    def test_confirmation_is_in_every_heartbeat(self) -> None:
+        """Guard against a confirmation that is taken from an earlier heartbeat."""
+        shortener = HeartbeatShortener()
+        heartbeat = HeartbeatReply(
+            epoch=7,
+            acknowledged_epoch=7,
+            confirmation_age_ms=40,
+            promise=True,
+            settled=True,
+            document_digest=1,
+            gone=["b"],
+            incarnation="a",
+        )
+        shortener.note(heartbeat)
+        beat = shortener.shorten(replace(heartbeat))
+        self.assertEqual(beat.unchanged, (1 << len(KEPT_FIELDS)) - 1)
+        self.assertEqual((beat.gone, beat.incarnation), ([], ""))
+        self.assertEqual((beat.epoch, beat.acknowledged_epoch), (7, 7))
+        self.assertEqual((beat.store_confirmed, beat.confirmation_age_ms), (True, 40))
+        self.assertTrue(beat.promise and beat.settled)
+
+    def test_first_heartbeat_of_a_connection_must_be_whole(self) -> None:
+        """Guard against a heartbeat whose sender is taken as unnamed."""
+        with self.assertRaises(ValueError):
+            HeartbeatCompleter().complete(Beat(epoch=3, unchanged=1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -57,6 +57,25 @@
   settled @12 :Bool;
 }
 
+struct Beat {
+  epoch @0 :UInt32;
+  acknowledgedEpoch @1 :UInt32;
+  confirmationAgeMs @2 :UInt32;
+  leavingForMs @3 :UInt32;
+  promise @4 :Bool;
+  ready @5 :Bool;
+  settled @6 :Bool;
+  storeConfirmed @7 :Bool;
+  leaving @8 :Bool;
+  unchanged @9 :UInt16;
+  documentDigest @10 :UInt64;
+  incarnation @11 :Text;
+  gone @12 :List(Text);
+  moveFacts @13 :List(MoveFact);
+  evidence @14 :List(MoveEvidence);
+  briefs @15 :List(UpstreamBrief);
+}
+
 struct Member {
   vmId @0 :Text;
   incarnation @1 :Text;
@@ -235,6 +254,8 @@
     leafRunReply @20 :BookingReply;
     claimLeaseRequest @21 :ClaimLeaseRequest;
     claimLeaseReply @22 :ClaimLeaseReply;
+    beat @23 :Beat;
+    beatReply @24 :Beat;
   }
 }
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_codec.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_codec.py
@@ -148,6 +148,7 @@
         raise FrameError(f"frame of {len(data)} bytes exceeds {FRAME_BYTES_MAX}")
     if packed:
         # The bound is that of the unpacked frame, which the receiver must hold.
+        builder.clear_write_flag()
         data = builder.to_bytes_packed()
     prefix = len(data) | PACKED_FLAG if packed else len(data)
     return prefix.to_bytes(LENGTH_BYTES, "little") + data
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -7,10 +7,14 @@
 import logging
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
 
+from gypsumvane_core.heartbeat_delta import HeartbeatCompleter
+from gypsumvane_core.heartbeat_delta import HeartbeatShortener
+from gypsumvane_core.messages import Beat
 from gypsumvane_core.messages import ClaimLeaseReply
 from gypsumvane_core.messages import ClaimLeaseRequest
 from gypsumvane_core.messages import Heartbeat
@@ -43,8 +47,8 @@
 WRITE_BUFFER_BYTES_MAX = 4 << 20
 # Periodic messages are small and mostly zeros; packing a batch of partial
 # results would cost processor time for few bytes.
-PACKED_TYPES = (Heartbeat, ClaimLeaseRequest, ClaimLeaseReply)
-# A peer of an earlier version cannot read packed frames.
+PACKED_TYPES = (Beat, ClaimLeaseRequest, ClaimLeaseReply)
+# A peer of an earlier version cannot read packed frames and short heartbeats.
 PACKING_VERSION = 2
 PROTOCOL_VERSION = 2
 
@@ -93,26 +97,40 @@
     writer: asyncio.StreamWriter
     traffic: _Traffic
     hello: Hello = field(default_factory=Hello)
+    _shortener: HeartbeatShortener = field(default_factory=HeartbeatShortener)
+    _completer: HeartbeatCompleter = field(default_factory=HeartbeatCompleter)
 
     def write(self, frame: Frame) -> None:
-        packed = (
-            isinstance(frame.body, PACKED_TYPES)
-            and self.hello.protocol_version >= PACKING_VERSION
-        )
-        data = encode_frame(frame, packed=packed)
+        heartbeat = frame.body if isinstance(frame.body, Heartbeat) else None
+        data = self._encode(frame)
         transport = self.writer.transport
         if transport.is_closing():
             raise PeerError("connection is closed", sent=False)
         if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES_MAX:
             raise PeerError("peer does not read", sent=False)
         self.writer.write(data)
+        if heartbeat is not None:
+            self._shortener.note(heartbeat)
         self.traffic.frames += 1
         self.traffic.bytes += len(data)
 
-
-async def _read_frame(reader: asyncio.StreamReader) -> Frame:
-    head = decode_head(await reader.readexactly(LENGTH_BYTES))
-    return decode_frame(await reader.readexactly(head.length), packed=head.packed)
+    def _encode(self, frame: Frame) -> bytes:
+        if self.hello.protocol_version < PACKING_VERSION:
+            return encode_frame(frame)
+        if isinstance(frame.body, Heartbeat):
+            frame = replace(frame, body=self._shortener.shorten(frame.body))
+        return encode_frame(frame, packed=isinstance(frame.body, PACKED_TYPES))
+
+    async def read(self, reader: asyncio.StreamReader) -> Frame:
+        head = decode_head(await reader.readexactly(LENGTH_BYTES))
+        data = await reader.readexactly(head.length)
+        frame = decode_frame(data, packed=head.packed)
+        if isinstance(frame.body, Beat):
+            try:
+                frame.body = self._completer.complete(frame.body)
+            except ValueError as error:
+                raise FrameError(str(error)) from error
+        return frame
 
 
 class _Peer:
@@ -144,7 +162,7 @@
         try:
             connection.write(Frame(body=self._network.own_hello()))
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                first = await _read_frame(reader)
+                first = await connection.read(reader)
             if not isinstance(first.body, Hello):
                 raise FrameError("the first frame is not a hello")
             if self.vm_id and first.body.vm_id != self.vm_id:
@@ -153,7 +171,7 @@
             self._network.note_hello(first.body)
             self.connection = connection
             while True:
-                frame = await _read_frame(reader)
+                frame = await connection.read(reader)
                 queue = self._pending.get(frame.in_reply_to)
                 if queue is not None:
                     queue.put_nowait(frame)
@@ -358,7 +376,7 @@
         connection = _Connection(writer=writer, traffic=self.traffic)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                first = await _read_frame(reader)
+                first = await connection.read(reader)
             if not isinstance(first.body, Hello):
                 raise FrameError("the first frame is not a hello")
             if first.body.cluster != self.identity.settings.vm.cluster:
@@ -367,7 +385,7 @@
             self.note_hello(first.body)
             connection.write(Frame(body=self.own_hello()))
             while True:
-                frame = await _read_frame(reader)
+                frame = await connection.read(reader)
                 task = asyncio.create_task(self._handle(connection, frame))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
--- a/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
@@ -6,15 +6,23 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.messages import Heartbeat
+from gypsumvane_core.messages import HeartbeatReply
+from gypsumvane_core.messages import Hello
 from gypsumvane_core.messages import PartialBatch
 from gypsumvane_core.messages import PartialResult
 from gypsumvane_core.messages import PartialResults
 from gypsumvane_daemon.identity import DaemonIdentity
 from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_codec import LENGTH_BYTES
+from gypsumvane_daemon.peer_codec import Frame
+from gypsumvane_daemon.peer_codec import decode_frame
+from gypsumvane_daemon.peer_codec import encode_frame
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
 from gypsumvane_daemon.settings import Settings
+from gypsumvane_daemon.settings import split_address
 
 if TYPE_CHECKING:
     from gypsumvane_daemon.peer_network import PeerContext
@@ -81,6 +89,50 @@
         replies = [reply async for reply in stream]
         self.assertEqual([len(reply.results) for reply in replies], [1, 0])
 
+    async def test_heartbeats_arrive_whole_on_every_connection(self) -> None:
+        """Guard against a fact that is left out after a new connection."""
+        received: list[Heartbeat] = []
+
+        async def handle(heartbeat: Heartbeat, _: PeerContext) -> HeartbeatReply:
+            received.append(heartbeat)
+            return HeartbeatReply(epoch=2, incarnation="second", gone=["x"])
+
+        self.second.register(Heartbeat, handle)
+        heartbeat = Heartbeat(epoch=1, incarnation="first", gone=["y"])
+        for _ in range(2):
+            for _ in range(3):
+                reply = await self.first.request("vm-2", heartbeat, timeout_s=5)
+                self.assertEqual(reply.gone, ["x"])
+                self.assertEqual(reply.incarnation, "second")
+            self.first.reset("vm-2")
+            while self.first.hello_of("vm-2") is not None:
+                await asyncio.sleep(0.01)
+            await wait_connected(self.first, "vm-2")
+        self.assertEqual(received, [heartbeat] * 6)
+
+    async def test_peer_of_the_first_version_gets_plain_heartbeats(self) -> None:
+        """Guard against a fleet that splits while its release is changed."""
+
+        async def handle(heartbeat: Heartbeat, _: PeerContext) -> HeartbeatReply:
+            return HeartbeatReply(epoch=heartbeat.epoch, incarnation="second")
+
+        self.second.register(Heartbeat, handle)
+        host, port = split_address(self.second.identity.peer_address)
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+
+        async def read_plain() -> Frame:
+            length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "little")
+            return decode_frame(await reader.readexactly(length))
+
+        hello = Hello(vm_id="vm-9", cluster="test", protocol_version=1)
+        writer.write(encode_frame(Frame(body=hello)))
+        self.assertIsInstance((await read_plain()).body, Hello)
+        for _ in range(2):
+            writer.write(encode_frame(Frame(body=Heartbeat(epoch=4), request_id=1)))
+            reply = (await read_plain()).body
+            self.assertEqual(reply, HeartbeatReply(epoch=4, incarnation="second"))
+
     async def test_unknown_peer_is_reported_as_not_sent(self) -> None:
         """Guard against a refusal that claims too much or too little."""
         with self.assertRaises(PeerError) as caught:
