Send the brief of a leaf when it changed, not every 5 s

Cause: each home renewed the briefs of all its leaves every 5 s to every peer (30 B/s per leaf of the fleet at 8 daemons), so that a lost message was made good.

Change: a brief is left out of a heartbeat once the peer has answered a heartbeat with it on this connection and serves; a new connection begins with all briefs. Replies to heartbeats carry none, as they go to the same peers. The renewal, which adds up changes below a step, is every 60 s.

--- a/packages/gypsumvane-core/src/gypsumvane_core/heartbeat_delta.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/heartbeat_delta.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
 from gypsumvane_core.messages import Beat
@@ -16,6 +17,9 @@
 from gypsumvane_core.messages import Heartbeat
 from gypsumvane_core.messages import HeartbeatReply
 
+if TYPE_CHECKING:
+    from gypsumvane_core.messages import UpstreamBrief
+
 # Their order gives the bits of Beat.unchanged.
 KEPT_FIELDS = ("incarnation", "document_digest", "gone", "move_facts", "evidence")
 AGE_MS_MAX = (1 << 32) - 1
@@ -26,6 +30,14 @@
 
     def __init__(self) -> None:
         self._sent: Heartbeat | None = None
+        self._sent_id = 0
+        # Sequence of the brief of each leaf that the peer has taken over.
+        self._sequences: dict[str, int] = {}
+
+    def unsent(self, heartbeat: Heartbeat) -> list[UpstreamBrief]:
+        """Return the briefs of a heartbeat that the peer does not have."""
+        known = self._sequences
+        return [b for b in heartbeat.briefs if known.get(b.leaf_id) != b.sequence]
 
     def shorten(self, heartbeat: Heartbeat) -> Beat:
         """Return the short form; ``note`` follows once it is written."""
@@ -41,7 +53,7 @@
             promise=heartbeat.promise,
             ready=heartbeat.ready,
             settled=heartbeat.settled,
-            briefs=heartbeat.briefs,
+            briefs=self.unsent(heartbeat),
         )
         for bit, name in enumerate(KEPT_FIELDS):
             value = getattr(heartbeat, name)
@@ -51,9 +63,19 @@
                 setattr(beat, name, value)
         return beat
 
-    def note(self, heartbeat: Heartbeat) -> None:
+    def note(self, heartbeat: Heartbeat, request_id: int = 0) -> None:
         """Remember a heartbeat that was written to the connection."""
         self._sent = heartbeat
+        self._sent_id = request_id
+
+    def note_reply(self, reply: HeartbeatReply, request_id: int) -> None:
+        """Take the briefs of a heartbeat as known once it is answered.
+
+        A peer that does not serve yet may answer heartbeats before the service
+        that keeps the briefs has started.
+        """
+        if self._sent is not None and request_id == self._sent_id and reply.ready:
+            self._sequences = {b.leaf_id: b.sequence for b in self._sent.briefs}
 
 
 class HeartbeatCompleter:
@@ -63,7 +85,7 @@
         self._received: Heartbeat | None = None
 
     def complete(self, beat: Beat) -> Heartbeat:
-        """Return the whole heartbeat.
+        """Return the whole heartbeat, with the briefs that have changed.
 
         Raises ValueError when it leaves out what was never received.
         """
--- a/packages/gypsumvane-core/src/gypsumvane_core/upstream_briefs.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/upstream_briefs.py
@@ -10,9 +10,10 @@
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.messages import UpstreamBrief
 
-# An unchanged brief is renewed after this time, so that peers that missed it
-# get it; sequence numbers are wall-clock milliseconds.
-RENEW_MS = 5000
+# Small changes add up to a renewal after this time; sequence numbers are
+# wall-clock milliseconds. Peers that missed a brief do not depend on it: a
+# new connection begins with all briefs.
+RENEW_MS = 60_000
 # A smaller change of the latency or the queue does not change a choice.
 LATENCY_CHANGE_SHARE = 0.25
 QUEUE_CHANGE = 4
--- a/packages/gypsumvane-core/tests/test_core_heartbeat_delta.py
+++ b/packages/gypsumvane-core/tests/test_core_heartbeat_delta.py
@@ -35,7 +35,11 @@
     "gone": st.lists(NAMES, max_size=2),
     "move_facts": st.lists(st.builds(MoveFact, move_id=NAMES), max_size=2),
     "evidence": st.lists(st.builds(MoveEvidence, old_answers=AGES), max_size=2),
-    "briefs": st.lists(st.builds(UpstreamBrief, leaf_id=NAMES), max_size=2),
+    "briefs": st.lists(
+        st.builds(UpstreamBrief, leaf_id=NAMES, sequence=st.integers(0, 2)),
+        max_size=3,
+        unique_by=lambda brief: brief.leaf_id,
+    ),
     "incarnation": NAMES,
     "settled": st.booleans(),
 }
@@ -55,11 +59,42 @@
         A heartbeat that could not be written must not count as received.
         """
         shortener, completer = HeartbeatShortener(), HeartbeatCompleter()
-        for heartbeat, written in sent:
+        heard: dict[str, int] = {}
+        for number, (heartbeat, written) in enumerate(sent):
             beat = shortener.shorten(heartbeat)
             if written:
-                shortener.note(heartbeat)
-                self.assertEqual(completer.complete(beat), heartbeat)
+                shortener.note(heartbeat, number)
+                shortener.note_reply(HeartbeatReply(ready=True), number)
+                received = completer.complete(beat)
+                self.assertEqual(
+                    replace(received, briefs=[]), replace(heartbeat, briefs=[])
+                )
+                heard.update((b.leaf_id, b.sequence) for b in received.briefs)
+                for brief in heartbeat.briefs:
+                    self.assertEqual(heard[brief.leaf_id], brief.sequence)
+
+    def test_brief_is_left_out_once_it_is_acknowledged(self) -> None:
+        """Guard against a brief that a peer misses, and against repeated ones.
+
+        A peer answers heartbeats before the service that keeps the briefs has
+        started; such an answer must not count.
+        """
+        shortener = HeartbeatShortener()
+        brief = UpstreamBrief(leaf_id="a", sequence=4)
+        heartbeat = Heartbeat(briefs=[brief])
+
+        def briefs_after(reply: HeartbeatReply, request_id: int) -> list[UpstreamBrief]:
+            shortener.note_reply(reply, request_id)
+            return shortener.shorten(heartbeat).briefs
+
+        ready = HeartbeatReply(ready=True)
+        shortener.note(heartbeat, 7)
+        self.assertEqual(shortener.shorten(heartbeat).briefs, [brief])
+        self.assertEqual(briefs_after(HeartbeatReply(), 7), [brief])
+        self.assertEqual(briefs_after(ready, 6), [brief])
+        self.assertEqual(briefs_after(ready, 7), [])
+        newer = replace(brief, sequence=5)
+        self.assertEqual(shortener.shorten(Heartbeat(briefs=[newer])).briefs, [newer])
 
     def test_confirmation_is_in_every_heartbeat(self) -> None:
         """Guard against a confirmation that is taken from an earlier heartbeat."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/brief_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/brief_exchange.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.messages import HeartbeatReply
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -14,19 +16,25 @@
 
 
 class BriefExchange:
-    """Send each peer the own briefs that changed since the last message."""
+    """Tell the peers about the own leaves."""
 
     def __init__(
         self, board: BriefBoard, own_leaf_ids: Callable[[], Iterable[str]]
     ) -> None:
         self._board = board
         self._own_leaf_ids = own_leaf_ids
-        # VM identifier to the sequence last sent for each leaf.
+        # VM identifier to the sequence last sent with results for each leaf.
         self._sent: dict[str, dict[str, int]] = {}
 
     def contribute(self, heartbeat: Heartbeat, vm_id: str) -> None:
-        """Fill the briefs of a heartbeat."""
-        heartbeat.briefs.extend(self.unsent(vm_id, self._own_leaf_ids()))
+        """Fill the briefs of a heartbeat.
+
+        The connection leaves out those that the peer has. Replies go to the
+        same peers on other connections and would carry each brief again.
+        """
+        if not isinstance(heartbeat, HeartbeatReply):
+            found = (self._board.get(leaf_id) for leaf_id in self._own_leaf_ids())
+            heartbeat.briefs.extend(brief for brief in found if brief is not None)
 
     def receive(self, heartbeat: Heartbeat, vm_id: str) -> None:
         """Take over the briefs of a heartbeat."""
@@ -34,10 +42,9 @@
             self._board.take(brief)
 
     def unsent(self, vm_id: str, leaf_ids: Iterable[str]) -> list[UpstreamBrief]:
-        """Return the briefs that a peer lacks and count them as sent.
+        """Return the briefs for results to a peer and count them as sent.
 
-        A lost message is made good by the next brief, which is renewed every
-        few seconds.
+        The next heartbeat makes good a lost message.
         """
         sent = self._sent.setdefault(vm_id, {})
         unsent = []
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -18,6 +18,7 @@
 from gypsumvane_core.messages import ClaimLeaseReply
 from gypsumvane_core.messages import ClaimLeaseRequest
 from gypsumvane_core.messages import Heartbeat
+from gypsumvane_core.messages import HeartbeatReply
 from gypsumvane_core.messages import Hello
 from gypsumvane_core.messages import Message
 from gypsumvane_daemon.kernel import Service
@@ -110,15 +111,19 @@
             raise PeerError("peer does not read", sent=False)
         self.writer.write(data)
         if heartbeat is not None:
-            self._shortener.note(heartbeat)
+            self._shortener.note(heartbeat, frame.request_id)
         self.traffic.frames += 1
         self.traffic.bytes += len(data)
 
     def _encode(self, frame: Frame) -> bytes:
+        heartbeat = frame.body if isinstance(frame.body, Heartbeat) else None
         if self.hello.protocol_version < PACKING_VERSION:
+            if heartbeat is not None:
+                briefs = self._shortener.unsent(heartbeat)
+                frame = replace(frame, body=replace(heartbeat, briefs=briefs))
             return encode_frame(frame)
-        if isinstance(frame.body, Heartbeat):
-            frame = replace(frame, body=self._shortener.shorten(frame.body))
+        if heartbeat is not None:
+            frame = replace(frame, body=self._shortener.shorten(heartbeat))
         return encode_frame(frame, packed=isinstance(frame.body, PACKED_TYPES))
 
     async def read(self, reader: asyncio.StreamReader) -> Frame:
@@ -130,6 +135,8 @@
                 frame.body = self._completer.complete(frame.body)
             except ValueError as error:
                 raise FrameError(str(error)) from error
+        if isinstance(frame.body, HeartbeatReply):
+            self._shortener.note_reply(frame.body, frame.in_reply_to)
         return frame
 
 
