--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/change_cost.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/change_cost.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import ClassVar
 
+from gypsumvane_devtools.capacity.daemon_window import measure_idle
 from gypsumvane_devtools.capacity.daemon_window import measure_window
 from gypsumvane_devtools.capacity.sweep import Sweep
 from gypsumvane_devtools.cluster import Cluster
@@ -21,7 +22,8 @@
     name: ClassVar[str] = "change_cost"
     unit: ClassVar[str] = "changes per second"
     set_up: ClassVar[str] = (
-        f"{DAEMONS} daemons, 4 services x 2 leaves, {WINDOW_S:g} s; mean of one daemon"
+        f"{DAEMONS} daemons, 4 services x 2 leaves, {WINDOW_S:g} s; mean of one "
+        "daemon, less what it uses idle"
     )
     sizes: ClassVar[tuple[int, ...]] = (1, 4, 16)
 
@@ -29,11 +31,15 @@
         """Measure one rate of changes."""
         plan = search_plan(daemons=DAEMONS, index={"services": 4})
         async with Cluster(plan) as cluster:
-            usage = await measure_window(cluster, self._change(cluster, size))
+            idle = await measure_idle(cluster)
+            window = await measure_window(cluster, self._change(cluster, size))
+        usage = window.above(idle)
         return {
             "cpu_share": usage.cpu_s / usage.seconds,
             "peer_bytes_per_s": usage.peer_bytes / usage.seconds,
             "store_calls_per_s": usage.store_calls / usage.seconds,
+            "idle_cpu_share": idle.cpu_s / idle.seconds,
+            "idle_peer_bytes_per_s": idle.peer_bytes / idle.seconds,
         }
 
     async def _change(self, cluster: Cluster, rate_per_s: int) -> None:
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/daemon_window.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/daemon_window.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -18,6 +19,9 @@
     from gypsumvane_devtools.cluster import Cluster
     from gypsumvane_devtools.daemon_process import DaemonProcess
 
+# Reconnections and first briefs after a start are no idle cost.
+IDLE_SETTLE_S = 3.0
+IDLE_WINDOW_S = 10.0
 GAUGES = ("peer_sent_frames", "peer_sent_bytes")
 
 
@@ -32,6 +36,18 @@
     peer_bytes: float
     store_calls: float
 
+    def above(self, idle: WindowUsage) -> WindowUsage:
+        """Return what was used beyond an idle daemon in the same time."""
+        share = self.seconds / idle.seconds
+        return replace(
+            self,
+            cpu_s=self.cpu_s - idle.cpu_s * share,
+            resident_mb=self.resident_mb - idle.resident_mb,
+            peer_frames=self.peer_frames - idle.peer_frames * share,
+            peer_bytes=self.peer_bytes - idle.peer_bytes * share,
+            store_calls=self.store_calls - idle.store_calls * share,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class _Totals:
@@ -60,6 +76,16 @@
     )
 
 
+async def measure_idle(cluster: Cluster) -> WindowUsage:
+    """Return the mean usage of a daemon without work, for ``above``.
+
+    Heartbeats, watches and polls go on whatever the load; a sweep over a load
+    would otherwise count them as part of it.
+    """
+    await asyncio.sleep(IDLE_SETTLE_S)
+    return await measure_window(cluster, asyncio.sleep(IDLE_WINDOW_S))
+
+
 async def _totals(cluster: Cluster) -> _Totals:
     usages = [read_usage(daemon.process.pid) for daemon in cluster.daemons]
     async with aiohttp.ClientSession() as session:
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/query_cost.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/capacity/query_cost.py
@@ -4,6 +4,7 @@
 
 from typing import ClassVar
 
+from gypsumvane_devtools.capacity.daemon_window import measure_idle
 from gypsumvane_devtools.capacity.daemon_window import measure_window
 from gypsumvane_devtools.capacity.sweep import Sweep
 from gypsumvane_devtools.cluster import Cluster
@@ -23,7 +24,7 @@
     unit: ClassVar[str] = "services per query"
     set_up: ClassVar[str] = (
         f"4 daemons, 2 leaves per service, {RATE_PER_S:g} searches/s for "
-        f"{DURATION_S:g} s; processor time summed over the daemons"
+        f"{DURATION_S:g} s; summed over the daemons, less what they use idle"
     )
     sizes: ClassVar[tuple[int, ...]] = (5, 10, 20, 40)
 
@@ -33,11 +34,15 @@
         async with Cluster(plan) as cluster:
             await cluster.warm_up(INDEX)
             load = load_plan(cluster, rate_per_s=RATE_PER_S, duration_s=DURATION_S)
-            usage = await measure_window(cluster, run_load_process(load))
+            idle = await measure_idle(cluster)
+            window = await measure_window(cluster, run_load_process(load))
             daemons = len(cluster.daemons)
+        usage = window.above(idle)
         queries = RATE_PER_S * DURATION_S
         return {
             "cpu_us_per_query": usage.cpu_s * daemons / queries * 1e6,
             "peer_bytes_per_query": usage.peer_bytes * daemons / queries,
             "peer_frames_per_query": usage.peer_frames * daemons / queries,
+            "idle_cpu_share": idle.cpu_s / idle.seconds,
+            "idle_peer_bytes_per_s": idle.peer_bytes / idle.seconds,
         }
--- /dev/null
+++ b/packages/gypsumvane-devtools/tests/test_devtools_capacity.py
@@ -0,0 +1,41 @@
+"""Tests of the usage of daemons in capacity sweeps."""
+
+from __future__ import annotations
+
+import unittest
+
+from gypsumvane_devtools.capacity.daemon_window import WindowUsage
+
+
+class WindowUsageTest(unittest.TestCase):
+    """Check what is counted as the cost of work."""
+
+    def test_idle_usage_is_scaled_to_the_window(self) -> None:
+        """Guard against heartbeats and watches counted as the cost of a query."""
+        idle = WindowUsage(
+            seconds=10.0,
+            cpu_s=0.2,
+            resident_mb=70.0,
+            peer_frames=500.0,
+            peer_bytes=20_000.0,
+            store_calls=20.0,
+        )
+        window = WindowUsage(
+            seconds=5.0,
+            cpu_s=0.6,
+            resident_mb=71.0,
+            peer_frames=300.0,
+            peer_bytes=11_000.0,
+            store_calls=10.0,
+        )
+        above = window.above(idle)
+        self.assertEqual(above.seconds, 5.0)
+        self.assertAlmostEqual(above.cpu_s, 0.5)
+        self.assertAlmostEqual(above.resident_mb, 1.0)
+        self.assertAlmostEqual(above.peer_frames, 50.0)
+        self.assertAlmostEqual(above.peer_bytes, 1_000.0)
+        self.assertAlmostEqual(above.store_calls, 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
