--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/membership_service.py
@@ -197,6 +197,10 @@
         """Let another service fill and read its fields of heartbeats."""
         self._contributors.append(contributor)
 
+    def heartbeat_now(self) -> None:
+        """Send the next heartbeat to each peer at once."""
+        self._heartbeats.kick()
+
     def set_ready_check(self, check: Callable[[], bool]) -> None:
         """Ask the check whether this daemon serves callers."""
         self._ready_check = check
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer.capnp
@@ -226,6 +226,7 @@
 
 struct ClaimLeaseReply {
   buckets @0 :List(Int64);
+  incarnation @1 :Text;
 }
 
 struct Frame {
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -5,11 +5,9 @@
 import asyncio
 import ssl
 import unittest
-from pathlib import Path
-from tempfile import TemporaryDirectory
+from typing import TYPE_CHECKING
 from typing import Any
 
-import trustme
 from aiohttp import ClientError
 from aiohttp import ClientSession
 
@@ -18,9 +16,13 @@
 from gypsumvane_core.outcome import Failed
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.admission_service import MESSAGES
 from gypsumvane_daemon.caller_api import BODY_BYTES_MAX
 from gypsumvane_daemon.settings import ListenerSettings
-from gypsumvane_daemon.settings import TlsSettings
+from tls_files import Authority
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 SEARCH = "/v1/indexes/stock/search"
 RUN = "/v1/indexes/ledger/run"
@@ -110,6 +112,96 @@
         self.assertEqual((status, answer["reason"]), (429, "queue_full"))
         self.assertEqual([leaf.asked for leaf in self.rig.leaves_of("s0")], [0, 0])
 
+    async def test_refusal_of_admission_is_explained(self) -> None:
+        """Guard against refusals whose text says nothing."""
+        for reason in (Reason.QUEUE_FULL, Reason.CALLER_LIMIT, Reason.DEADLINE):
+            self.rig.admission.reason = reason
+            _, search = await self.post(SEARCH, {"query": "x"})
+            _, run = await self.post(RUN, {"key": "x"}, Idempotency_Key="k1")
+            for answer in (search, run):
+                self.assertEqual(answer["reason"], reason.value)
+                self.assertEqual(answer["message"], MESSAGES[reason])
+
+    async def leave_after(self, path: str, body: Any, begun: Any, **names: str) -> None:
+        """Send a request and close its connection once the event is set."""
+        headers = {name.replace("_", "-"): value for name, value in names.items()}
+        async with ClientSession() as session:
+            call = asyncio.create_task(
+                session.post(self.rig.url(path), json=body, headers=headers)
+            )
+            await asyncio.wait_for(begun, 10)
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+
+    async def until(self, check: Callable[[], bool]) -> None:
+        """Wait until a check holds."""
+        async with asyncio.timeout(10):
+            while not check():
+                await asyncio.sleep(0.005)
+
+    async def until_disconnect(self, route: str) -> None:
+        """Wait until the daemon has noticed one caller that left."""
+        value = self.rig.metrics.value
+        await self.until(lambda: value("caller_disconnects", route=route) == 1)
+
+    async def check_end_with_caller(
+        self, route: str, path: str, body: Any, attempts: int
+    ) -> None:
+        """Check that the attempts of a request are cancelled at their homes."""
+        for leaf in self.rig.upstreams.leaves.values():
+            leaf.delay_s = 30.0
+        begun = self.until(lambda: self.rig.asked() >= attempts)
+        await self.leave_after(path, body, begun)
+        await self.until_disconnect(route)
+        cancels = [message for _, message in self.rig.peers.cancels]
+        cancelled = [number for cancel in cancels for number in cancel.attempt_ids]
+        self.assertGreaterEqual(len(cancelled), attempts)
+        self.assertTrue(self.rig.lifecycle.idle_checks[0]())
+        # A caller that leaves is no evidence of an overload.
+        self.assertEqual(self.rig.admission.abandoned, 1)
+
+    async def test_search_ends_with_its_caller(self) -> None:
+        """Guard against searches for callers that have left."""
+        await self.check_end_with_caller("search", SEARCH, {"query": "x"}, 3)
+
+    async def test_lookup_ends_with_its_caller(self) -> None:
+        """Guard against lookups for callers that have left."""
+        path = "/v1/indexes/ledger/lookup"
+        await self.check_end_with_caller("lookup", path, {"key": "k"}, 1)
+
+    async def test_run_goes_on_without_its_caller(self) -> None:
+        """Guard against a booking that is cut off with its caller."""
+        bookings = self.rig.bookings
+        bookings.delay_s = 0.3
+        await self.leave_after(
+            RUN, {"key": "x"}, bookings.begun.wait(), Idempotency_Key="k1"
+        )
+        idle = self.rig.lifecycle.idle_checks[0]
+        await self.until_disconnect("run")
+        self.assertFalse(idle())
+        await asyncio.wait_for(bookings.ended.wait(), 10)
+        await self.until(idle)
+        self.assertEqual(self.rig.admission.finished, [True])
+
+    async def test_answers_without_a_lost_service_say_nothing_of_the_load(self) -> None:
+        """Guard against a lost service that stops searches of all others."""
+        for leaf in self.rig.leaves_of("s1"):
+            leaf.kind, leaf.verdict = "refused", "not_run"
+            leaf.reason = "upstream_unavailable"
+        _, answer = await self.post(SEARCH, {"query": "x"})
+        self.assertEqual(answer["outcome"], "partial")
+        await self.post("/v1/indexes/none/search", {"query": "x"})
+        admission = self.rig.admission
+        self.assertEqual((admission.finished, admission.abandoned), ([], 2))
+
+    async def test_answers_without_a_late_service_show_load(self) -> None:
+        """Guard against an overload that does not lower the limit."""
+        for leaf in self.rig.leaves_of("s1"):
+            leaf.delay_s = 30.0
+        await self.post(SEARCH, {"query": "x"}, Deadline_Ms="200")
+        admission = self.rig.admission
+        self.assertEqual((admission.finished, admission.abandoned), ([False], 0))
+
     async def test_refused_run_tells_about_earlier_tries(self) -> None:
         """Guard against "not run" for a key whose earlier try may have run."""
         self.rig.admission.reason = Reason.QUEUE_FULL
@@ -181,23 +273,17 @@
 
     async def test_listener_speaks_only_tls(self) -> None:
         """Guard against settings of TLS that are ignored."""
-        authority = trustme.CA()
-        certificate = authority.issue_cert("127.0.0.1")
-        files = Path(self.enterContext(TemporaryDirectory()))
-        certificate.private_key_pem.write_to_path(files / "key.pem")
-        certificate.cert_chain_pems[0].write_to_path(files / "cert.pem")
-        tls = TlsSettings(
-            certificate_file=str(files / "cert.pem"), key_file=str(files / "key.pem")
-        )
+        authority = Authority(self)
         rig = CallerRig()
-        callers = ListenerSettings(address="127.0.0.1:0", tls=tls)
+        callers = ListenerSettings(
+            address="127.0.0.1:0", tls=authority.issue(mutual=False)
+        )
         rig.identity.settings = rig.identity.settings.model_copy(
             update={"callers": callers}
         )
         await rig.kernel.start()
         self.addAsyncCleanup(rig.kernel.stop)
-        context = ssl.create_default_context()
-        authority.configure_trust(context)
+        context = ssl.create_default_context(cafile=authority.file)
         async with ClientSession() as session:
             url = rig.url("/v1/ready")
             with self.assertRaises(ClientError):
--- a/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_gateway.py
@@ -10,6 +10,8 @@
 from gateway_fakes import GatewayRig
 from gateway_fakes import hits_body
 from gateway_fakes import index_body
+from gypsumvane_core.index_routes import MoveChoice
+from gypsumvane_core.index_routes import VersionChoice
 from gypsumvane_core.key_service import service_of_key
 from gypsumvane_core.query_answer import AnswerOutcome
 from gypsumvane_core.query_answer import LookupAnswer
@@ -91,6 +93,24 @@
         cancelled = [i for _, c in self.rig.peers.cancels for i in c.attempt_ids]
         self.assertIn(2, cancelled)
 
+    async def test_abandoned_search_is_no_evidence(self) -> None:
+        """Guard against versions taken back because callers leave."""
+        old_version = VersionChoice(version="v1", avoided="v2")
+        self.rig.moves.choice = MoveChoice(version=old_version, old=old_version)
+        for leaf in self.rig.upstreams.leaves.values():
+            leaf.delay_s = 30.0
+        leaving = asyncio.create_task(self.search(wait_s=20.0))
+        async with asyncio.timeout(10):
+            while self.rig.asked() < 3:
+                await asyncio.sleep(0.005)
+        leaving.cancel()
+        await asyncio.gather(leaving, return_exceptions=True)
+        self.assertGreaterEqual(len(self.rig.peers.cancels), 1)
+        self.assertEqual(self.rig.moves.recorded, [])
+        # A deadline that passes is evidence.
+        await self.search(wait_s=0.2)
+        self.assertIn(("v1", True), self.rig.moves.recorded)
+
     async def test_lost_home_is_replaced(self) -> None:
         """Guard against services left out because one daemon was lost."""
         self.rig.peers.lost = {"vm-a"}
@@ -139,17 +159,10 @@
             if leaf["leaf_id"].endswith("-a")
         ]
         self.rig.apply_index(body)
-        move = {
-            "move_id": "m1",
-            "index": "stock",
-            "from_version": "v1",
-            "to_version": "v2",
-            "start_unix_s": 1.0,
-            "complete_by_unix_s": 2.0,
-        }
-        self.rig.documents.apply("move/stock", move)
-        self.rig.moves.version = "v2"
-        self.rig.moves.last_version = "v1"
+        new_version = VersionChoice(version="v2")
+        self.rig.moves.choice = MoveChoice(
+            version=new_version, old=VersionChoice(version="v1", avoided="v2")
+        )
         new = [v for k, v in self.rig.upstreams.leaves.items() if len(k) > 4]
         for leaf in new:
             leaf.kind, leaf.verdict, leaf.reason = "failed", "ran", "upstream_error"
@@ -159,10 +172,16 @@
         # At a share of 1 the old version gets no retries either.
         old = [v for k, v in self.rig.upstreams.leaves.items() if len(k) == 4]
         asked = sum(leaf.asked for leaf in old)
-        self.rig.moves.last_version = "v2"
+        self.rig.moves.choice = MoveChoice(version=new_version)
         await self.search()
         self.assertEqual(sum(leaf.asked for leaf in old), asked)
 
+    async def test_version_is_chosen_once(self) -> None:
+        """Guard against two choices of one query that contradict each other."""
+        self.rig.apply_index(index_body())
+        await self.search()
+        self.assertEqual(self.rig.moves.asked, 1)
+
     async def test_query_restarts_once_when_the_snapshot_is_gone(self) -> None:
         """Guard against mixed snapshots, and against restarts without end."""
         self.rig.apply_index(index_body(snapshots=(1, 2, 3)))
