--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -7,19 +7,27 @@
 import logging
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
 
+from gypsumvane_core.heartbeat_delta import HeartbeatCompleter
+from gypsumvane_core.heartbeat_delta import HeartbeatShortener
+from gypsumvane_core.messages import Beat
+from gypsumvane_core.messages import ClaimLeaseReply
+from gypsumvane_core.messages import ClaimLeaseRequest
+from gypsumvane_core.messages import Heartbeat
+from gypsumvane_core.messages import HeartbeatReply
 from gypsumvane_core.messages import Hello
 from gypsumvane_core.messages import Message
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
-from gypsumvane_daemon.peer_codec import FRAME_BYTES_MAX
 from gypsumvane_daemon.peer_codec import LENGTH_BYTES
 from gypsumvane_daemon.peer_codec import Frame
 from gypsumvane_daemon.peer_codec import FrameError
 from gypsumvane_daemon.peer_codec import decode_frame
+from gypsumvane_daemon.peer_codec import decode_head
 from gypsumvane_daemon.peer_codec import encode_frame
 from gypsumvane_daemon.settings import split_address
 from gypsumvane_daemon.tls import client_context
@@ -38,6 +46,12 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_DELAY_S = 0.2
 WRITE_BUFFER_BYTES_MAX = 4 << 20
+# Periodic messages are small and mostly zeros; packing a batch of partial
+# results would cost processor time for few bytes.
+PACKED_TYPES = (Beat, ClaimLeaseRequest, ClaimLeaseReply)
+# A peer of an earlier version cannot read packed frames and short heartbeats.
+PACKING_VERSION = 2
+PROTOCOL_VERSION = 2
 
 MessageType = TypeVar("MessageType")
 
@@ -84,24 +98,46 @@
     writer: asyncio.StreamWriter
     traffic: _Traffic
     hello: Hello = field(default_factory=Hello)
+    _shortener: HeartbeatShortener = field(default_factory=HeartbeatShortener)
+    _completer: HeartbeatCompleter = field(default_factory=HeartbeatCompleter)
 
     def write(self, frame: Frame) -> None:
-        data = encode_frame(frame)
+        heartbeat = frame.body if isinstance(frame.body, Heartbeat) else None
+        data = self._encode(frame)
         transport = self.writer.transport
         if transport.is_closing():
             raise PeerError("connection is closed", sent=False)
         if transport.get_write_buffer_size() > WRITE_BUFFER_BYTES_MAX:
             raise PeerError("peer does not read", sent=False)
         self.writer.write(data)
+        if heartbeat is not None:
+            self._shortener.note(heartbeat, frame.request_id)
         self.traffic.frames += 1
         self.traffic.bytes += len(data)
 
-
-async def _read_frame(reader: asyncio.StreamReader) -> Frame:
-    length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "little")
-    if length > FRAME_BYTES_MAX:
-        raise FrameError(f"frame of {length} bytes exceeds {FRAME_BYTES_MAX}")
-    return decode_frame(await reader.readexactly(length))
+    def _encode(self, frame: Frame) -> bytes:
+        heartbeat = frame.body if isinstance(frame.body, Heartbeat) else None
+        if self.hello.protocol_version < PACKING_VERSION:
+            if heartbeat is not None:
+                briefs = self._shortener.unsent(heartbeat)
+                frame = replace(frame, body=replace(heartbeat, briefs=briefs))
+            return encode_frame(frame)
+        if heartbeat is not None:
+            frame = replace(frame, body=self._shortener.shorten(heartbeat))
+        return encode_frame(frame, packed=isinstance(frame.body, PACKED_TYPES))
+
+    async def read(self, reader: asyncio.StreamReader) -> Frame:
+        head = decode_head(await reader.readexactly(LENGTH_BYTES))
+        data = await reader.readexactly(head.length)
+        frame = decode_frame(data, packed=head.packed)
+        if isinstance(frame.body, Beat):
+            try:
+                frame.body = self._completer.complete(frame.body)
+            except ValueError as error:
+                raise FrameError(str(error)) from error
+        if isinstance(frame.body, HeartbeatReply):
+            self._shortener.note_reply(frame.body, frame.in_reply_to)
+        return frame
 
 
 class _Peer:
@@ -133,7 +169,7 @@
         try:
             connection.write(Frame(body=self._network.own_hello()))
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                first = await _read_frame(reader)
+                first = await connection.read(reader)
             if not isinstance(first.body, Hello):
                 raise FrameError("the first frame is not a hello")
             if self.vm_id and first.body.vm_id != self.vm_id:
@@ -142,7 +178,7 @@
             self._network.note_hello(first.body)
             self.connection = connection
             while True:
-                frame = await _read_frame(reader)
+                frame = await connection.read(reader)
                 queue = self._pending.get(frame.in_reply_to)
                 if queue is not None:
                     queue.put_nowait(frame)
@@ -266,6 +302,7 @@
             incarnation=self.identity.incarnation,
             failure_domain=vm.failure_domain,
             cluster=vm.cluster,
+            protocol_version=PROTOCOL_VERSION,
         )
 
     async def set_peers(self, addresses: dict[str, str]) -> None:
@@ -346,7 +383,7 @@
         connection = _Connection(writer=writer, traffic=self.traffic)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                first = await _read_frame(reader)
+                first = await connection.read(reader)
             if not isinstance(first.body, Hello):
                 raise FrameError("the first frame is not a hello")
             if first.body.cluster != self.identity.settings.vm.cluster:
@@ -355,7 +392,7 @@
             self.note_hello(first.body)
             connection.write(Frame(body=self.own_hello()))
             while True:
-                frame = await _read_frame(reader)
+                frame = await connection.read(reader)
                 task = asyncio.create_task(self._handle(connection, frame))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
