Let the proxy read the length of packed frames

Cause: the highest bit of a frame's length prefix now marks a packed frame. The fault proxy took it as part of the length and waited for two gigabytes, so that daemons behind peer links never agreed on their members (every test of tests.test_system_membership failed in set-up).

Change: the proxy masks the bit. A test sends a packed frame through it.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/proxy_link.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/proxy_link.py
@@ -22,6 +22,8 @@
 READ_BYTES = 65536
 SLOW_CHUNK_BYTES = 16
 FRAME_HEADER_BYTES = 4
+# The highest bit of the length tells that the frame is packed.
+FRAME_LENGTH_MASK = (1 << 31) - 1
 CUT_KINDS = (RuleKind.CUT_BEFORE, RuleKind.CUT_AFTER, RuleKind.LOSE_ANSWER)
 
 
@@ -178,7 +180,7 @@
             if self._link.framing is Framing.RAW:
                 return await reader.read(READ_BYTES)
             header = await reader.readexactly(FRAME_HEADER_BYTES)
-            size = int.from_bytes(header, "little")
+            size = int.from_bytes(header, "little") & FRAME_LENGTH_MASK
             return header + await reader.readexactly(size)
         except (OSError, asyncio.IncompleteReadError):
             return b""
--- a/packages/gypsumvane-devtools/tests/test_devtools_proxy.py
+++ b/packages/gypsumvane-devtools/tests/test_devtools_proxy.py
@@ -93,11 +93,13 @@
         self.link.framing = Framing.FRAMES
         self.add(kind="hold_answers")
         reader, writer = await self.connect()
-        writer.write(frame(b"one") + frame(b"two"))
+        # A packed frame; read as a length, its prefix held all later traffic.
+        packed = b"\x03\x00\x00\x80two"
+        writer.write(frame(b"one") + packed)
         await wait_until(lambda: len(self.link.held) == 2, "answers are held")
         self.link.rules.rules.clear()
         await self.link.release(crossed=True)
-        self.assertEqual(await reader.readexactly(14), frame(b"two") + frame(b"one"))
+        self.assertEqual(await reader.readexactly(14), packed + frame(b"one"))
 
     async def test_wrong_answers(self) -> None:
         """Guard against wrong answers that are not delivered or not counted."""
