Take the rule of few view writers out of the core again

A newcomer would read two rules of confirmation in the code that keeps limits safe, of which one never runs.

--- a/packages/gypsumvane-core/src/gypsumvane_core/confirmation.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/confirmation.py
@@ -7,10 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
     from collections.abc import Mapping
 
-    from gypsumvane_core.messages import Member
     from gypsumvane_core.view import View
 
 
@@ -85,27 +83,3 @@
             elif now_s - record.sent_at_s > validity_s:
                 return False
         return True
-
-    def promised(
-        self,
-        members: Iterable[Member],
-        *,
-        epoch: int,
-        own: str,
-        now_s: float,
-        validity_s: float,
-    ) -> bool:
-        """Return whether each of the members has promised for the epoch.
-
-        None is left out when it is gone: it may have written a newer view just
-        before, which no member that must confirm this one has heard of.
-        """
-        for member in members:
-            if member.incarnation == own:
-                continue
-            record = self.records.get(member.incarnation)
-            if record is None or record.epoch != epoch:
-                return False
-            if now_s - record.sent_at_s > validity_s:
-                return False
-        return True
--- a/packages/gypsumvane-core/src/gypsumvane_core/membership.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/membership.py
@@ -19,8 +19,6 @@
 from gypsumvane_core.suspicion import Suspicion
 from gypsumvane_core.view import ViewChange
 from gypsumvane_core.view import first_view
-from gypsumvane_core.view_writers import ALL_MEMBERS
-from gypsumvane_core.view_writers import view_writers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -61,8 +59,6 @@
     clock: Clock
     times: MembershipTimes = field(default_factory=MembershipTimes)
     view: View | None = None
-    # How many members may write the view; only these confirm it.
-    writers: int = ALL_MEMBERS
     leaving_since_s: float | None = None
     # Set when this daemon has ended all work; it never sends to a leaf again.
     ended: bool = False
@@ -281,8 +277,6 @@
         """Return whether all living members confirmed the view."""
         if self.view is None:
             return False
-        if self.writers != ALL_MEMBERS:
-            return self._writers_confirmed(self.view)
         return self.peer_confirmation.valid(
             self.view,
             own=self.own.incarnation,
@@ -292,22 +286,6 @@
             gone_grace_s=self.times.gone_grace_s,
         )
 
-    def _writers_confirmed(self, view: View) -> bool:
-        writers = view_writers(view, self.writers)
-        # With all members as writers, another one holds an own write against
-        # this daemon. Here it must do so itself.
-        own_writes = self._is_among(writers) and self.promises.withheld
-        return not own_writes and self.peer_confirmation.promised(
-            writers,
-            epoch=view.epoch,
-            own=self.own.incarnation,
-            now_s=self.clock.monotonic_s(),
-            validity_s=self.times.validity_s,
-        )
-
-    def _is_among(self, members: Iterable[Member]) -> bool:
-        return any(m.incarnation == self.own.incarnation for m in members)
-
     def confirmed(self) -> bool:
         """Return whether no newer view can be in force."""
         return self.store_confirmed() or self.peers_confirmed()
@@ -406,7 +384,7 @@
         are for the senior member; the next ones follow when it does not write
         for a while, because it may be cut off from the store.
         """
-        if self.view is None or not self.is_member() or not self._may_write(self.view):
+        if self.view is None or not self.is_member():
             return None
         change = self._wanted_change(out_domains)
         following = change.apply(
@@ -423,21 +401,6 @@
             return following
         return None
 
-    def _may_write(self, view: View) -> bool:
-        """Return whether no other daemon may be confirmed against a write.
-
-        The other members may write once all writers are gone and the last
-        promises of these have lapsed.
-        """
-        writers = view_writers(view, self.writers)
-        if self._is_among(writers):
-            return True
-        now_s = self.clock.monotonic_s()
-        known = [self.gone.known_at_s.get(m.incarnation) for m in writers]
-        return all(
-            at_s is not None and now_s - at_s > self.times.validity_s for at_s in known
-        )
-
     def _wanted_change(self, out_domains: frozenset[str]) -> ViewChange:
         change = ViewChange(
             joins=dict(self.joins),
@@ -456,10 +419,6 @@
         if self._wanted_since_s is None:
             self._wanted_since_s = now_s
         answering = [m for m in self.live_members() if not self.suspected(m)]
-        if self.view is not None and self.writers != ALL_MEMBERS:
-            writers = view_writers(self.view, self.writers)
-            if self._is_among(writers):
-                answering = [m for m in answering if m in writers]
         places = [m.incarnation for m in answering].index(self.own.incarnation)
         wait_s = places * self.times.takeover_wait_s
         return now_s - self._wanted_since_s >= wait_s
--- a/packages/gypsumvane-core/src/gypsumvane_core/promise.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/promise.py
@@ -15,14 +15,9 @@
     _writing: bool = False
     _last_given_s: float | None = None
 
-    @property
-    def withheld(self) -> bool:
-        """Return whether an own write may take effect."""
-        return self._writing or self.unresolved_version is not None
-
     def give(self, now_s: float) -> bool:
         """Return whether the promise holds from now, and remember it."""
-        if self.withheld:
+        if self._writing or self.unresolved_version is not None:
             return False
         self._last_given_s = now_s
         return True
--- a/packages/gypsumvane-core/tests/membership_world.py
+++ b/packages/gypsumvane-core/tests/membership_world.py
@@ -14,7 +14,6 @@
 from gypsumvane_core.membership import MembershipTimes
 from gypsumvane_core.messages import Heartbeat
 from gypsumvane_core.messages import Member
-from gypsumvane_core.view_writers import ALL_MEMBERS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,9 +67,8 @@
 class World:
     """Deliver messages with delays and check the limits at every tick."""
 
-    def __init__(self, random: Random, *, writers: int = ALL_MEMBERS) -> None:
+    def __init__(self, random: Random) -> None:
         self.random = random
-        self.writers = writers
         self.clock = ManualClock()
         self.store = SimStore()
         self.daemons: list[SimDaemon] = []
@@ -93,9 +91,7 @@
             failure_domain=DOMAINS[len(self.daemons) % len(DOMAINS)],
             peer_address=f"127.0.0.1:{number}",
         )
-        state = MembershipState(
-            own=own, clock=self.clock, times=TIMES, writers=self.writers
-        )
+        state = MembershipState(own=own, clock=self.clock, times=TIMES)
         self.daemons.append(SimDaemon(state=state, next_round_s=self.now))
         self._list_later(vm_id, self.random.uniform(0, 2), listed=True)
 
--- a/packages/gypsumvane-core/tests/test_core_membership.py
+++ b/packages/gypsumvane-core/tests/test_core_membership.py
@@ -19,8 +19,6 @@
 from gypsumvane_core.view import View
 from gypsumvane_core.view import decode_view
 from gypsumvane_core.view import encode_view
-from gypsumvane_core.view_writers import ALL_MEMBERS
-from gypsumvane_core.view_writers import view_writers
 
 
 def member(vm_id: str, run: str = "1", *, domain: str = "fd-a") -> Member:
@@ -63,63 +61,6 @@
         self.answer(sent_s=now_s, epoch=2, confirmation_age_ms=0)
         self.assertFalse(self.state.confirmed())
 
-    def test_writer_is_not_confirmed_against_its_own_write(self) -> None:
-        """Guard against full limits after a write whose answer was lost.
-
-        With all members as writers another one that learns the view withholds
-        its promise; with few writers it may be one that nobody asks.
-        """
-        third = member("vm-3")
-        view = View(epoch=2, members=(self.own, self.other, third))
-        others = [m.incarnation for m in view_writers(view, 2)]
-        self.own = self.other if self.own.incarnation not in others else self.own
-        state = MembershipState(own=self.own, clock=self.clock, writers=2)
-        state.adopt(view)
-        now_s = self.clock.monotonic_s()
-        for name in others:
-            state.peer_confirmation.note(name, epoch=2, promise=True, sent_at_s=now_s)
-        self.assertTrue(state.peers_confirmed())
-        state.promises.note_lost_answer(7)
-        self.assertFalse(state.peers_confirmed())
-        state.promises.note_version(8)
-        self.assertTrue(state.peers_confirmed())
-
-    def test_gone_writer_is_not_left_out(self) -> None:
-        """Guard against a home that goes on past the last view of a lost writer."""
-        view = View(epoch=2, members=(self.own, self.other, member("vm-3")))
-        lost, *_ = (m for m in view_writers(view, 2) if m != self.own)
-        state = MembershipState(own=self.own, clock=self.clock, writers=2)
-        state.adopt(view)
-        for writer in view_writers(view, 2):
-            state.peer_confirmation.note(
-                writer.incarnation,
-                epoch=2,
-                promise=True,
-                sent_at_s=self.clock.monotonic_s(),
-            )
-        self.assertTrue(state.peers_confirmed())
-        state.add_gone([lost.incarnation])
-        self.clock.advance(state.times.validity_s + 0.1)
-        for writer in view_writers(view, 2):
-            if writer != lost:
-                state.peer_confirmation.note(
-                    writer.incarnation,
-                    epoch=2,
-                    promise=True,
-                    sent_at_s=self.clock.monotonic_s(),
-                )
-        self.assertFalse(state.peers_confirmed())
-
-    def test_writers_are_of_different_failure_domains(self) -> None:
-        """Guard against a cell that loses all writers with one failure domain."""
-        members = tuple(
-            member(f"vm-{n}", domain="fd-b" if n < 2 else "fd-a") for n in range(8)
-        )
-        writers = view_writers(View(epoch=1, members=members), 2)
-        self.assertEqual({m.failure_domain for m in writers}, {"fd-a", "fd-b"})
-        everyone = view_writers(View(epoch=1, members=members), ALL_MEMBERS)
-        self.assertEqual(tuple(everyone), members)
-
     def test_late_answer_of_an_older_process_shows_nothing(self) -> None:
         """Guard against a living process that is taken as gone."""
         self.answer(sent_s=self.clock.monotonic_s() - 1, run="0")
--- a/packages/gypsumvane-core/tests/test_core_membership_safety.py
+++ b/packages/gypsumvane-core/tests/test_core_membership_safety.py
@@ -5,7 +5,6 @@
 import unittest
 from random import Random
 from typing import TYPE_CHECKING
-from typing import ClassVar
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -16,7 +15,6 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from gypsumvane_core.grade import Grade
-from gypsumvane_core.view_writers import ALL_MEMBERS
 from membership_world import DOMAINS
 from membership_world import LIMITS
 from membership_world import TICK_S
@@ -35,8 +33,6 @@
 class MembershipMachine(RuleBasedStateMachine):
     """Start, stop, pause and partition daemons and take the store away."""
 
-    writers: ClassVar[int] = ALL_MEMBERS
-
     def __init__(self) -> None:
         super().__init__()
         self.world: World
@@ -44,7 +40,7 @@
 
     @initialize(seed=st.integers(min_value=0, max_value=2**32), size=INDEX)
     def form(self, seed: int, size: int) -> None:
-        self.world = World(Random(seed), writers=self.writers)
+        self.world = World(Random(seed))
         for _ in range(size + 1):
             self.add_vm()
         self.world.advance(12)
@@ -146,25 +142,12 @@
         return present[index % len(present)] if present else None
 
 
-class TwoWritersMachine(MembershipMachine):
-    """Let two members of each view write the next one."""
-
-    writers: ClassVar[int] = 2
-
-
 class MembershipSafetyTest(unittest.TestCase):
     """Guard against two homes that exceed a leaf's limit together."""
 
     def test_limits_hold_under_faults(self) -> None:
-        self.run_machine(MembershipMachine)
-
-    def test_limits_hold_with_two_writers(self) -> None:
-        """Guard against a home that is confirmed past a view of a lost writer."""
-        self.run_machine(TwoWritersMachine)
-
-    def run_machine(self, machine: type[MembershipMachine]) -> None:
         run_state_machine_as_test(
-            machine,
+            MembershipMachine,
             settings=settings(
                 max_examples=40,
                 stateful_step_count=30,
--- a/packages/gypsumvane-core/tests/test_core_membership_scenarios.py
+++ b/packages/gypsumvane-core/tests/test_core_membership_scenarios.py
@@ -4,27 +4,18 @@
 
 import unittest
 from random import Random
-from typing import TYPE_CHECKING
 
 from gypsumvane_core.grade import Grade
-from gypsumvane_core.view_writers import ALL_MEMBERS
-from gypsumvane_core.view_writers import view_writers
 from membership_world import LIMITS
 from membership_world import SimDaemon
 from membership_world import World
 
-if TYPE_CHECKING:
-    from collections.abc import Collection
-    from collections.abc import Iterable
-
 FORMING_S = 12
 
 
-def formed(
-    seed: int, count: int, *, writers: int = ALL_MEMBERS
-) -> tuple[World, list[SimDaemon]]:
+def formed(seed: int, count: int) -> tuple[World, list[SimDaemon]]:
     """Return a world whose daemons have formed a view, the senior first."""
-    world = World(Random(seed), writers=writers)
+    world = World(Random(seed))
     for number in range(count):
         world.start(f"vm-{number}")
     world.advance(FORMING_S)
@@ -40,23 +31,6 @@
         world.cut_links.add(frozenset((daemon.vm_id, other.vm_id)))
 
 
-def divided(world: World) -> tuple[list[SimDaemon], list[SimDaemon]]:
-    """Return the writers of the stored view and the other members."""
-    assert world.store.view is not None
-    chosen = view_writers(world.store.view, world.writers)
-    names = {m.incarnation for m in chosen}
-    writing = [d for d in world.daemons if d.state.own.incarnation in names]
-    return writing, [d for d in world.daemons if d not in writing]
-
-
-def separate(
-    world: World, first: Iterable[SimDaemon], second: Collection[SimDaemon]
-) -> None:
-    """Cut each daemon of one part off from each one of the other."""
-    for daemon in first:
-        cut(world, daemon, *second)
-
-
 def stored_member(world: World, daemon: SimDaemon) -> bool:
     """Return whether the stored view contains the process."""
     view = world.store.view
@@ -157,52 +131,3 @@
             world.resume(paused)
             world.advance(12)
             self.assertEqual(set(full_homes(world).values()), {1})
-
-    def test_member_with_store_does_not_write_past_the_writers(self) -> None:
-        """Guard against a view by a member whose promise nobody asks for.
-
-        The writers confirm each other without the store, while another member
-        reaches only the store and wants a view without a failure domain.
-        """
-        for seed in range(20):
-            world, _ = formed(seed, 5, writers=2)
-            writing, others = divided(world)
-            alone = others[-1]
-            for daemon in world.daemons:
-                daemon.store_cut = daemon is not alone
-            separate(world, [alone], [d for d in world.daemons if d is not alone])
-            world.out_domains = frozenset({writing[seed % 2].state.own.failure_domain})
-            world.advance(45)
-            self.assertTrue(any(d.state.peers_confirmed() for d in writing))
-
-    def test_writer_that_is_lost_after_its_write(self) -> None:
-        """Guard against members that leave a lost writer out.
-
-        The writer records a view and is lost. Only a member that nobody must
-        hear knows it; the others reach neither that member nor the store.
-        """
-        for seed in range(20):
-            world, _ = formed(seed, 5, writers=2)
-            writing, others = divided(world)
-            writer, alone = writing[seed % 2], others[-1]
-            rest = [d for d in world.daemons if d not in (writer, alone)]
-            for daemon in rest:
-                daemon.store_cut = True
-            separate(world, [writer, alone], rest)
-            epoch = writer.state.epoch
-            world.out_domains = frozenset({rest[seed % 3].state.own.failure_domain})
-            while world.store.view is None or world.store.view.epoch == epoch:
-                world.advance(0.1)
-            world.remove_vm(writer)
-            world.advance(20)
-
-    def test_members_replace_writers_that_are_all_gone(self) -> None:
-        """Guard against a view that nobody may write any more."""
-        for seed in range(5):
-            world, _ = formed(seed, 5, writers=2)
-            writing, others = divided(world)
-            for daemon in writing:
-                world.remove_vm(daemon)
-            world.advance(30)
-            self.assertEqual(len(others[0].state.live_members()), 3)
-            self.assertEqual(set(full_homes(world).values()), {1})
