--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/typed_runner.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/typed_runner.py
@@ -44,6 +44,7 @@
         super().__init__(
             self._handle,
             request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
             **server._kwargs,
         )
         self.error_reply = error_reply
