Run the unit tests of the packages side by side

Cause: the unit tests had grown to 207 s in one process, before the system tests began; the whole run took more than five minutes.

Change: the folders of the four packages run in worker processes, as the classes of the system tests do.

--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -9,8 +9,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from tests.system_run import RunCounts  # noqa: E402
-from tests.system_run import run_classes  # noqa: E402
+from tests.system_run import class_names  # noqa: E402
+from tests.system_run import run_names  # noqa: E402
 
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
@@ -28,16 +28,12 @@
     }
 
 
-def load_package_suite() -> unittest.TestSuite:
-    """Collect the tests of each package."""
-    suite = unittest.TestSuite()
-    for start in sorted(ROOT.glob("packages/*/tests")):
-        # Each folder of tests has its own loader, because a loader keeps the
-        # top-level directory of its first discovery.
-        suite.addTest(
-            unittest.TestLoader().discover(str(start), top_level_dir=str(start))
-        )
-    return suite
+def package_folders() -> list[str]:
+    """Return the folders of the tests of each package."""
+    return [
+        start.relative_to(ROOT).as_posix()
+        for start in sorted(ROOT.glob("packages/*/tests"))
+    ]
 
 
 def load_system_suite() -> unittest.TestSuite:
@@ -46,20 +42,10 @@
     return unittest.TestLoader().discover(start, top_level_dir=str(ROOT))
 
 
-def run_packages() -> RunCounts:
-    """Run the tests of the packages in this process."""
-    result = unittest.TextTestRunner(verbosity=1).run(load_package_suite())
-    return RunCounts(
-        tests=result.testsRun,
-        failed=[test.id() for test, _ in result.failures + result.errors],
-        skipped=len(result.skipped),
-    )
-
-
 def main() -> int:
     """Run everything; known failures are printed but do not fail the run."""
     known = known_red_tests()
-    runs = [run_packages(), run_classes(load_system_suite())]
+    runs = [run_names(package_folders()), run_names(class_names(load_system_suite()))]
     tests = sum(run.tests for run in runs)
     failures = [name for run in runs for name in run.failed]
     skipped = sum(run.skipped for run in runs)
--- a/tests/system_run.py
+++ b/tests/system_run.py
@@ -1,4 +1,4 @@
-"""Run the system test classes in parallel worker processes."""
+"""Run test classes and folders of tests in parallel worker processes."""
 
 from __future__ import annotations
 
@@ -37,10 +37,10 @@
     return list(names)
 
 
-def run_classes(suite: unittest.TestSuite) -> RunCounts:
-    """Run each class of a suite in its own process."""
+def run_names(names: list[str]) -> RunCounts:
+    """Run each class or folder in its own process."""
     with ThreadPoolExecutor(WORKERS) as pool:
-        counts = list(pool.map(run_class, class_names(suite)))
+        counts = list(pool.map(run_name, names))
     return RunCounts(
         tests=sum(entry.tests for entry in counts),
         failed=[name for entry in counts for name in entry.failed],
@@ -48,8 +48,8 @@
     )
 
 
-def run_class(name: str) -> RunCounts:
-    """Run one class; a worker without a result counts as one failed test."""
+def run_name(name: str) -> RunCounts:
+    """Run one class or folder; without a result it counts as one failed test."""
     with tempfile.TemporaryDirectory(prefix="gypsumvane-run-") as directory:
         result_path = Path(directory) / "result.json"
         output, ended = run_worker(name, result_path)
--- a/tests/system_worker.py
+++ b/tests/system_worker.py
@@ -1,4 +1,4 @@
-"""Run the tests of one system test class and write the result as JSON."""
+"""Run the tests of one class or folder and write the result as JSON."""
 
 from __future__ import annotations
 
@@ -8,9 +8,17 @@
 from pathlib import Path
 
 
-def main(class_name: str, result_path: str) -> int:
-    """Run one class; its output goes to standard error."""
-    suite = unittest.defaultTestLoader.loadTestsFromName(class_name)
+def load(name: str) -> unittest.TestSuite:
+    """Return the tests of a class, or those of a folder of one package."""
+    loader = unittest.defaultTestLoader
+    if Path(name).is_dir():
+        return loader.discover(name, top_level_dir=name)
+    return loader.loadTestsFromName(name)
+
+
+def main(name: str, result_path: str) -> int:
+    """Run one class or folder; its output goes to standard error."""
+    suite = load(name)
     result = unittest.TextTestRunner(verbosity=2).run(suite)
     values = {
         "tests": result.testsRun,
