Wait for events with a bound in one place

Cause: four loops of the daemon (status reports, heartbeats, view writer, life cycle) each suppressed the timeout of a wait for an event.

Change: wait_for_event does it.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/heartbeat_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/heartbeat_exchange.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.messages import Heartbeat
 from gypsumvane_core.messages import HeartbeatReply
+from gypsumvane_daemon.event_wait import wait_for_event
 from gypsumvane_daemon.peer_network import PeerError
 
 if TYPE_CHECKING:
@@ -131,9 +131,7 @@
         while True:
             kick.clear()
             await self._exchange(vm_id)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._interval_s):
-                    await kick.wait()
+            await wait_for_event(kick, timeout_s=self._interval_s)
 
     async def _exchange(self, vm_id: str) -> None:
         sent_at_s = self._state.clock.monotonic_s()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_status.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_status.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import logging
 from typing import TYPE_CHECKING
@@ -11,6 +10,7 @@
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.upstream_state import UpstreamState
 from gypsumvane_core.upstream_trust import StatusReport
+from gypsumvane_daemon.event_wait import wait_for_event
 from gypsumvane_daemon.upstream_client import LeafCallError
 
 if TYPE_CHECKING:
@@ -71,9 +71,7 @@
     async def _wait_for_next_poll(self) -> None:
         unavailable = self._state.trust.state is UpstreamState.UNAVAILABLE
         interval_s = OUTAGE_STATUS_INTERVAL_S if unavailable else STATUS_INTERVAL_S
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(interval_s):
-                await self._probe.wait()
+        await wait_for_event(self._probe, timeout_s=interval_s)
 
     async def _poll_once(self) -> None:
         try:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/lifecycle_service.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from typing import TYPE_CHECKING
 from typing import cast
 
 from gypsumvane_core.life_cycle import LifeCycle
 from gypsumvane_core.life_cycle import LifeState
+from gypsumvane_daemon.event_wait import wait_for_event
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.membership_service import MembershipService
 from gypsumvane_daemon.metrics import MetricsService
@@ -146,9 +146,8 @@
     async def _wait_for_membership(self) -> None:
         serving = self.state is LifeState.SERVING
         self._membership_changed.clear()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SERVING_POLL_S if serving else POLL_S):
-                await self._membership_changed.wait()
+        timeout_s = SERVING_POLL_S if serving else POLL_S
+        await wait_for_event(self._membership_changed, timeout_s=timeout_s)
 
     async def _wait_until(self, condition: Callable[[], bool]) -> None:
         # The conditions depend on time, so that no event announces them.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/view_writer.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/view_writer.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.messages import Member
+from gypsumvane_daemon.event_wait import wait_for_event
 from gypsumvane_daemon.store_objects import StoreError
 
 if TYPE_CHECKING:
@@ -66,9 +66,7 @@
             except StoreError:
                 self._metrics.count("view_failures", reason="store")
             self._signals.writer.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._interval_s):
-                    await self._signals.writer.wait()
+            await wait_for_event(self._signals.writer, timeout_s=self._interval_s)
 
     async def _step(self) -> None:
         state = self._state
