--- a/packages/gypsumvane-daemon/tests/booking_fleet.py
+++ b/packages/gypsumvane-daemon/tests/booking_fleet.py
@@ -9,9 +9,13 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
+from daemon_settings import daemon_settings
+from fake_service import FakeService
+from fake_service import kernel_of
 from gypsumvane_core.clock import Clock
 from gypsumvane_core.document import DocumentCatalogue
 from gypsumvane_core.index_routes import MoveChoice
@@ -25,22 +29,21 @@
 from gypsumvane_daemon.booking_service import BookingService
 from gypsumvane_daemon.claim_ledger import ClaimTimings
 from gypsumvane_daemon.identity import DaemonIdentity
-from gypsumvane_daemon.kernel import Kernel
-from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerContext
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
 from gypsumvane_daemon.reserved_checkpoints import CheckpointTimings
-from gypsumvane_daemon.settings import Settings
 from gypsumvane_daemon.store_objects import Conflict
 from gypsumvane_daemon.store_objects import PutResult
 from gypsumvane_daemon.store_objects import StoredObject
 from gypsumvane_daemon.store_objects import StoreError
 from gypsumvane_daemon.store_objects import Written
+from waiting import wait_until
 
 if TYPE_CHECKING:
     from gypsumvane_core.outcome import Outcome
+    from gypsumvane_daemon.kernel import Kernel
 
 LEAVES = ("leaf-a", "leaf-b")
 
@@ -108,21 +111,15 @@
             await self.paused[vm_id].wait()
 
 
-class FakeService(Service):
+class WorldService(FakeService):
     """Know the world and the own VM."""
 
     def __init__(self, world: World, vm_id: str) -> None:
         self.world = world
         self.vm_id = vm_id
 
-    async def start(self, kernel: Kernel) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Do nothing."""
 
-
-class FakeStore(FakeService):
+class FakeStore(WorldService):
     """Keep objects with versions; answers may be lost."""
 
     name = "store"
@@ -165,7 +162,7 @@
             raise StoreError("fault", may_have_applied=may_have_applied)
 
 
-class FakeMembership(FakeService):
+class FakeMembership(WorldService):
     """Tell the shared view, or an own older one."""
 
     name = "membership"
@@ -197,7 +194,7 @@
         """Send no heartbeat."""
 
 
-class FakeUpstreams(FakeService):
+class FakeUpstreams(WorldService):
     """Count runs per key and answer as the faults say."""
 
     name = "upstreams"
@@ -268,7 +265,7 @@
         return reply
 
 
-class FakeMoves(FakeService):
+class FakeMoves(WorldService):
     """Move no version."""
 
     name = "moves"
@@ -281,24 +278,7 @@
         """Ignore the evidence."""
 
 
-def settings_of(vm_id: str) -> Settings:
-    """Return settings that listen on free ports."""
-    listener = {"address": "127.0.0.1:0"}
-    return Settings.model_validate(
-        {
-            "vm": {"vm_id": vm_id, "failure_domain": "a"},
-            "callers": listener,
-            "peers": listener,
-            "operators": {**listener, "token": "not-a-secret"},
-            "platform": {
-                "store_address": "127.0.0.1:1",
-                "live_list_address": "127.0.0.1:1",
-            },
-        }
-    )
-
-
-class FakeDocuments(FakeService):
+class FakeDocuments(WorldService):
     """Hold one index with two leaves."""
 
     name = "documents"
@@ -328,7 +308,7 @@
     """Run one booking service with its fakes."""
 
     def __init__(self, fleet: Fleet, vm_id: str, incarnation: str) -> None:
-        self.identity = DaemonIdentity(settings_of(vm_id), incarnation)
+        self.identity = DaemonIdentity(daemon_settings(vm_id), incarnation)
         world = fleet.world
         self.peers = fleet.make_peers(self.identity)
         self.membership = FakeMembership(world, vm_id)
@@ -338,8 +318,7 @@
             claim_timings=fleet.claim_timings,
             checkpoint_timings=fleet.checkpoint_timings,
         )
-        self.kernel = Kernel()
-        for service in (
+        self.kernel = kernel_of(
             MetricsService(),
             self.peers,
             FakeStore(world, vm_id),
@@ -348,8 +327,7 @@
             FakeUpstreams(world, vm_id),
             FakeMoves(world, vm_id),
             self.bookings,
-        ):
-            self.kernel.register(service)
+        )
 
 
 class Fleet:
@@ -383,14 +361,7 @@
             for daemon in self.daemons.values():
                 await daemon.peers.set_peers(addresses)
                 for peer in daemon.peers.peer_ids():
-                    await self._connected(daemon.peers, peer)
-
-    async def _connected(self, peers: PeerNetwork, vm_id: str) -> None:
-        for _ in range(500):
-            if peers.hello_of(vm_id) is not None:
-                return
-            await asyncio.sleep(0.01)
-        raise AssertionError(f"no connection to {vm_id}")
+                    await wait_until(partial(daemon.peers.hello_of, peer))
 
     async def kill(self, vm_id: str) -> None:
         """End a daemon without its last writes."""
--- a/packages/gypsumvane-daemon/tests/caller_fakes.py
+++ b/packages/gypsumvane-daemon/tests/caller_fakes.py
@@ -7,8 +7,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from fake_service import FakeService
 from gateway_fakes import FakeMembership
-from gateway_fakes import FakeService
 from gateway_fakes import GatewayRig
 from gypsumvane_core.outcome import Completed
 from gypsumvane_core.outcome import Failed
--- a/packages/gypsumvane-daemon/tests/daemon_fixture.py
+++ b/packages/gypsumvane-daemon/tests/daemon_fixture.py
@@ -2,50 +2,38 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from typing import TYPE_CHECKING
+from typing import Any
 
+from daemon_settings import daemon_settings
+from fake_service import kernel_of
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.messages import Heartbeat
 from gypsumvane_daemon.document_service import DocumentService
 from gypsumvane_daemon.identity import DaemonIdentity
-from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.operator_api import OperatorApi
 from gypsumvane_daemon.peer_network import PeerNetwork
-from gypsumvane_daemon.settings import Settings
 from gypsumvane_daemon.store_client import StoreClient
+from waiting import wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from gypsumvane_daemon.kernel import Service
-
-TOKEN = "operator-token"
-WAIT_S = 10.0
-WAIT_STEP_S = 0.005
+    from gypsumvane_daemon.settings import Settings
 
 
-def settings(vm_id: str, store_address: str) -> Settings:
+def settings(vm_id: str, store_address: str, **changes: dict[str, Any]) -> Settings:
     """Return settings with short pauses."""
-    return Settings.model_validate(
-        {
-            "vm": {"vm_id": vm_id, "failure_domain": "a"},
-            "callers": {"address": "127.0.0.1:0"},
-            "peers": {"address": "127.0.0.1:0"},
-            "operators": {"address": "127.0.0.1:0", "token": TOKEN},
-            "platform": {
-                "store_address": store_address,
-                "live_list_address": "127.0.0.1:1",
-                "store_timeout_ms": 1000,
-                "store_watch_wait_ms": 100,
-                "store_pause_first_ms": 5,
-                "store_pause_max_ms": 20,
-                "store_resolve_ms": 150,
-            },
-        }
-    )
+    platform = {
+        "store_address": store_address,
+        "store_timeout_ms": 1000,
+        "store_watch_wait_ms": 100,
+        "store_pause_first_ms": 5,
+        "store_pause_max_ms": 20,
+        "store_resolve_ms": 150,
+    }
+    return daemon_settings(vm_id, platform=platform, **changes)
 
 
 class TestDaemon:
@@ -64,16 +52,14 @@
             self.identity, clock=clock, rng=random.Random(2)
         )
         self.operators = OperatorApi(self.identity, clock=clock)
-        self.kernel = Kernel()
-        for service in (
+        self.kernel = kernel_of(
             self.metrics,
             self.peers,
             self.store,
             self.documents,
             *others,
             self.operators,
-        ):
-            self.kernel.register(service)
+        )
 
     async def start(self) -> None:
         """Start all services."""
@@ -111,12 +97,3 @@
         for receiver in daemons:
             if receiver is not sender:
                 receiver.documents.receive(heartbeat, sender.vm_id)
-
-
-async def wait_until(condition: Callable[[], bool]) -> None:
-    """Wait for a condition; fail after a generous time."""
-    for _ in range(round(WAIT_S / WAIT_STEP_S)):
-        if condition():
-            return
-        await asyncio.sleep(WAIT_STEP_S)
-    raise AssertionError("condition does not hold")
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/fake_service.py
@@ -0,0 +1,24 @@
+"""Base of fake services, and kernels of services."""
+
+from __future__ import annotations
+
+from gypsumvane_daemon.kernel import Kernel
+from gypsumvane_daemon.kernel import Service
+
+
+class FakeService(Service):
+    """Start and stop without work."""
+
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+def kernel_of(*services: Service) -> Kernel:
+    """Return a kernel with the services registered in this order."""
+    kernel = Kernel()
+    for service in services:
+        kernel.register(service)
+    return kernel
--- a/packages/gypsumvane-daemon/tests/gateway_fakes.py
+++ b/packages/gypsumvane-daemon/tests/gateway_fakes.py
@@ -10,6 +10,9 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from daemon_settings import daemon_settings
+from fake_service import FakeService
+from fake_service import kernel_of
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.document import DocumentCatalogue
 from gypsumvane_core.index_routes import MoveChoice
@@ -22,11 +25,8 @@
 from gypsumvane_core.messages import UpstreamBrief
 from gypsumvane_daemon.gateway_service import GatewayService
 from gypsumvane_daemon.identity import DaemonIdentity
-from gypsumvane_daemon.kernel import Kernel
-from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerError
-from gypsumvane_daemon.settings import Settings
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,34 +36,6 @@
 OWN_VM = "vm-own"
 
 
-def fake_identity() -> DaemonIdentity:
-    """Build the identity of the daemon under test."""
-    listener = {"address": "127.0.0.1:0"}
-    settings = Settings.model_validate(
-        {
-            "vm": {"vm_id": OWN_VM, "failure_domain": "a"},
-            "callers": listener,
-            "peers": listener,
-            "operators": listener | {"token": "test-token"},
-            "platform": {
-                "store_address": "127.0.0.1:1",
-                "live_list_address": "127.0.0.1:1",
-            },
-        }
-    )
-    return DaemonIdentity(settings=settings)
-
-
-class FakeService(Service):
-    """Start and stop without work."""
-
-    async def start(self, kernel: Kernel) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Do nothing."""
-
-
 class FakeDocuments(FakeService):
     """Hold documents that a test applies."""
 
@@ -274,7 +246,6 @@
     """Start a gateway with fakes."""
 
     def __init__(self) -> None:
-        self.kernel = Kernel()
         self.metrics = MetricsService()
         self.documents = FakeDocuments()
         self.membership = self.make_membership()
@@ -282,11 +253,11 @@
         self.peers = FakePeers(self.upstreams)
         self.moves = FakeMoves()
         self.clock = SystemClock()
-        self.identity = fake_identity()
+        self.identity = DaemonIdentity(settings=daemon_settings(OWN_VM))
         self.gateway = GatewayService(
             self.identity, clock=self.clock, rng=random.Random(5)
         )
-        for service in (
+        self.kernel = kernel_of(
             self.metrics,
             self.peers,
             self.documents,
@@ -294,8 +265,7 @@
             self.upstreams,
             self.moves,
             self.gateway,
-        ):
-            self.kernel.register(service)
+        )
 
     def make_membership(self) -> FakeMembership:
         return FakeMembership()
--- a/packages/gypsumvane-daemon/tests/membership_fakes.py
+++ b/packages/gypsumvane-daemon/tests/membership_fakes.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from daemon_settings import daemon_settings
+from fake_service import kernel_of
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_daemon.identity import DaemonIdentity
 from gypsumvane_daemon.kernel import Kernel
@@ -18,7 +20,6 @@
 from gypsumvane_daemon.membership_service import MembershipService
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerNetwork
-from gypsumvane_daemon.settings import Settings
 from gypsumvane_daemon.store_objects import Conflict
 from gypsumvane_daemon.store_objects import PutResult
 from gypsumvane_daemon.store_objects import StoredObject
@@ -146,7 +147,6 @@
     def __init__(
         self, vm_id: str, *, shared: FakeObjects, live_list: str, seeds: list[str]
     ) -> None:
-        listener = {"address": "127.0.0.1:0"}
         membership = {
             "heartbeat_interval_ms": 50,
             "suspect_after_ms": 400,
@@ -155,22 +155,15 @@
             "takeover_margin_ms": 50,
             "seed_addresses": seeds,
         }
-        values = {
-            "vm": {"vm_id": vm_id, "failure_domain": "fd-a"},
-            "callers": listener,
-            "peers": listener,
-            "operators": {**listener, "token": "0123456789"},
-            "platform": {
-                "store_address": "127.0.0.1:1",
-                "live_list_address": live_list,
-                "live_list_interval_ms": 50,
-            },
-            "membership": membership,
-            "entry": {"keep_ms": 100},
-        }
-        self.identity = DaemonIdentity(settings=Settings.model_validate(values))
+        settings = daemon_settings(
+            vm_id,
+            vm={"failure_domain": "fd-a"},
+            platform={"live_list_address": live_list, "live_list_interval_ms": 50},
+            membership=membership,
+            entry={"keep_ms": 100},
+        )
+        self.identity = DaemonIdentity(settings=settings)
         self.identity.caller_address = f"127.0.0.1:{9000 + int(vm_id[-1])}"
-        self.kernel = Kernel()
         self.metrics = MetricsService()
         self.network = PeerNetwork(self.identity)
         self.store = FakeStore(shared)
@@ -179,24 +172,16 @@
             self.identity, clock=clock, rng=random.Random(1)
         )
         self.lifecycle = LifecycleService(self.identity, clock=clock)
-        for service in (
+        self.kernel = kernel_of(
             self.metrics,
             self.network,
             self.store,
             self.membership,
             self.lifecycle,
-        ):
-            self.kernel.register(service)
+        )
 
     async def start(self) -> None:
         await self.kernel.start()
 
     async def stop(self) -> None:
         await self.kernel.stop()
-
-
-async def wait_for(condition: Callable[[], bool]) -> None:
-    """Wait until the condition holds; the test's own limit ends a failure."""
-    async with asyncio.timeout(60):
-        while not condition():
-            await asyncio.sleep(0.01)
--- a/packages/gypsumvane-daemon/tests/move_fleet.py
+++ b/packages/gypsumvane-daemon/tests/move_fleet.py
@@ -6,12 +6,15 @@
 import random
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Any
 
 from booking_fleet import FakeMembership
 from booking_fleet import LoopClock
 from booking_fleet import World
-from booking_fleet import settings_of
+from daemon_settings import daemon_settings
+from fake_service import FakeService
+from fake_service import kernel_of
 from gypsumvane_core.document import DocumentCatalogue
 from gypsumvane_core.document import parse_body
 from gypsumvane_core.document_change import ChangeAccepted
@@ -30,11 +33,12 @@
 from gypsumvane_core.messages import Heartbeat
 from gypsumvane_core.messages import Member
 from gypsumvane_daemon.identity import DaemonIdentity
-from gypsumvane_daemon.kernel import Kernel
-from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.move_service import MoveService
 
+if TYPE_CHECKING:
+    from gypsumvane_daemon.kernel import Kernel
+
 NAME = "move/ledger"
 INDEX = "index/ledger"
 
@@ -108,7 +112,7 @@
         return IndexDocument.model_validate_json(body).current_version
 
 
-class MoveDocuments(Service):
+class MoveDocuments(FakeService):
     """Apply the stored documents when told."""
 
     name = "documents"
@@ -121,9 +125,6 @@
     async def start(self, kernel: Kernel) -> None:
         self.apply()
 
-    async def stop(self) -> None:
-        """Do nothing."""
-
     def on_change(self, listener: Any) -> None:
         self.listeners.append(listener)
 
@@ -153,14 +154,14 @@
     """Run one move service with its fakes."""
 
     def __init__(self, fleet: MoveFleet, vm_id: str, incarnation: str) -> None:
-        self.identity = DaemonIdentity(settings_of(vm_id), incarnation)
+        self.identity = DaemonIdentity(daemon_settings(vm_id), incarnation)
         self.documents = MoveDocuments(fleet.stored)
         self.moves = MoveService(self.identity, clock=LoopClock(), rng=fleet.rng)
-        self.kernel = Kernel()
         membership = MoveMembership(fleet.world, vm_id)
         membership.fleet = fleet
-        for service in (MetricsService(), self.documents, membership, self.moves):
-            self.kernel.register(service)
+        self.kernel = kernel_of(
+            MetricsService(), self.documents, membership, self.moves
+        )
 
 
 class MoveFleet:
--- a/packages/gypsumvane-daemon/tests/test_daemon_admission_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_admission_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from fake_service import kernel_of
 from gypsumvane_core.admission_request import AdmissionRequest
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.priority import Priority
@@ -12,7 +13,6 @@
 from gypsumvane_daemon.admission_service import COMMON
 from gypsumvane_daemon.admission_service import AdmissionRefused
 from gypsumvane_daemon.admission_service import AdmissionService
-from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.metrics import MetricsService
 from upstream_fakes import FakeDocuments
 
@@ -26,9 +26,7 @@
         self.documents.put_policy(root_in_flight_max=1, root_queue_max=1)
         self.metrics = MetricsService()
         self.service = AdmissionService(self.clock)
-        kernel = Kernel()
-        for service in (self.metrics, self.documents, self.service):
-            kernel.register(service)
+        kernel = kernel_of(self.metrics, self.documents, self.service)
         await kernel.start()
         self.addAsyncCleanup(kernel.stop)
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_caller_api.py
@@ -5,24 +5,21 @@
 import asyncio
 import ssl
 import unittest
-from typing import TYPE_CHECKING
 from typing import Any
 
 from aiohttp import ClientError
 from aiohttp import ClientSession
 
 from caller_fakes import CallerRig
+from daemon_settings import daemon_settings
 from gateway_fakes import index_body
 from gypsumvane_core.outcome import Failed
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.admission_service import MESSAGES
 from gypsumvane_daemon.caller_api import BODY_BYTES_MAX
-from gypsumvane_daemon.settings import ListenerSettings
 from tls_files import Authority
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from waiting import wait_until
 
 SEARCH = "/v1/indexes/stock/search"
 RUN = "/v1/indexes/ledger/run"
@@ -133,16 +130,10 @@
             call.cancel()
             await asyncio.gather(call, return_exceptions=True)
 
-    async def until(self, check: Callable[[], bool]) -> None:
-        """Wait until a check holds."""
-        async with asyncio.timeout(10):
-            while not check():
-                await asyncio.sleep(0.005)
-
     async def until_disconnect(self, route: str) -> None:
         """Wait until the daemon has noticed one caller that left."""
         value = self.rig.metrics.value
-        await self.until(lambda: value("caller_disconnects", route=route) == 1)
+        await wait_until(lambda: value("caller_disconnects", route=route) == 1)
 
     async def check_end_with_caller(
         self, route: str, path: str, body: Any, attempts: int
@@ -150,7 +141,7 @@
         """Check that the attempts of a request are cancelled at their homes."""
         for leaf in self.rig.upstreams.leaves.values():
             leaf.delay_s = 30.0
-        begun = self.until(lambda: self.rig.asked() >= attempts)
+        begun = wait_until(lambda: self.rig.asked() >= attempts)
         await self.leave_after(path, body, begun)
         await self.until_disconnect(route)
         cancels = [message for _, message in self.rig.peers.cancels]
@@ -180,7 +171,7 @@
         await self.until_disconnect("run")
         self.assertFalse(idle())
         await asyncio.wait_for(bookings.ended.wait(), 10)
-        await self.until(idle)
+        await wait_until(idle)
         self.assertEqual(self.rig.admission.finished, [True])
 
     async def test_answers_without_a_lost_service_say_nothing_of_the_load(self) -> None:
@@ -275,11 +266,8 @@
         """Guard against settings of TLS that are ignored."""
         authority = Authority(self)
         rig = CallerRig()
-        callers = ListenerSettings(
-            address="127.0.0.1:0", tls=authority.issue(mutual=False)
-        )
-        rig.identity.settings = rig.identity.settings.model_copy(
-            update={"callers": callers}
+        rig.identity.settings = daemon_settings(
+            callers={"tls": authority.issue(mutual=False)}
         )
         await rig.kernel.start()
         self.addAsyncCleanup(rig.kernel.stop)
--- a/packages/gypsumvane-daemon/tests/test_daemon_cold_leaf.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_cold_leaf.py
@@ -5,11 +5,12 @@
 import asyncio
 import unittest
 
+from daemon_settings import daemon_settings
+from fake_service import kernel_of
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.messages import PartialBatch
 from gypsumvane_core.messages import PartialRequest
 from gypsumvane_daemon.identity import DaemonIdentity
-from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerNetwork
 from gypsumvane_daemon.upstream_service import UpstreamService
@@ -21,7 +22,6 @@
 from gypsumvane_devtools.run_ledger import RunLedger
 from upstream_fakes import FakeDocuments
 from upstream_fakes import FakeMembership
-from upstream_fakes import make_settings
 
 SEARCHERS = 6
 
@@ -44,7 +44,7 @@
         self.server = LeafServer(self.leaf)
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
-        identity = DaemonIdentity(settings=make_settings())
+        identity = DaemonIdentity(settings=daemon_settings())
         documents = FakeDocuments()
         documents.put_policy(cold_spacing_ms=20, warm_good_answers=10)
         documents.put(
@@ -66,15 +66,13 @@
             },
         )
         self.service = UpstreamService(identity, SystemClock())
-        kernel = Kernel()
-        for service in (
+        kernel = kernel_of(
             MetricsService(),
             PeerNetwork(identity),
             documents,
             FakeMembership(),
             self.service,
-        ):
-            kernel.register(service)
+        )
         await kernel.start()
         self.addAsyncCleanup(kernel.stop)
         self.attempt = 0
--- a/packages/gypsumvane-daemon/tests/test_daemon_document_machine.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_document_machine.py
@@ -23,7 +23,6 @@
 from daemon_fixture import TestDaemon
 from daemon_fixture import connect
 from daemon_fixture import exchange_heartbeats
-from daemon_fixture import wait_until
 from fake_store import FakeStore
 from fake_store import PutFault
 from gypsumvane_core.document_change import ChangeAccepted
@@ -34,6 +33,7 @@
 from gypsumvane_core.stored_document import StoredDocument
 from gypsumvane_core.stored_document import decode_stored
 from gypsumvane_daemon.peer_network import PeerError
+from waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
--- a/packages/gypsumvane-daemon/tests/test_daemon_document_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_document_service.py
@@ -10,7 +10,6 @@
 from daemon_fixture import TestDaemon
 from daemon_fixture import connect
 from daemon_fixture import exchange_heartbeats
-from daemon_fixture import wait_until
 from fake_store import FakeStore
 from fake_store import PutFault
 from gypsumvane_core.document_change import ChangeAccepted
@@ -20,6 +19,7 @@
 from gypsumvane_core.document_change import ChangeUnknown
 from gypsumvane_core.document_change import DocumentChange
 from gypsumvane_core.stored_document import decode_stored
+from waiting import wait_until
 
 KEY = "config/documents/fleet"
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -5,15 +5,15 @@
 import asyncio
 import unittest
 
+from fake_service import kernel_of
 from gypsumvane_core.grade import Grade
 from gypsumvane_core.life_cycle import LifeState
 from gypsumvane_core.view import VIEW_KEY
-from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.store_objects import StoredObject
 from membership_fakes import FakeLiveList
 from membership_fakes import FakeObjects
 from membership_fakes import TestDaemon
-from membership_fakes import wait_for
+from waiting import wait_until
 
 LEAVES = [f"stock-{service:02}-{leaf}" for service in range(10) for leaf in "ab"]
 
@@ -47,7 +47,7 @@
     async def start_three(self) -> None:
         for vm_id in ("vm-1", "vm-2", "vm-3"):
             await self.start(vm_id)
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
 
     def all_served(self) -> bool:
         """Return whether every leaf has one daemon with full authority."""
@@ -78,7 +78,7 @@
             # Without seeds they find each other by the stored view.
             self.daemons.append(self.make(f"vm-{number}", seeds=[]))
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
 
     async def test_silent_sponsor_does_not_block_joining(self) -> None:
         """Guard against a daemon that asks only a paused sponsor."""
@@ -86,24 +86,22 @@
         silent = TestDaemon(
             "vm-0", shared=self.shared, live_list=self.live_list.address, seeds=[]
         )
-        kernel = Kernel()
-        kernel.register(silent.metrics)
-        kernel.register(silent.network)
+        kernel = kernel_of(silent.metrics, silent.network)
         await kernel.start()
         self.addAsyncCleanup(kernel.stop)
         addresses = [silent.identity.peer_address, first.identity.peer_address]
         second = self.make("vm-2", addresses)
         await second.start()
         self.daemons.append(second)
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
 
     async def test_homes_stay_full_without_the_store(self) -> None:
         """Guard against an outage of the store that halves all limits."""
         await self.start_three()
         self.shared.up = False
         states = [d.membership.state for d in self.daemons]
-        await wait_for(lambda: not any(s.store_confirmed() for s in states))
-        await wait_for(self.all_served)
+        await wait_until(lambda: not any(s.store_confirmed() for s in states))
+        await wait_until(self.all_served)
 
     async def test_successor_of_a_gone_home_is_full_without_the_store(self) -> None:
         """Guard against leaves without a home until the store is back."""
@@ -111,24 +109,24 @@
         self.shared.up = False
         await self.kill(self.daemons[2])
         self.live_list.set("vm-1", "vm-2")
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
 
     async def test_silent_home_is_replaced_with_half(self) -> None:
         """Guard against full authority while the former home may be active."""
         await self.start_three()
         lost = [x for x in LEAVES if self.daemons[0].membership.home_of(x) == "vm-3"]
         await self.kill(self.daemons[2])
-        await wait_for(lambda: all(self.holders(x, Grade.HALF) == 1 for x in lost))
+        await wait_until(lambda: all(self.holders(x, Grade.HALF) == 1 for x in lost))
         self.assertTrue(all(self.holders(x, Grade.FULL) == 0 for x in lost))
         self.live_list.set("vm-1", "vm-2")
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
 
     async def test_restarted_process_replaces_its_former_incarnation(self) -> None:
         """Guard against waiting for the live list after a quick restart."""
         await self.start_three()
         await self.kill(self.daemons[2])
         await self.start("vm-3")
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
         view = self.daemons[0].membership.view
         assert view is not None
         self.assertEqual(len(view.members), 3)
@@ -141,17 +139,17 @@
         self.live_list.set("vm-4", "vm-5")
         await self.start("vm-4")
         await self.start("vm-5")
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
 
     async def test_lost_write_answer_withholds_promises_until_read_back(self) -> None:
         """Guard against a promise while an own write may take effect."""
         await self.start_three()
         self.shared.lose_next_answer = True
         await self.start("vm-4")
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
         for daemon in self.daemons:
             promises = daemon.membership.state.promises
-            await wait_for(lambda p=promises: p.unresolved_version is None)
+            await wait_until(lambda p=promises: p.unresolved_version is None)
 
     async def test_leaving_hands_over_before_it_stops(self) -> None:
         """Guard against an acknowledgement while a call is in progress."""
@@ -164,7 +162,7 @@
         leaving.membership.set_release_check(lambda leaf: leaf not in calls)
         leaving.membership.begin_leaving()
         first = self.daemons[0].membership
-        await wait_for(lambda: first.home_of(busy) != "vm-3")
+        await wait_until(lambda: first.home_of(busy) != "vm-3")
         self.assertEqual(self.holders(busy, Grade.FULL), 0)
         self.assertFalse(leaving.membership.handed_over())
         calls.clear()
@@ -172,15 +170,15 @@
         self.assertIs(leaving.lifecycle.state, LifeState.STOPPING)
         self.assertFalse(leaving.lifecycle.serving)
         await self.kill(leaving)
-        await wait_for(self.all_served)
+        await wait_until(self.all_served)
 
     async def test_daemons_that_all_leave_stay_homes_until_they_end(self) -> None:
         """Guard against requests without a home while the fleet stops."""
         await self.start_three()
         for daemon in self.daemons:
             daemon.membership.begin_leaving()
-        await wait_for(lambda: all(d.membership.handed_over() for d in self.daemons))
-        await wait_for(self.all_served)
+        await wait_until(lambda: all(d.membership.handed_over() for d in self.daemons))
+        await wait_until(self.all_served)
         await asyncio.gather(*(daemon.lifecycle.leave() for daemon in self.daemons))
 
     async def test_last_daemon_stops_after_the_lists_that_name_it(self) -> None:
@@ -190,11 +188,11 @@
         itself until the moment it stopped.
         """
         last = await self.start("vm-1")
-        await wait_for(lambda: last.membership.can_serve())
-        await wait_for(lambda: last.lifecycle.serving)
+        await wait_until(lambda: last.membership.can_serve())
+        await wait_until(lambda: last.lifecycle.serving)
         self.shared.up = False
         states = last.membership.state
-        await wait_for(lambda: not states.store_confirmed())
+        await wait_until(lambda: not states.store_confirmed())
         leaving = asyncio.create_task(last.lifecycle.leave())
         keep_s = last.identity.settings.entry.keep_ms / 1000
         for _ in range(10):
@@ -215,19 +213,19 @@
         await self.start_three()
         first = self.daemons[0].membership
         # A member is listed once its heartbeat has said that it serves.
-        await wait_for(lambda: len(first.entry_addresses("fd-a").addresses) == 3)
+        await wait_until(lambda: len(first.entry_addresses("fd-a").addresses) == 3)
         self.daemons[1].membership.begin_leaving()
-        await wait_for(lambda: len(first.entry_addresses("fd-a").addresses) == 2)
+        await wait_until(lambda: len(first.entry_addresses("fd-a").addresses) == 2)
 
     async def test_member_that_does_not_serve_is_not_listed(self) -> None:
         """Guard against callers that are sent to a daemon before it serves."""
         await self.start_three()
         first = self.daemons[0].membership
-        await wait_for(lambda: len(first.entry_addresses("fd-a").addresses) == 3)
+        await wait_until(lambda: len(first.entry_addresses("fd-a").addresses) == 3)
         self.daemons[1].membership.set_ready_check(lambda: False)
-        await wait_for(lambda: len(first.entry_addresses("fd-a").addresses) == 2)
+        await wait_until(lambda: len(first.entry_addresses("fd-a").addresses) == 2)
         self.daemons[1].membership.set_ready_check(lambda: True)
-        await wait_for(lambda: len(first.entry_addresses("fd-a").addresses) == 3)
+        await wait_until(lambda: len(first.entry_addresses("fd-a").addresses) == 3)
 
     async def test_unreadable_view_is_not_confirmed(self) -> None:
         """Guard against authority by a view that this version cannot read."""
@@ -235,4 +233,4 @@
         version = self.shared.objects[VIEW_KEY].version + 1
         self.shared.objects[VIEW_KEY] = StoredObject(VIEW_KEY, b"{}", version)
         states = [d.membership.state for d in self.daemons]
-        await wait_for(lambda: not any(s.store_confirmed() for s in states))
+        await wait_until(lambda: not any(s.store_confirmed() for s in states))
--- a/packages/gypsumvane-daemon/tests/test_daemon_operator_api.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_operator_api.py
@@ -7,8 +7,8 @@
 
 from aiohttp import ClientSession
 
-from daemon_fixture import TOKEN
 from daemon_fixture import TestDaemon
+from daemon_settings import TOKEN
 from fake_store import FakeStore
 
 REASON = {"author": "ana", "reason": "power work"}
--- a/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_operator_cli.py
@@ -12,16 +12,16 @@
 from pathlib import Path
 from typing import Any
 
-from daemon_fixture import TOKEN
 from daemon_fixture import TestDaemon
+from daemon_fixture import settings
+from daemon_settings import TOKEN
+from fake_service import FakeService
 from fake_store import FakeStore
 from fake_store import PutFault
 from gypsumvane_cli.exit_code import ExitCode
 from gypsumvane_cli.main import main
 from gypsumvane_core.messages import Member
 from gypsumvane_core.messages import UpstreamBrief
-from gypsumvane_daemon.kernel import Kernel
-from gypsumvane_daemon.kernel import Service
 from tls_files import Authority
 
 
@@ -33,7 +33,7 @@
     members: tuple[Member, ...]
 
 
-class FakeMembership(Service):
+class FakeMembership(FakeService):
     """Tell a fixed view."""
 
     name = "membership"
@@ -43,12 +43,6 @@
         self.view = FakeView(epoch=3, members=members)
         self.contributors: list[object] = []
 
-    async def start(self, kernel: Kernel) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Do nothing."""
-
     def live_members(self) -> list[Member]:
         """Return all members."""
         return list(self.view.members)
@@ -75,18 +69,12 @@
 
 
 @dataclass
-class FakeUpstreams(Service):
+class FakeUpstreams(FakeService):
     """Tell the brief of one leaf."""
 
     name = "upstreams"
     briefs: dict[str, UpstreamBrief] = field(default_factory=dict)
 
-    async def start(self, kernel: Kernel) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Do nothing."""
-
 
 class OperatorCliTest(unittest.IsolatedAsyncioTestCase):
     """Check that client and listener agree on every command."""
@@ -189,11 +177,8 @@
         daemon = TestDaemon(
             "vm-1", self.fake.address, FakeMembership("vm-1"), FakeUpstreams()
         )
-        listener = daemon.identity.settings.operators.model_copy(
-            update={"tls": authority.issue()}
-        )
-        daemon.identity.settings = daemon.identity.settings.model_copy(
-            update={"operators": listener}
+        daemon.identity.settings = settings(
+            "vm-1", self.fake.address, operators={"tls": authority.issue()}
         )
         await daemon.start()
         self.addAsyncCleanup(daemon.stop)
--- a/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
@@ -6,6 +6,8 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from daemon_settings import daemon_settings
+from fake_service import kernel_of
 from gypsumvane_core.messages import Heartbeat
 from gypsumvane_core.messages import HeartbeatReply
 from gypsumvane_core.messages import Hello
@@ -13,7 +15,6 @@
 from gypsumvane_core.messages import PartialResult
 from gypsumvane_core.messages import PartialResults
 from gypsumvane_daemon.identity import DaemonIdentity
-from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_codec import LENGTH_BYTES
 from gypsumvane_daemon.peer_codec import Frame
@@ -21,11 +22,12 @@
 from gypsumvane_daemon.peer_codec import encode_frame
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
-from gypsumvane_daemon.settings import Settings
 from gypsumvane_daemon.settings import split_address
 from tls_files import Authority
+from waiting import wait_until
 
 if TYPE_CHECKING:
+    from gypsumvane_daemon.kernel import Kernel
     from gypsumvane_daemon.peer_network import PeerContext
     from gypsumvane_daemon.settings import TlsSettings
 
@@ -34,24 +36,8 @@
     vm_id: str, cluster: str = "test", tls: TlsSettings | None = None
 ) -> DaemonIdentity:
     """Build the identity of a daemon that listens on free ports."""
-    listener = {"address": "127.0.0.1:0"}
-    values = {
-        "vm": {"vm_id": vm_id, "failure_domain": "fd-a", "cluster": cluster},
-        "callers": listener,
-        "peers": {**listener, "tls": tls},
-        "operators": {**listener, "token": "0123456789"},
-        "platform": {
-            "store_address": "127.0.0.1:1",
-            "live_list_address": "127.0.0.1:1",
-        },
-    }
-    return DaemonIdentity(settings=Settings.model_validate(values))
-
-
-async def wait_connected(network: PeerNetwork, vm_id: str) -> None:
-    """Wait until the network has a connection to the peer."""
-    while network.hello_of(vm_id) is None:
-        await asyncio.sleep(0.01)
+    settings = daemon_settings(vm_id, vm={"cluster": cluster}, peers={"tls": tls})
+    return DaemonIdentity(settings=settings)
 
 
 class PeerNetworkTest(unittest.IsolatedAsyncioTestCase):
@@ -63,7 +49,7 @@
         self.first = await self.start("vm-1")
         self.second = await self.start("vm-2")
         await self.first.set_peers({"vm-2": self.second.identity.peer_address})
-        await wait_connected(self.first, "vm-2")
+        await wait_until(lambda: self.first.hello_of("vm-2"))
 
     async def asyncTearDown(self) -> None:
         """Stop all networks."""
@@ -74,10 +60,8 @@
         self, vm_id: str, cluster: str = "test", tls: TlsSettings | None = None
     ) -> PeerNetwork:
         """Start the network of one daemon."""
-        kernel = Kernel()
-        kernel.register(MetricsService())
         network = PeerNetwork(make_identity(vm_id, cluster, tls))
-        kernel.register(network)
+        kernel = kernel_of(MetricsService(), network)
         await kernel.start()
         self.kernels.append(kernel)
         return network
@@ -113,7 +97,7 @@
             self.first.reset("vm-2")
             while self.first.hello_of("vm-2") is not None:
                 await asyncio.sleep(0.01)
-            await wait_connected(self.first, "vm-2")
+            await wait_until(lambda: self.first.hello_of("vm-2"))
         self.assertEqual(received, [heartbeat] * 6)
 
     async def test_peer_of_the_first_version_gets_plain_heartbeats(self) -> None:
@@ -179,7 +163,7 @@
         address = third.identity.peer_address
         for network in (fourth, stranger, self.first):
             await network.set_peers({"vm-3": address})
-        await wait_connected(fourth, "vm-3")
+        await wait_until(lambda: fourth.hello_of("vm-3"))
         for network in (stranger, self.first):
             with self.assertRaises(PeerError):
                 await network.request("vm-3", PartialBatch(), timeout_s=1)
--- a/packages/gypsumvane-daemon/tests/test_daemon_store_client.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_store_client.py
@@ -6,12 +6,12 @@
 import unittest
 
 from daemon_fixture import TestDaemon
-from daemon_fixture import wait_until
 from fake_store import FakeStore
 from fake_store import PutFault
 from gypsumvane_daemon.store_objects import Conflict
 from gypsumvane_daemon.store_objects import StoreError
 from gypsumvane_daemon.store_objects import Written
+from waiting import wait_until
 
 
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import unittest
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from daemon_settings import daemon_settings
+from fake_service import kernel_of
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.messages import Cancel
 from gypsumvane_core.messages import LeafRunReply
@@ -17,26 +18,15 @@
 from gypsumvane_core.messages import PartialResult
 from gypsumvane_core.messages import PartialResults
 from gypsumvane_daemon.identity import DaemonIdentity
-from gypsumvane_daemon.kernel import Kernel
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_network import PeerNetwork
 from gypsumvane_daemon.upstream_service import UpstreamService
 from upstream_fakes import FakeDocuments
 from upstream_fakes import FakeLeaf
 from upstream_fakes import FakeMembership
-from upstream_fakes import make_settings
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-
-async def eventually(condition: Callable[[], object]) -> None:
-    """Wait until a condition holds."""
-    for _ in range(1000):
-        if condition():
-            return
-        await asyncio.sleep(0.005)
-    raise AssertionError("the condition did not come true")
+from upstream_fakes import answer_late
+from upstream_fakes import close_connection
+from waiting import wait_until
 
 
 class UpstreamServiceCase(unittest.IsolatedAsyncioTestCase):
@@ -46,7 +36,7 @@
         self.leaf = FakeLeaf()
         await self.leaf.start()
         self.addAsyncCleanup(self.leaf.stop)
-        self.identity = DaemonIdentity(settings=make_settings())
+        self.identity = DaemonIdentity(settings=daemon_settings())
         self.membership = FakeMembership()
         self.documents = FakeDocuments()
         self.documents.put_policy(cold_spacing_ms=0, warm_good_answers=2)
@@ -54,15 +44,13 @@
         self.metrics = MetricsService()
         self.peers = PeerNetwork(self.identity)
         self.service = UpstreamService(self.identity, SystemClock())
-        self.kernel = Kernel()
-        for service in (
+        self.kernel = kernel_of(
             self.metrics,
             self.peers,
             self.documents,
             self.membership,
             self.service,
-        ):
-            self.kernel.register(service)
+        )
         await self.kernel.start()
         self.addAsyncCleanup(self.kernel.stop)
 
@@ -176,20 +164,15 @@
 
     async def test_deadline_cancels_at_the_leaf(self) -> None:
         """Guard against work that nobody waits for."""
-
-        async def answer(request: web.Request) -> web.Response:
-            await asyncio.sleep(30)
-            return web.Response()
-
-        self.leaf.answer = answer
+        self.leaf.answer = answer_late
         result = await self.search(deadline_left_ms=100)
         self.assertEqual(
             (result.kind, result.verdict, result.reason),
             ("failed", "may_have_run", "deadline"),
         )
-        await eventually(lambda: self.leaf.cancelled)
+        await wait_until(lambda: self.leaf.cancelled)
         self.assertEqual(self.leaf.cancelled, [self.leaf.calls[0]["Request-Id"]])
-        await eventually(lambda: self.service.idle("leaf-1"))
+        await wait_until(lambda: self.service.idle("leaf-1"))
 
     async def test_attempt_cancelled_at_once_frees_its_slot(self) -> None:
         """Guard against a slot that is never freed: no request was sent."""
@@ -201,7 +184,7 @@
         await asyncio.sleep(0)
         self.service.cancel(batch.query_id, [1])
         self.assertEqual((await pending).verdict, "not_run")
-        await eventually(lambda: self.service.idle("leaf-1"))
+        await wait_until(lambda: self.service.idle("leaf-1"))
         self.assertEqual((await self.search()).kind, "answered")
 
     async def test_unconfirmed_home_sends_nothing_to_a_cold_leaf(self) -> None:
@@ -240,7 +223,7 @@
 
         self.leaf.answer = answer
         first = asyncio.create_task(self.search())
-        await eventually(lambda: self.leaf.running)
+        await wait_until(lambda: self.leaf.running)
         self.membership.set_home("vm-2")
         assert self.membership.release_check is not None
         self.assertFalse(self.membership.release_check("leaf-1"))
@@ -251,7 +234,7 @@
         self.assertEqual(len(self.leaf.calls), 1)
         release.set()
         self.assertEqual((await first).kind, "answered")
-        await eventually(lambda: self.service.idle("leaf-1"))
+        await wait_until(lambda: self.service.idle("leaf-1"))
 
     async def test_calls_at_once_never_exceed_the_slots(self) -> None:
         """Guard against more calls than the leaf has slots."""
@@ -286,28 +269,16 @@
 
     async def test_connection_closed_after_the_request_is_not_sent_again(self) -> None:
         """Guard against a client library that sends a run again by itself."""
-
-        async def answer(request: web.Request) -> web.Response:
-            assert request.transport is not None
-            request.transport.close()
-            return web.Response()
-
-        await eventually(lambda: self.service.briefs.get("leaf-1"))
-        self.leaf.answer = answer
+        await wait_until(lambda: self.service.briefs.get("leaf-1"))
+        self.leaf.answer = close_connection
         reply = await self.run_once()
         self.assertEqual((reply.kind, reply.verdict), ("failed", "may_have_run"))
         self.assertEqual(len(self.leaf.calls), 1)
 
     async def test_lost_connection_keeps_the_slot_until_the_deadline(self) -> None:
         """Guard against a second call to a leaf that still works on a lost one."""
-
-        async def answer(request: web.Request) -> web.Response:
-            assert request.transport is not None
-            request.transport.close()
-            return web.Response()
-
-        await eventually(lambda: self.service.briefs.get("leaf-1"))
-        self.leaf.answer = answer
+        await wait_until(lambda: self.service.briefs.get("leaf-1"))
+        self.leaf.answer = close_connection
         lost = await self.run_once(deadline_left_ms=300)
         self.assertEqual(lost.verdict, "may_have_run")
         self.assertFalse(self.service.idle("leaf-1"))
@@ -316,7 +287,7 @@
         refused = await self.run_once(deadline_left_ms=100)
         self.assertEqual(refused.verdict, "not_run")
         self.assertEqual(len(self.leaf.calls), 1)
-        await eventually(lambda: self.service.idle("leaf-1"))
+        await wait_until(lambda: self.service.idle("leaf-1"))
 
     async def test_redirect_is_not_followed(self) -> None:
         """Guard against a 307 that makes the client send a run again."""
@@ -332,15 +303,10 @@
 
     async def test_deadline_is_may_have_run_and_not_cancelled(self) -> None:
         """Guard against a false "not run" and a cancelled reservation."""
-
-        async def answer(request: web.Request) -> web.Response:
-            await asyncio.sleep(30)
-            return web.Response()
-
-        self.leaf.answer = answer
+        self.leaf.answer = answer_late
         reply = await self.run_once(deadline_left_ms=100)
         self.assertEqual((reply.verdict, reply.reason), ("may_have_run", "deadline"))
-        await eventually(lambda: self.service.idle("leaf-1"))
+        await wait_until(lambda: self.service.idle("leaf-1"))
         self.assertEqual(self.leaf.cancelled, [])
 
 
@@ -349,15 +315,13 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        identity = DaemonIdentity(settings=make_settings("vm-2"))
+        identity = DaemonIdentity(settings=daemon_settings("vm-2"))
         self.root = PeerNetwork(identity)
-        kernel = Kernel()
-        kernel.register(MetricsService())
-        kernel.register(self.root)
+        kernel = kernel_of(MetricsService(), self.root)
         await kernel.start()
         self.addAsyncCleanup(kernel.stop)
         await self.root.set_peers({"vm-1": self.identity.peer_address})
-        await eventually(lambda: self.root.hello_of("vm-1"))
+        await wait_until(lambda: self.root.hello_of("vm-1"))
 
     async def test_batch_streams_every_result_and_ends(self) -> None:
         """Guard against results that are lost, doubled or late."""
@@ -382,20 +346,15 @@
 
     async def test_cancel_ends_an_attempt(self) -> None:
         """Guard against a losing attempt that keeps its slot."""
-
-        async def answer(request: web.Request) -> web.Response:
-            await asyncio.sleep(30)
-            return web.Response()
-
-        self.leaf.answer = answer
+        self.leaf.answer = answer_late
         stream = self.root.stream("vm-1", self.batch())
         pending = asyncio.ensure_future(anext(stream))
-        await eventually(lambda: self.leaf.running)
+        await wait_until(lambda: self.leaf.running)
         self.root.notify("vm-1", Cancel(query_id="query-1", attempt_ids=[1]))
         reply = await asyncio.wait_for(pending, 5)
         self.assertEqual(reply.results[0].reason, "cancelled")
-        await eventually(lambda: self.leaf.cancelled)
-        await eventually(lambda: self.service.idle("leaf-1"))
+        await wait_until(lambda: self.leaf.cancelled)
+        await wait_until(lambda: self.service.idle("leaf-1"))
 
     async def test_run_request_is_answered(self) -> None:
         """Guard against a run that a peer cannot start."""
--- a/packages/gypsumvane-daemon/tests/upstream_fakes.py
+++ b/packages/gypsumvane-daemon/tests/upstream_fakes.py
@@ -10,34 +10,16 @@
 
 from aiohttp import web
 
+from fake_service import FakeService
 from gypsumvane_core.document import DocumentCatalogue
 from gypsumvane_core.messages import Document
-from gypsumvane_daemon.kernel import Kernel
-from gypsumvane_daemon.kernel import Service
-from gypsumvane_daemon.settings import Settings
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
 
-def make_settings(vm_id: str = "vm-1") -> Settings:
-    """Return settings with listeners on free ports."""
-    return Settings.model_validate(
-        {
-            "vm": {"vm_id": vm_id, "failure_domain": "a"},
-            "callers": {"address": "127.0.0.1:0"},
-            "peers": {"address": "127.0.0.1:0"},
-            "operators": {"address": "127.0.0.1:0", "token": "token-for-tests"},
-            "platform": {
-                "store_address": "127.0.0.1:1",
-                "live_list_address": "127.0.0.1:1",
-            },
-        }
-    )
-
-
-class FakeMembership(Service):
+class FakeMembership(FakeService):
     """Assign every leaf to one VM with a settable share of the limits."""
 
     name = "membership"
@@ -49,12 +31,6 @@
         self._listeners: list[Callable[[], None]] = []
         self.release_check: Callable[[str], bool] | None = None
 
-    async def start(self, kernel: Kernel) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Do nothing."""
-
     def home_of(self, leaf_id: str) -> str | None:
         return self.home
 
@@ -77,7 +53,7 @@
             listener()
 
 
-class FakeDocuments(Service):
+class FakeDocuments(FakeService):
     """Hold documents that tests apply directly."""
 
     name = "documents"
@@ -86,12 +62,6 @@
         self.catalogue = DocumentCatalogue()
         self._listeners: list[Callable[[str], None]] = []
 
-    async def start(self, kernel: Kernel) -> None:
-        """Do nothing."""
-
-    async def stop(self) -> None:
-        """Do nothing."""
-
     def on_change(self, listener: Callable[[str], None]) -> None:
         self._listeners.append(listener)
 
@@ -199,3 +169,16 @@
             "snapshots": self.snapshots,
         }
         return web.json_response(body, headers=self.headers(request))
+
+
+async def close_connection(request: web.Request) -> web.Response:
+    """Close the connection of a request instead of answering."""
+    assert request.transport is not None
+    request.transport.close()
+    return web.Response()
+
+
+async def answer_late(request: web.Request) -> web.Response:
+    """Answer after every deadline of a test."""
+    await asyncio.sleep(30)
+    return web.Response()
--- a/tests/system_case.py
+++ b/tests/system_case.py
@@ -9,6 +9,7 @@
 from typing import ClassVar
 
 from gypsumvane_devtools.cluster import Cluster
+from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.polling import wait_until
 from tests.caller_load import CallerLoad
 
@@ -16,7 +17,7 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
-    from gypsumvane_devtools.cluster_plan import ClusterPlan
+    from gypsumvane_devtools.cluster_plan import IndexPlan
     from gypsumvane_devtools.control_client import Reply
 
 # Bounds a wait for a condition; no test measures time.
@@ -27,6 +28,17 @@
 SHORT_KEEP = {"entry": {"keep_ms": 1000}}
 
 
+def three_domains(*indexes: IndexPlan, **values: Any) -> ClusterPlan:
+    """Return a cluster of three daemons in three failure domains."""
+    return ClusterPlan(
+        indexes=list(indexes),
+        daemons=3,
+        domains=["a", "b", "c"],
+        daemon_settings=SHORT_KEEP,
+        **values,
+    )
+
+
 class SystemCase(unittest.TestCase):
     """Start a cluster for the class and remove all faults before each test."""
 
--- a/tests/test_system_bad_versions.py
+++ b/tests/test_system_bad_versions.py
@@ -9,8 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from gypsumvane_devtools.cluster_plan import ClusterPlan
-from tests.system_case import SHORT_KEEP
+from tests.system_case import three_domains
 from tests.test_system_moves import CANARY
 from tests.test_system_moves import FAIL
 from tests.test_system_moves import NEW
@@ -30,12 +29,7 @@
 class BadVersionTest(MoveCase):
     """Check that a bad version keeps its canary share and does not return."""
 
-    plan = ClusterPlan(
-        indexes=[index_plan(name) for name in ("late", "loaded", "route", "slower")],
-        daemons=3,
-        domains=["a", "b", "c"],
-        daemon_settings=SHORT_KEEP,
-    )
+    plan = three_domains(*map(index_plan, ("late", "loaded", "route", "slower")))
 
     async def check_stays_back(self, load: Any, index: str) -> None:
         """Check that the version gets no work, also when its fault is gone."""
--- a/tests/test_system_cold_start.py
+++ b/tests/test_system_cold_start.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
-from tests.system_case import SHORT_KEEP
 from tests.system_case import SystemCase
+from tests.system_case import three_domains
 
 INDEX = "stock"
 LEAF = "stock-00-0"
@@ -14,12 +13,7 @@
 class ColdStartTest(SystemCase):
     """Check the counters of leaves that turn cold under load."""
 
-    plan = ClusterPlan(
-        indexes=[IndexPlan(name=INDEX, services=4)],
-        daemons=3,
-        domains=["a", "b", "c"],
-        daemon_settings=SHORT_KEEP,
-    )
+    plan = three_domains(IndexPlan(name=INDEX, services=4))
     warm_index = INDEX
 
     async def wait_warm(self, leaf_id: str) -> None:
--- a/tests/test_system_coverage.py
+++ b/tests/test_system_coverage.py
@@ -9,13 +9,12 @@
 from gypsumvane_core.document_models import FleetDocument
 from gypsumvane_core.document_models import Policy
 from gypsumvane_devtools.answer_check import is_consistent
-from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
 from gypsumvane_devtools.cluster_plan import ProxyPlan
 from tests.caller_load import HITS
 from tests.caller_load import QUERIES
-from tests.system_case import SHORT_KEEP
 from tests.system_case import SystemCase
+from tests.system_case import three_domains
 
 INDEX = "stock"
 SERVICES = 4
@@ -25,11 +24,8 @@
 class CoverageTest(SystemCase):
     """Check answers while upstreams, connections and snapshots change."""
 
-    plan = ClusterPlan(
-        indexes=[IndexPlan(name=INDEX, services=SERVICES)],
-        daemons=3,
-        domains=["a", "b", "c"],
-        daemon_settings=SHORT_KEEP,
+    plan = three_domains(
+        IndexPlan(name=INDEX, services=SERVICES),
         fleet=FleetDocument(defaults=Policy(deadline_ms=1500)),
         proxies=ProxyPlan(leaves=True, peers=True),
     )
--- a/tests/test_system_membership.py
+++ b/tests/test_system_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from typing import TYPE_CHECKING
 
 from gypsumvane_core.document_models import FleetDocument
 from gypsumvane_core.document_models import Policy
@@ -12,6 +13,9 @@
 from tests.system_case import SHORT_KEEP
 from tests.system_case import SystemCase
 
+if TYPE_CHECKING:
+    from tests.caller_load import CallerLoad
+
 INDEX = "stock"
 
 
@@ -36,35 +40,34 @@
         await self.check_limits(leaves_fell=leaves_fell)
         self.assertEqual(await self.counter_sum("cold_excess"), 0)
 
+    async def check_load(self, load: CallerLoad) -> None:
+        """Check the answers of the callers and the counters of the leaves."""
+        self.check_truthful(load)
+        await self.check_leaves()
+
 
 class DaemonLossTest(MembershipCase):
     """Kill daemons."""
 
-    async def test_vm_lost(self) -> None:
-        """Guard against leaves without a home after a VM is lost."""
+    async def check_loss(self, number: int, *, vm_lost: bool) -> None:
+        """Check that the others replace a daemon and take it back."""
         async with self.load(INDEX) as load:
             await load.more(40)
-            await self.cluster.kill_daemon(3, vm_lost=True)
-            await self.wait_members(self.others(3), daemon=0)
+            await self.cluster.kill_daemon(number, vm_lost=vm_lost)
+            await self.wait_members(self.others(number), daemon=0)
             await load.complete_again(60)
-            await self.cluster.start_daemon(3)
+            await self.cluster.start_daemon(number)
             await self.wait_settled()
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
+
+    async def test_vm_lost(self) -> None:
+        """Guard against leaves without a home after a VM is lost."""
+        await self.check_loss(3, vm_lost=True)
 
     async def test_process_killed_on_a_listed_vm(self) -> None:
         """Guard against a suspected home that is never replaced."""
-        async with self.load(INDEX) as load:
-            await load.more(40)
-            await self.cluster.kill_daemon(2, vm_lost=False)
-            await self.wait_members(self.others(2), daemon=0)
-            await load.complete_again(60)
-            await self.cluster.start_daemon(2)
-            await self.wait_settled()
-            await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_loss(2, vm_lost=False)
 
     async def test_two_daemons_lost_at_once(self) -> None:
         """Guard against a cluster that does not survive two lost VMs."""
@@ -74,8 +77,7 @@
             await self.cluster.kill_daemon(2, vm_lost=False)
             await self.wait_members(self.others(1, 2), daemon=0)
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
 
     async def test_home_killed_while_the_store_is_down(self) -> None:
         """Guard against two faults at once: a lost VM and no store."""
@@ -87,8 +89,7 @@
             await load.complete_again(60)
             await self.cluster.store.post("/control/outage", on=False)
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
 
     async def test_process_killed_while_the_store_is_down(self) -> None:
         """Guard against a home that is lost for the whole length of an outage."""
@@ -104,8 +105,7 @@
             await self.cluster.store.post("/control/outage", on=False)
             await self.wait_settled()
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
 
     async def test_store_outage(self) -> None:
         """Guard against homes that stop because the store is down."""
@@ -132,8 +132,7 @@
             self.cluster.daemons[1].process.resume()
             await self.wait_settled()
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
 
     async def test_paused_replaced_in_the_view_and_resumed(self) -> None:
         """Guard against work by a home that was replaced while it was paused."""
@@ -146,8 +145,7 @@
             await load.more(60)
             await self.wait_settled()
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
 
     async def test_paused_during_a_store_outage(self) -> None:
         """Guard against two faults at once: a paused home and no store."""
@@ -161,8 +159,7 @@
             await self.cluster.store.post("/control/outage", on=False)
             await self.wait_settled()
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
 
     async def test_cut_off_from_peers(self) -> None:
         """Guard against two homes of one leaf after a half-open partition."""
@@ -174,8 +171,7 @@
             await self.cluster.proxy.post("/control/links/peer-vm-1/cut")
             await self.wait_settled()
             await load.complete_again(60)
-        self.check_truthful(load)
-        await self.check_leaves()
+        await self.check_load(load)
 
     async def test_cut_off_from_the_store(self) -> None:
         """Guard against a daemon that stops serving without its own store link."""
--- a/tests/test_system_moves.py
+++ b/tests/test_system_moves.py
@@ -10,6 +10,7 @@
 from gypsumvane_devtools.cluster_plan import IndexPlan
 from tests.system_case import SHORT_KEEP
 from tests.system_case import SystemCase
+from tests.system_case import three_domains
 
 OLD = "v1"
 NEW = "v2"
@@ -109,14 +110,7 @@
 class MoveTest(MoveCase):
     """Check single moves."""
 
-    plan = ClusterPlan(
-        indexes=[
-            index_plan(name) for name in ("good", "waits", "fails", "slow", "later")
-        ],
-        daemons=3,
-        domains=["a", "b", "c"],
-        daemon_settings=SHORT_KEEP,
-    )
+    plan = three_domains(*map(index_plan, ("good", "waits", "fails", "slow", "later")))
 
     async def test_good_version(self) -> None:
         """Guard against a good version that is taken back or never done."""
