End a planned stop without an error while a peer is paused

Cause: the last round of heartbeats has a limit of 1 s, which is also the time-out of each heartbeat at the default interval. With a silent peer the limit came first and its TimeoutError ended the daemon with a stack trace and a wrong exit status. No request was cut off: all work had ended.

Change: the limit ends the round without an error. The new test fails without the change. Found while reading the code.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/heartbeat_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/heartbeat_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from typing import TYPE_CHECKING
 
@@ -93,10 +94,11 @@
             kick.set()
 
     async def farewell(self) -> None:
-        """Send a last heartbeat to every peer."""
+        """Send a last heartbeat to every peer; silent ones are not waited for."""
         rounds = [self._exchange(vm_id) for vm_id in self._network.peer_ids()]
-        async with asyncio.timeout(FAREWELL_TIMEOUT_S):
-            await asyncio.gather(*rounds, return_exceptions=True)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FAREWELL_TIMEOUT_S):
+                await asyncio.gather(*rounds, return_exceptions=True)
 
     def note_gone(self, count: int, source: str) -> None:
         """Announce new gone facts."""
--- a/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from fake_service import kernel_of
 from gypsumvane_core.grade import Grade
@@ -208,6 +209,19 @@
         ended_s = asyncio.get_running_loop().time()
         self.assertGreaterEqual(ended_s - listed_s, keep_s)
 
+    async def test_silent_peer_does_not_fail_a_planned_stop(self) -> None:
+        """Guard against an error at the end of a stop while a peer is paused."""
+        await self.start_three()
+        leaving = self.daemons[2]
+        limit = "gypsumvane_daemon.heartbeat_exchange.FAREWELL_TIMEOUT_S"
+        silent = mock.AsyncMock(side_effect=lambda *_, **__: asyncio.sleep(60))
+        with (
+            mock.patch.object(leaving.network, "request", silent),
+            mock.patch(limit, 0.01),
+        ):
+            await leaving.membership.announce_end()
+        self.assertTrue(silent.await_count)
+
     async def test_leaving_daemon_is_not_in_entry_addresses(self) -> None:
         """Guard against callers that are sent to a leaving daemon."""
         await self.start_three()
