--- a/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_membership_service.py
@@ -14,6 +14,7 @@
 from membership_fakes import FakeLiveList
 from membership_fakes import FakeObjects
 from membership_fakes import TestDaemon
+from waiting import LIMIT_S
 from waiting import wait_until
 
 LEAVES = [f"stock-{service:02}-{leaf}" for service in range(10) for leaf in "ab"]
@@ -202,9 +203,10 @@
             await asyncio.sleep(keep_s / 2)
         self.assertFalse(leaving.done())
         self.shared.up = True
-        while last.membership.entry_addresses("fd-a").addresses:
-            listed_s = asyncio.get_running_loop().time()
-            await asyncio.sleep(0.002)
+        async with asyncio.timeout(LIMIT_S):
+            while last.membership.entry_addresses("fd-a").addresses:
+                listed_s = asyncio.get_running_loop().time()
+                await asyncio.sleep(0.002)
         await leaving
         ended_s = asyncio.get_running_loop().time()
         self.assertGreaterEqual(ended_s - listed_s, keep_s)
