Start all feeds anew when one finds the store's history lost

Ruled out: a closed connection (keep-alive saw none) and a peer with the newer version (all watches were dropped together). The watch of leaves now ends after 2 s, the others after 5 s, and trouble of one feed makes the others list again. Changes of leaves are read at most every 0.4 s, so that leaves that register together cost few calls.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -34,7 +34,10 @@
 from gypsumvane_daemon.routing.state_listeners import EvacuationListener
 from gypsumvane_daemon.routing.state_listeners import LeafListener
 from gypsumvane_daemon.routing.stop_sequence import StopSequence
+from gypsumvane_daemon.routing.store_feed import QUICK_WATCH_S
+from gypsumvane_daemon.routing.store_feed import SLOW_WATCH_S
 from gypsumvane_daemon.routing.store_feed import StoreFeed
+from gypsumvane_daemon.routing.store_feed import link_feeds
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -54,6 +57,8 @@
 # Channels of leaves that have gone are closed, and limits divided anew, this
 # often.
 UPKEEP_INTERVAL_S = 0.5
+# A leaf that drains may still get requests for 3 s.
+LEAF_CHANGES_PAUSE_S = 0.4
 
 
 class RoutingDaemon:
@@ -171,18 +176,39 @@
         platform = self.platform
         evacuations = EvacuationListener(self.state)
         leaves = LeafListener(self.state, self.clock)
+        feeds: tuple[StoreFeed[Any], ...] = (
+            self._feed(platform.configs, self._configs, watch_s=SLOW_WATCH_S),
+            self._feed(
+                platform.leaves,
+                leaves,
+                watch_s=QUICK_WATCH_S,
+                pause_s=LEAF_CHANGES_PAUSE_S,
+            ),
+            self._feed(platform.evacuations, evacuations, watch_s=SLOW_WATCH_S),
+        )
+        link_feeds(feeds)
         return (
-            self._feed(platform.configs, self._configs).run(),
-            self._feed(platform.leaves, leaves).run(),
-            self._feed(platform.evacuations, evacuations).run(),
+            *(feed.run() for feed in feeds),
             self.peers.run(),
             self._upkeep(),
         )
 
     def _feed(
-        self, source: RecordSource[Value], listener: FeedListener[Value]
+        self,
+        source: RecordSource[Value],
+        listener: FeedListener[Value],
+        *,
+        watch_s: float,
+        pause_s: float = 0.0,
     ) -> StoreFeed[Value]:
-        return StoreFeed(source, listener, clock=self.clock, rng=self._rng)
+        return StoreFeed(
+            source,
+            listener,
+            watch_s=watch_s,
+            pause_s=pause_s,
+            clock=self.clock,
+            rng=self._rng,
+        )
 
     async def _upkeep(self) -> None:
         while True:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -6,7 +6,9 @@
 import logging
 from abc import ABC
 from abc import abstractmethod
+from functools import partial
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Generic
 from typing import TypeVar
 
@@ -15,6 +17,8 @@
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
     from random import Random
 
     from gypsumvane_core.clock import Clock
@@ -26,8 +30,11 @@
 
 logger = logging.getLogger(__name__)
 
-# A watch costs one store call each time it ends.
-WATCH_WAIT_S = 20.0
+# Each watch costs a store call. The store may drop a waiting watch without a
+# word, and 4 s later this machine counts as sound again, so that one feed has
+# to notice it within about 2.5 s; it makes the others start anew.
+QUICK_WATCH_S = 2.0
+SLOW_WATCH_S = 5.0
 # A machine that reaches the store again has 4 s until it counts as sound.
 RETRY_FIRST_S = 0.2
 RETRY_MAX_S = 0.8
@@ -55,33 +62,57 @@
         source: RecordSource[Value],
         listener: FeedListener[Value],
         *,
+        watch_s: float,
+        pause_s: float = 0.0,
         clock: Clock,
         rng: Random,
     ) -> None:
         self._source = source
         self._listener = listener
+        self._watch_s = watch_s
+        # Between two watches that brought changes, so that leaves that start
+        # together cost few calls.
+        self._pause_s = pause_s
         self._clock = clock
         self._backoff = Backoff(rng, first_s=RETRY_FIRST_S, max_s=RETRY_MAX_S)
         self._revision: int | None = None
         self._lost_s: float | None = None
         self._returned_s = -RETURN_S
+        self._step_task: asyncio.Task[None] | None = None
+        self._restarting = False
+        # Called when the store has failed this feed or forgotten its history.
+        self.on_trouble: Callable[[], None] = lambda: None
 
     @property
     def lost(self) -> bool:
         """Return whether the store does not answer now."""
         return self._lost_s is not None
 
+    def restart(self) -> None:
+        """Read the whole list again, because a waiting watch may be dead."""
+        self._revision = None
+        if self._step_task is not None and not self.lost:
+            self._restarting = True
+            self._step_task.cancel()
+
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
+            self._step_task = asyncio.create_task(self._step())
             try:
-                await self._step()
+                await self._step_task
+            except asyncio.CancelledError:
+                if not self._restarting:
+                    raise
             except HistoryLostError:
                 logger.info("store history lost", extra={"kind": self._source.label})
                 self._revision = None
+                self.on_trouble()
             except StoreUnavailableError as error:
                 self._note_lost(error)
                 await asyncio.sleep(self._backoff.next_s())
+            finally:
+                self._restarting = False
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -91,11 +122,12 @@
             after_outage = self._clock.monotonic_s() - self._returned_s < RETURN_S
             self._listener.replaced(listing, after_outage=after_outage)
             return
-        changes = await self._source.watch(self._revision, WATCH_WAIT_S)
+        changes = await self._source.watch(self._revision, self._watch_s)
         self._note_answer()
         self._revision = changes.revision
         if changes.changes:
             self._listener.changed(changes)
+            await asyncio.sleep(self._pause_s)
 
     def _note_lost(self, error: StoreUnavailableError) -> None:
         if self._lost_s is None:
@@ -103,6 +135,7 @@
             logger.warning(
                 "store lost", extra={"kind": self._source.label, "error": str(error)}
             )
+            self.on_trouble()
 
     def _note_answer(self) -> None:
         self._backoff.reset()
@@ -114,3 +147,15 @@
             )
             self._lost_s = None
             self._returned_s = now_s
+
+
+def link_feeds(feeds: Sequence[StoreFeed[Any]]) -> None:
+    """Let trouble of one feed start the others anew."""
+    for feed in feeds:
+        others = [other for other in feeds if other is not feed]
+        feed.on_trouble = partial(_restart_all, others)
+
+
+def _restart_all(feeds: Sequence[StoreFeed[Any]]) -> None:
+    for feed in feeds:
+        feed.restart()
