--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_routing_rules.py
@@ -0,0 +1,280 @@
+"""Tests of the decisions on forwarded requests."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from gypsumvane_core.routing.config import GatherPlan
+from gypsumvane_core.routing.config import Route
+from gypsumvane_core.routing.config import RoutingConfig
+from gypsumvane_core.routing.config import WeightedService
+from gypsumvane_core.routing.coverage import CoveragePolicy
+from gypsumvane_core.routing.latency_book import LatencyBook
+from gypsumvane_core.routing.leaf_choice import LeafChooser
+from gypsumvane_core.routing.leaf_load import LeafLoad
+from gypsumvane_core.routing.leaf_registry import LeafEntry
+from gypsumvane_core.routing.part_merge import merge_records
+from gypsumvane_core.routing.peer_table import PEER_LOST_S
+from gypsumvane_core.routing.peer_table import PEER_SILENT_S
+from gypsumvane_core.routing.peer_table import PEERS_ASKED_MAX
+from gypsumvane_core.routing.peer_table import DaemonRecord
+from gypsumvane_core.routing.peer_table import PeerTable
+from gypsumvane_core.routing.retry_budget import RetryAllowance
+from gypsumvane_core.routing.retry_budget import RetryBudget
+from gypsumvane_core.routing.route_table import RouteTable
+from gypsumvane_core.routing.traffic_split import TrafficSplit
+
+
+def route(name: str, prefix: str, host: str = "a.example") -> Route:
+    """Return a plain route."""
+    return Route(
+        name=name,
+        host=host,
+        path_prefix=prefix,
+        idempotent=True,
+        timeout_ms=1000,
+        services=(WeightedService("s", 1.0),),
+    )
+
+
+class RouteTableTest(unittest.TestCase):
+    """Check the longest prefix of a host."""
+
+    def setUp(self) -> None:
+        routes = (route("short", "/x/"), route("long", "/x/y/"), route("root", "/"))
+        other = (route("other", "/x/", "b.example"),)
+        self.table = RouteTable(RoutingConfig(1, routes + other, {}))
+
+    def find(self, host: str, path: str) -> str | None:
+        """Return the name of the route."""
+        found = self.table.find(host, path)
+        return None if found is None else found.name
+
+    def test_longest_prefix_wins(self) -> None:
+        self.assertEqual(self.find("a.example", "/x/y/z"), "long")
+        self.assertEqual(self.find("a.example", "/x/y"), "short")
+        self.assertEqual(self.find("a.example", "/q"), "root")
+
+    def test_host_without_port_and_case(self) -> None:
+        self.assertEqual(self.find("A.Example:80", "/x/"), "short")
+        self.assertEqual(self.find("b.example", "/x/1"), "other")
+
+    def test_no_route(self) -> None:
+        self.assertIsNone(self.find("b.example", "/y/"))
+        self.assertIsNone(self.find("c.example", "/x/"))
+        self.assertIsNone(self.find("b.example", "x"))
+
+
+class TrafficSplitTest(unittest.TestCase):
+    """Check the shares of weighted services."""
+
+    def test_shares_are_exact(self) -> None:
+        """Guard against shares that random draws would miss."""
+        parts = (WeightedService("a", 70.0), WeightedService("b", 30.0))
+        split = TrafficSplit()
+        counts = Counter(split.choose("r", parts) for _ in range(100))
+        self.assertEqual(counts, {"a": 70, "b": 30})
+
+    def test_part_without_weight_gets_nothing(self) -> None:
+        parts = (WeightedService("a", 1.0), WeightedService("b", 0.0))
+        split = TrafficSplit()
+        self.assertEqual({split.choose("r", parts) for _ in range(20)}, {"a"})
+
+
+class MergeTest(unittest.TestCase):
+    """Check the greatest records of several parts."""
+
+    def test_greatest_first_with_equal_records(self) -> None:
+        bodies = [bytes([1]) * 16 + bytes([9]) * 16, bytes([9]) * 16 + b"rest"]
+        merged = merge_records(bodies, 3)
+        self.assertEqual(merged, bytes([9]) * 32 + bytes([1]) * 16)
+
+    def test_bytes_compare_unsigned(self) -> None:
+        self.assertEqual(
+            merge_records([bytes([127]) * 16, bytes([200]) * 16], 1), bytes([200]) * 16
+        )
+
+
+class CoverageTest(unittest.TestCase):
+    """Check when the parts at hand are an answer."""
+
+    policy = CoveragePolicy(services=20, min_share=0.89, objective_s=0.1)
+
+    def test_waits_for_all_parts_before_the_objective(self) -> None:
+        self.assertFalse(self.policy.answers_now(19, pending=1, age_s=0.05))
+        self.assertTrue(self.policy.answers_now(20, pending=0, age_s=0.05))
+
+    def test_partial_answer_near_the_objective(self) -> None:
+        self.assertTrue(self.policy.answers_now(18, pending=2, age_s=0.095))
+
+    def test_too_few_parts_are_no_answer(self) -> None:
+        """Guard against a success below the least share."""
+        self.assertFalse(self.policy.answers_now(17, pending=3, age_s=0.095))
+        self.assertFalse(self.policy.sufficient(17))
+        self.assertFalse(CoveragePolicy(3, 0.0, None).sufficient(0))
+
+    def test_without_objective_waits(self) -> None:
+        policy = CoveragePolicy(services=2, min_share=0.5, objective_s=None)
+        self.assertFalse(policy.answers_now(1, pending=1, age_s=100.0))
+
+    def test_exact_share(self) -> None:
+        self.assertTrue(CoveragePolicy(4, 0.75, None).sufficient(3))
+
+    def test_plan_of_a_route(self) -> None:
+        plan = GatherPlan(services=("a", "b"), records_max=5, min_share=0.5)
+        self.assertEqual(len(plan.services), 2)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Check that daemons together stay below a service's allowance."""
+
+    allowance = RetryAllowance(ratio=0.2, slack=54, window_s=10)
+
+    def test_extra_sends_of_all_daemons_in_any_window(self) -> None:
+        """Guard against a fleet that uses more than the allowance."""
+        daemons = 7
+        budgets = [RetryBudget(self.allowance, daemons) for _ in range(daemons)]
+        sends: list[tuple[float, int, int]] = []
+        for step in range(3000):
+            now_s = step * 0.01
+            for budget in budgets:
+                if step % 10 == 0:
+                    budget.add_request("s", now_s)
+                sends.append((now_s, int(step % 10 == 0), budget.take("s", now_s)))
+        for start in range(20):
+            window = [row for row in sends if start <= row[0] < start + 10]
+            requests = sum(row[1] for row in window)
+            extra = sum(row[2] for row in window)
+            self.assertLessEqual(extra, 0.2 * requests + 54)
+
+    def test_allowance_is_used(self) -> None:
+        """Guard against a budget that refuses what the service accepts."""
+        budget = RetryBudget(self.allowance, 1)
+        taken = sum(budget.take("s", 0.0) for _ in range(100))
+        self.assertGreaterEqual(taken, 15)
+
+
+class LeafChooserTest(unittest.TestCase):
+    """Check which leaf gets a request."""
+
+    def setUp(self) -> None:
+        self.loads: dict[str, LeafLoad] = {}
+        self.chooser = LeafChooser("a", random.Random(1))
+        self.entries = [
+            LeafEntry(leaf_id=name, service="s", address=name, zone="a", slots=2)
+            for name in ("1", "2")
+        ]
+
+    def load(self, entry: LeafEntry) -> LeafLoad:
+        """Return the load of a leaf."""
+        return self.loads.setdefault(entry.leaf_id, LeafLoad())
+
+    def count(self, now_s: float, draws: int = 200) -> Counter[str]:
+        """Return how often each leaf is chosen."""
+        counts: Counter[str] = Counter()
+        for _ in range(draws):
+            entry = self.chooser.choose(
+                self.entries, self.load, late_after_s=0.05, now_s=now_s
+            )
+            assert entry is not None
+            counts[entry.leaf_id] += 1
+        return counts
+
+    def test_leaves_that_look_alike_share(self) -> None:
+        self.assertGreater(min(self.count(1.0).values()), 50)
+
+    def test_paused_leaf_is_avoided(self) -> None:
+        """Guard against requests that wait behind a pause."""
+        self.load(self.entries[0]).begin(1.0)
+        self.assertEqual(set(self.count(1.1)), {"2"})
+
+    def test_given_up_call_marks_the_leaf_for_a_pause(self) -> None:
+        self.load(self.entries[0]).given_up(1.0)
+        self.assertEqual(set(self.count(1.1)), {"2"})
+        self.assertEqual(len(self.count(2.0)), 2)
+
+    def test_slow_leaf_is_avoided_and_tried_again(self) -> None:
+        for step in range(10):
+            self.load(self.entries[0]).answered(8.0, 1.0 + step * 0.01)
+        self.assertEqual(set(self.count(1.2)), {"2"})
+        self.assertEqual(len(self.count(20.0)), 2)
+
+    def test_failing_leaf_is_avoided(self) -> None:
+        for _ in range(5):
+            self.load(self.entries[0]).failed(1.0)
+        self.assertEqual(set(self.count(1.1)), {"2"})
+
+    def test_unreachable_leaf_is_last(self) -> None:
+        self.load(self.entries[0]).unreachable(1.0)
+        for _ in range(9):
+            self.load(self.entries[1]).failed(1.0)
+        self.assertEqual(set(self.count(1.1)), {"2"})
+
+    def test_no_leaf(self) -> None:
+        self.assertIsNone(
+            self.chooser.choose([], self.load, late_after_s=0.1, now_s=1.0)
+        )
+
+
+class LatencyBookTest(unittest.TestCase):
+    """Check the delay of hedges."""
+
+    def test_delay_lies_between_two_and_three_medians(self) -> None:
+        book = LatencyBook()
+        for step in range(100):
+            book.add("r", 0.2 if step % 8 == 0 else 0.03)
+        self.assertAlmostEqual(book.hedge_after_s("r"), 0.09)
+        self.assertAlmostEqual(book.median_s("r"), 0.03)
+
+    def test_unknown_route(self) -> None:
+        self.assertGreater(LatencyBook().hedge_after_s("r"), 0)
+
+
+def daemon(name: str, zone: str = "a") -> DaemonRecord:
+    """Return a record."""
+    return DaemonRecord(name, zone, f"{name}:1", f"{name}:2")
+
+
+class PeerTableTest(unittest.TestCase):
+    """Check which daemons are named to callers."""
+
+    def setUp(self) -> None:
+        self.table = PeerTable(daemon("own"))
+
+    def serving(self, now_s: float) -> set[str]:
+        """Return the names of the peers that serve."""
+        return {record.name for record in self.table.serving(now_s)}
+
+    def test_only_heard_peers_that_serve_are_named(self) -> None:
+        self.table.learn(daemon("stored"), 0.0)
+        self.table.heard(daemon("b"), serving=True, now_s=0.0)
+        self.table.heard(daemon("c"), serving=False, now_s=0.0)
+        self.table.heard(daemon("own"), serving=True, now_s=0.0)
+        self.assertEqual(self.serving(0.1), {"b"})
+
+    def test_silent_peer_is_not_named(self) -> None:
+        """Guard against callers that are sent to a machine that is gone."""
+        self.table.heard(daemon("b"), serving=True, now_s=0.0)
+        self.assertEqual(self.serving(PEER_SILENT_S), set())
+
+    def test_refused_connection_counts_at_once(self) -> None:
+        self.table.heard(daemon("b"), serving=True, now_s=0.0)
+        self.table.unreachable("b")
+        self.assertEqual(self.serving(0.1), set())
+
+    def test_common_limits_are_divided_by_all_that_may_send(self) -> None:
+        """Guard against shares that grow while a peer is only cut off."""
+        self.table.heard(daemon("b"), serving=True, now_s=0.0)
+        self.table.learn(daemon("c"), 0.0)
+        self.assertEqual(self.table.count(PEER_SILENT_S), 3)
+        self.assertEqual(self.table.count(PEER_LOST_S), 1)
+
+    def test_asked_peers_are_bounded_and_cover_zones(self) -> None:
+        for zone in "abcd":
+            for number in range(20):
+                self.table.learn(daemon(f"{zone}{number}", zone), 0.0)
+        asked = self.table.asked(1.0)
+        self.assertEqual(len(asked), PEERS_ASKED_MAX)
+        self.assertEqual({record.zone for record in asked}, set("abcd"))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import random
-import signal
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -83,6 +82,7 @@
             self.own, self.peer_table, self.state, self.clock
         )
         self._rng = random.Random()
+        self._stop = asyncio.Event()
         self._split = TrafficSplit()
         self._latencies = LatencyBook()
         self._tools = CallTools(
@@ -125,14 +125,10 @@
         self.state.on_config(self._config_applied)
 
     async def run(self, listeners: tuple[HttpListener, ...]) -> None:
-        """Serve until SIGTERM; further listeners belong to the platform.
+        """Serve until stop is called; further listeners belong to the platform.
 
         Raises ListenError.
         """
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
         listeners = (
             *listeners,
             self._entry_listener,
@@ -145,7 +141,7 @@
         tasks = [asyncio.create_task(work) for work in self._work()]
         reduce_collections()
         try:
-            await self._wait(stop, tasks)
+            await self._wait(tasks)
             await StopSequence(
                 self.state,
                 self.entry,
@@ -162,9 +158,13 @@
             await self.pool.close()
             await self.platform.close()
 
-    async def _wait(self, stop: asyncio.Event, tasks: list[asyncio.Task[None]]) -> None:
-        """Wait for a signal; a task that fails ends the daemon."""
-        stopped = asyncio.create_task(stop.wait())
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop.set()
+
+    async def _wait(self, tasks: list[asyncio.Task[None]]) -> None:
+        """Wait for a planned stop; a task that fails ends the daemon."""
+        stopped = asyncio.create_task(self._stop.wait())
         done, _ = await asyncio.wait(
             [stopped, *tasks], return_when=asyncio.FIRST_COMPLETED
         )
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -32,7 +32,7 @@
     """Return the folders of the tests of each package."""
     return [
         start.relative_to(ROOT).as_posix()
-        for start in sorted(ROOT.glob("packages/*/tests"))
+        for start in [*sorted(ROOT.glob("packages/*/tests")), ROOT / "platform/tests"]
     ]
 
 
