--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/daemon_record.py
@@ -0,0 +1,19 @@
+"""What a daemon says of itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonRecord:
+    """Describe a daemon to its peers."""
+
+    name: str
+    zone: str
+    # HOST:PORT for callers.
+    entry_address: str
+    # HOST:PORT for peers.
+    peer_address: str
+    # Processor time of the VM in cores.
+    capacity_cores: float = 1.0
--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/entry_selection.py
@@ -0,0 +1,39 @@
+"""Which daemons callers are sent to, and how common limits are divided."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from gypsumvane_core.routing.daemon_record import DaemonRecord
+
+# A gathered answer is computed by one process: on a VM with less than this part
+# of the largest one's processor time it takes more than twice as long.
+CAPACITY_SHARE_MIN = 0.5
+# Fewer daemons would make the loss of one felt by too many callers.
+ENTRIES_MIN = 4
+# Part of common limits that is divided among the daemons that callers are sent
+# to. The rest is for those that get only a few requests.
+ENTRY_PART = 0.9
+
+
+def select_entries(records: Iterable[DaemonRecord]) -> list[DaemonRecord]:
+    """Return the daemons with most processor time."""
+    ranked = sorted(records, key=lambda record: (-record.capacity_cores, record.name))
+    if not ranked:
+        return []
+    least = ranked[0].capacity_cores * CAPACITY_SHARE_MIN
+    large = [record for record in ranked if record.capacity_cores >= least]
+    return large if len(large) >= ENTRIES_MIN else ranked[:ENTRIES_MIN]
+
+
+def share_of(name: str, entries: Iterable[DaemonRecord], daemons: int) -> float:
+    """Return the part of a common limit that a daemon may use."""
+    names = {entry.name for entry in entries}
+    if not names or len(names) >= daemons:
+        return 1.0 / max(1, daemons, len(names))
+    if name in names:
+        return ENTRY_PART / len(names)
+    return (1.0 - ENTRY_PART) / (daemons - len(names))
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -1,29 +1,37 @@
-"""The other daemons and which of them serve."""
+"""The other daemons: which are hubs of their zone and which serve."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-# A peer that has been silent for this time is not named to callers. Peers are
-# asked each second.
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from gypsumvane_core.routing.daemon_record import DaemonRecord
+
+# Peers are asked each second. One that is silent for this time is not named to
+# callers and is no hub.
 PEER_SILENT_S = 2.2
-# A peer that has been silent for this time has no share in common limits.
-PEER_LOST_S = 20.0
-# Peers that one daemon asks; more would make the traffic grow with the square
-# of the fleet.
-PEERS_ASKED_MAX = 12
+# What a hub tells of others is up to a second older.
+TOLD_SILENT_S = 3.5
+# A daemon that was only named by others counts as present for this time.
+LEARNED_S = 3.0
+# A silent peer may only be cut off: it is asked and shares common limits for
+# this time.
+PEER_LOST_S = 60.0
+# The daemons with most processor time of each zone. Hubs ask each other, the
+# others ask the hubs of their zone only, so that the traffic between zones does
+# not grow with the fleet.
+HUBS_PER_ZONE = 2
 
 
 @dataclass(frozen=True, slots=True)
-class DaemonRecord:
-    """Describe a daemon to its peers."""
+class ServingDaemon:
+    """Name a daemon that serves, and how old this knowledge is."""
 
-    name: str
-    zone: str
-    # HOST:PORT for callers.
-    entry_address: str
-    # HOST:PORT for peers.
-    peer_address: str
+    record: DaemonRecord
+    age_s: float
 
 
 @dataclass(slots=True)
@@ -32,6 +40,24 @@
     learned_s: float
     heard_s: float | None = None
     serving: bool = False
+    reachable: bool = True
+
+    def heard_within(self, limit_s: float, now_s: float) -> bool:
+        """Return whether the daemon itself was heard lately."""
+        return self.heard_s is not None and now_s - self.heard_s < limit_s
+
+    def present(self, now_s: float) -> bool:
+        """Return whether the daemon seems to run."""
+        if not self.reachable:
+            return False
+        if self.heard_s is None:
+            return now_s - self.learned_s < LEARNED_S
+        return self.heard_within(PEER_SILENT_S, now_s)
+
+    def counted(self, now_s: float) -> bool:
+        """Return whether the daemon may be running somewhere."""
+        last_s = self.learned_s if self.heard_s is None else self.heard_s
+        return now_s - last_s < PEER_LOST_S
 
 
 class PeerTable:
@@ -40,6 +66,8 @@
     def __init__(self, own: DaemonRecord) -> None:
         self._own = own
         self._peers: dict[str, _Peer] = {}
+        # What each hub has told last.
+        self._told: dict[str, dict[str, tuple[DaemonRecord, float]]] = {}
 
     def learn(self, record: DaemonRecord, now_s: float) -> None:
         """Add a daemon that others have named."""
@@ -59,49 +87,97 @@
         peer.record = record
         peer.heard_s = now_s
         peer.serving = serving
+        peer.reachable = True
+
+    def told(self, hub: str, named: Iterable[ServingDaemon], now_s: float) -> None:
+        """Take which daemons a hub says are serving, in place of before."""
+        entries = {
+            entry.record.name: (entry.record, now_s - entry.age_s)
+            for entry in named
+            if entry.record.name != self._own.name
+        }
+        self._told[hub] = entries
+        for record, _ in entries.values():
+            self.learn(record, now_s)
 
     def unreachable(self, name: str) -> None:
         """Note that a daemon refuses connections."""
         peer = self._peers.get(name)
         if peer is not None:
             peer.serving = False
+            peer.reachable = False
+        self._told.pop(name, None)
 
-    def serving(self, now_s: float) -> list[DaemonRecord]:
-        """Return the peers that serve callers."""
+    def heard_serving(self, now_s: float) -> list[ServingDaemon]:
+        """Return the peers of which this daemon itself heard that they serve."""
         return [
-            peer.record
+            ServingDaemon(peer.record, now_s - peer.heard_s)
             for peer in self._peers.values()
-            if peer.serving and _recent(peer.heard_s, now_s, PEER_SILENT_S)
+            if peer.serving
+            and peer.heard_s is not None
+            and now_s - peer.heard_s < PEER_SILENT_S
         ]
 
+    def serving(self, now_s: float) -> list[ServingDaemon]:
+        """Return the peers that serve, heard or told."""
+        known = {entry.record.name: entry for entry in self.heard_serving(now_s)}
+        for entries in self._told.values():
+            for name, (record, at_s) in entries.items():
+                if name in known or now_s - at_s >= TOLD_SILENT_S:
+                    continue
+                peer = self._peers.get(name)
+                if peer is None or peer.reachable:
+                    known[name] = ServingDaemon(record, now_s - at_s)
+        return list(known.values())
+
+    def is_hub(self, now_s: float) -> bool:
+        """Return whether this daemon is a hub of its zone."""
+        return self._own in self._ranked(self._own.zone, now_s)[:HUBS_PER_ZONE]
+
     def asked(self, now_s: float) -> list[DaemonRecord]:
-        """Return the peers to ask, the zones taken in turn."""
-        zones: dict[str, list[_Peer]] = {}
-        for peer in sorted(self._peers.values(), key=lambda peer: peer.record.name):
-            last_s = peer.learned_s if peer.heard_s is None else peer.heard_s
-            if now_s - last_s < PEER_LOST_S:
-                zones.setdefault(peer.record.zone, []).append(peer)
-        chosen: list[DaemonRecord] = []
-        while zones and len(chosen) < PEERS_ASKED_MAX:
-            for zone in list(zones):
-                chosen.append(zones[zone].pop(0).record)
-                if not zones[zone]:
-                    del zones[zone]
-        return chosen[:PEERS_ASKED_MAX]
-
-    def records(self) -> list[DaemonRecord]:
-        """Return all peers, for a daemon that has just started."""
-        return [peer.record for peer in self._peers.values()]
+        """Return the peers to ask now.
+
+        Those that were hubs before they fell silent are asked too, because the
+        link between may be cut.
+        """
+        zones = {self._own.zone}
+        if self.is_hub(now_s):
+            zones |= {peer.record.zone for peer in self._peers.values()}
+        chosen: dict[str, DaemonRecord] = {}
+        for zone in sorted(zones):
+            counted = [
+                peer.record
+                for peer in self._peers.values()
+                if peer.record.zone == zone and peer.counted(now_s)
+            ]
+            hubs = self._ranked(zone, now_s)[:HUBS_PER_ZONE]
+            hubs += _rank(counted)[:HUBS_PER_ZONE]
+            chosen.update({record.name: record for record in hubs})
+        chosen.pop(self._own.name, None)
+        return list(chosen.values())
+
+    def relays(self, now_s: float) -> list[DaemonRecord]:
+        """Return the hubs of this zone that rank before this daemon.
+
+        They follow the store for the zone. Without any this daemon does.
+        """
+        ranked = self._ranked(self._own.zone, now_s)
+        return ranked[: ranked.index(self._own)][:HUBS_PER_ZONE]
 
     def count(self, now_s: float) -> int:
         """Return how many daemons share common limits, this one included."""
-        others = sum(
-            _recent(peer.heard_s, now_s, PEER_LOST_S)
-            or now_s - peer.learned_s < PEER_LOST_S
+        return 1 + sum(peer.counted(now_s) for peer in self._peers.values())
+
+    def _ranked(self, zone: str, now_s: float) -> list[DaemonRecord]:
+        present = [
+            peer.record
             for peer in self._peers.values()
-        )
-        return 1 + others
+            if peer.record.zone == zone and peer.present(now_s)
+        ]
+        if zone == self._own.zone:
+            present.append(self._own)
+        return _rank(present)
 
 
-def _recent(heard_s: float | None, now_s: float, limit_s: float) -> bool:
-    return heard_s is not None and now_s - heard_s < limit_s
+def _rank(records: list[DaemonRecord]) -> list[DaemonRecord]:
+    return sorted(records, key=lambda record: (-record.capacity_cores, record.name))
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/retry_budget.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/retry_budget.py
@@ -35,7 +35,8 @@
     """Hold the share of one daemon in the allowance of each service."""
 
     allowance: RetryAllowance
-    daemons: int = 1
+    # Part of the slack that this daemon may use.
+    share: float = 1.0
     _buckets: dict[str, _Bucket] = field(default_factory=dict)
 
     def add_request(self, service: str, now_s: float) -> None:
@@ -53,7 +54,7 @@
         return True
 
     def _burst(self) -> float:
-        slack = self.allowance.slack * USED_SHARE / max(1, self.daemons)
+        slack = self.allowance.slack * USED_SHARE * self.share
         return slack * BURST_SHARE
 
     def _fill(self, service: str, now_s: float) -> _Bucket:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_directory.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_directory.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.routing.entry_selection import select_entries
+
 if TYPE_CHECKING:
     from gypsumvane_core.clock import Clock
-    from gypsumvane_core.routing.peer_table import DaemonRecord
+    from gypsumvane_core.routing.daemon_record import DaemonRecord
     from gypsumvane_core.routing.peer_table import PeerTable
     from gypsumvane_daemon.routing.routing_state import RoutingState
 
@@ -18,17 +20,21 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryDirectory:
-    """Name the daemons that serve."""
+    """Name the daemons that serve and are large enough."""
 
     own: DaemonRecord
     peers: PeerTable
     state: RoutingState
     clock: Clock
 
-    def addresses(self) -> list[str]:
-        """Return the addresses of this daemon and the peers that serve."""
+    def entries(self) -> list[DaemonRecord]:
+        """Return the daemons that callers are sent to."""
         serving = self.peers.serving(self.clock.monotonic_s())
-        addresses = [record.entry_address for record in serving]
+        records = [entry.record for entry in serving]
         if self.state.serving:
-            addresses.insert(0, self.own.entry_address)
-        return addresses[:ADDRESSES_MAX]
+            records.append(self.own)
+        return select_entries(records)[:ADDRESSES_MAX]
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of these daemons."""
+        return [record.entry_address for record in self.entries()]
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
@@ -30,6 +30,8 @@
     entry: LeafEntry
     load: LeafLoad = field(default_factory=LeafLoad)
     channel: LeafChannel | None = None
+    # Connections that the channel may open.
+    connections: int = 0
 
 
 class LeafPool:
@@ -38,7 +40,8 @@
     def __init__(self) -> None:
         self._states: dict[tuple[str, int, str], LeafState] = {}
         self._closing: set[asyncio.Task[None]] = set()
-        self.daemons = 1
+        # Part of each leaf's connections that this daemon may open.
+        self.share = 1.0
 
     def state(self, entry: LeafEntry) -> LeafState:
         """Return the state of a leaf."""
@@ -57,8 +60,9 @@
         limit = self._connections(entry, service)
         if state.channel is None:
             state.channel = LeafChannel(entry.address, connections=limit)
-        else:
+        elif state.connections != limit:
             state.channel.set_connections(limit)
+        state.connections = limit
         return state.channel
 
     def keep_only(self, entries: list[LeafEntry]) -> None:
@@ -83,5 +87,5 @@
     def _connections(self, entry: LeafEntry, service: ServiceConfig | None) -> int:
         if service is None:
             return CONNECTIONS_DEFAULT
-        share = int(service.connections_max * CONNECTION_SHARE / max(1, self.daemons))
+        share = int(service.connections_max * CONNECTION_SHARE * self.share)
         return max(1, min(share, CONNECTIONS_PER_SLOT * entry.slots))
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -0,0 +1,84 @@
+"""Calls to peers."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from aiohttp import ClientConnectorError
+from aiohttp import ClientError
+from aiohttp import ClientSession
+from aiohttp import ClientTimeout
+from aiohttp import DummyCookieJar
+from aiohttp import TCPConnector
+
+from gypsumvane_daemon.routing.sockets import keepalive_socket
+
+CONNECT_TIMEOUT_S = 0.5
+OK = 200
+
+
+class PeerError(Exception):
+    """Report a call without a good answer."""
+
+    def __init__(self, message: str, *, status: int = 0, refused: bool = False) -> None:
+        super().__init__(message)
+        # 0 when there was no answer.
+        self.status = status
+        # The connection was refused: no daemon runs there.
+        self.refused = refused
+
+
+class PeerClient:
+    """Exchange JSON with peers over kept connections."""
+
+    def __init__(self) -> None:
+        self._session: ClientSession | None = None
+
+    async def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        *,
+        query: dict[str, str] | None = None,
+        body: Any = None,
+        timeout_s: float,
+    ) -> Any:
+        """Return the content of the answer.
+
+        Raises PeerError.
+        """
+        if self._session is None:
+            self._session = ClientSession(
+                connector=TCPConnector(limit=0, socket_factory=keepalive_socket),
+                cookie_jar=DummyCookieJar(),
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            )
+        try:
+            async with self._session.request(
+                method,
+                f"http://{address}{path}",
+                params=query,
+                data=None if body is None else json.dumps(body).encode(),
+                timeout=ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
+            ) as response:
+                content = await response.read()
+                if response.status != OK:
+                    raise PeerError(
+                        f"{address}{path}: status {response.status}",
+                        status=response.status,
+                    )
+                return json.loads(content)
+        except ClientConnectorError as error:
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            raise PeerError(f"{address}{path}: {error}", refused=refused) from error
+        except (ClientError, OSError, TimeoutError, ValueError) as error:
+            raise PeerError(
+                f"{address}{path}: {type(error).__name__}: {error}"
+            ) from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -1,4 +1,4 @@
-"""Pings between daemons: who serves, and the newest configuration."""
+"""Pings between daemons: who runs, who serves and which version is in force."""
 
 from __future__ import annotations
 
@@ -9,24 +9,21 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from aiohttp import ClientConnectorError
-from aiohttp import ClientError
-from aiohttp import ClientSession
-from aiohttp import ClientTimeout
-from aiohttp import DummyCookieJar
-from aiohttp import TCPConnector
 from aiohttp.web import Response
 
-from gypsumvane_core.routing.peer_table import DaemonRecord
+from gypsumvane_core.routing.daemon_record import DaemonRecord
+from gypsumvane_core.routing.entry_selection import select_entries
+from gypsumvane_core.routing.peer_table import ServingDaemon
 from gypsumvane_daemon.routing.listener import text_response
+from gypsumvane_daemon.routing.peer_client import PeerError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
-from gypsumvane_daemon.routing.sockets import keepalive_socket
 
 if TYPE_CHECKING:
     from aiohttp.web import BaseRequest
 
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.routing.peer_table import PeerTable
+    from gypsumvane_daemon.routing.peer_client import PeerClient
     from gypsumvane_daemon.routing.ports import Platform
     from gypsumvane_daemon.routing.routing_state import RoutingState
     from gypsumvane_daemon.routing.state_listeners import ConfigListener
@@ -37,14 +34,17 @@
 PING_TIMEOUT_S = 0.9
 # The list of daemons in the store is read this often, at a tenth of the price
 # of a current read; in between daemons hear of new ones from peers.
-LIST_INTERVAL_S = 15.0
+LIST_INTERVAL_S = 20.0
 REGISTER_RETRY_S = 1.0
+# When the whole system starts for the first time, all daemons register first,
+# so that the list names the hubs.
+FIRST_START_WAIT_S = 1.5
 PING_PATH = "/v1/ping"
 CONFIG_PATH = "/v1/configuration"
 
 
 class PeerExchange:
-    """Ask peers each second and answer them."""
+    """Ask hubs each second and answer peers."""
 
     def __init__(
         self,
@@ -54,6 +54,7 @@
         state: RoutingState,
         configs: ConfigListener,
         platform: Platform,
+        client: PeerClient,
         seeds: tuple[str, ...],
         clock: Clock,
     ) -> None:
@@ -62,51 +63,51 @@
         self._state = state
         self._configs = configs
         self._platform = platform
+        self._client = client
         self._seeds = tuple(seed for seed in seeds if seed != own.peer_address)
         self._clock = clock
-        self._session: ClientSession | None = None
         self._pings: set[asyncio.Task[None]] = set()
+        # Set when the hubs of the zone are known, as far as possible.
+        self.listed = asyncio.Event()
 
-    async def run(self) -> None:
+    async def run(self, *, first_start: bool) -> None:
         """Register this daemon and ask peers until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._register())
-            group.create_task(self._list())
+            group.create_task(self._list(first_start=first_start))
             group.create_task(self._ping_all())
 
-    async def close(self) -> None:
-        """Close the connections to peers."""
+    def cancel_pings(self) -> None:
+        """End the pings in progress."""
         for task in self._pings:
             task.cancel()
-        if self._session is not None:
-            await self._session.close()
 
     def ping_now(self) -> None:
-        """Tell all peers at once, for a change of what this daemon says."""
+        """Ask the hubs at once, for a change of what this daemon says."""
         known = self._table.asked(self._clock.monotonic_s())
         addresses = {record.peer_address: record.name for record in known}
-        for seed in self._seeds if not addresses else ():
-            addresses.setdefault(seed, "")
+        if not addresses:
+            addresses = dict.fromkeys(self._seeds, "")
         for address, name in addresses.items():
             task = asyncio.create_task(self._ping(address, name))
             self._pings.add(task)
             task.add_done_callback(self._pings.discard)
 
-    async def handle(self, request: BaseRequest) -> Response:
-        """Answer a peer."""
-        if request.path == CONFIG_PATH:
-            record = self._configs.record
-            if record is None:
-                return text_response(404, "no configuration yet\n")
-            return _json({"name": record.name, "payload": record.payload})
-        if request.path != PING_PATH:
-            return text_response(404, "unknown path\n")
+    async def handle_ping(self, request: BaseRequest) -> Response:
+        """Answer a ping."""
         try:
             self._hear(json.loads(await request.read()))
         except (ValueError, KeyError, TypeError) as error:
             return text_response(400, f"ping cannot be read: {error}\n")
         return _json(self._say())
 
+    async def handle_config(self, request: BaseRequest) -> Response:
+        """Answer with the configuration in force."""
+        record = self._configs.record
+        if record is None:
+            return text_response(404, "no configuration yet\n")
+        return _json({"name": record.name, "payload": record.payload})
+
     async def _register(self) -> None:
         while True:
             try:
@@ -117,17 +118,21 @@
             else:
                 return
 
-    async def _list(self) -> None:
+    async def _list(self, *, first_start: bool) -> None:
+        if first_start:
+            await asyncio.sleep(FIRST_START_WAIT_S)
         while True:
             try:
                 records = await self._platform.list_daemons()
             except StoreUnavailableError as error:
                 logger.info("daemons not listed", extra={"error": str(error)})
+                self.listed.set()
                 await asyncio.sleep(REGISTER_RETRY_S)
                 continue
             now_s = self._clock.monotonic_s()
             for record in records:
                 self._table.learn(record, now_s)
+            self.listed.set()
             self.ping_now()
             await asyncio.sleep(LIST_INTERVAL_S)
 
@@ -138,58 +143,65 @@
 
     async def _ping(self, address: str, name: str) -> None:
         try:
-            answer = await self._call("POST", address, PING_PATH, self._say())
+            answer = await self._client.call(
+                "POST", address, PING_PATH, body=self._say(), timeout_s=PING_TIMEOUT_S
+            )
             self._hear(answer)
-        except ClientConnectorError:
-            self._table.unreachable(name)
+            version = int(answer["version"])
+        except PeerError as error:
+            # Of silence the table draws its conclusions itself.
+            if error.refused and name:
+                self._table.unreachable(name)
             return
-        except (ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError):
-            # Silence is what the table concludes from.
+        except (ValueError, KeyError, TypeError) as error:
+            logger.warning(
+                "ping cannot be read", extra={"peer": address, "error": str(error)}
+            )
             return
-        if int(answer.get("version", 0)) > self._state.version:
+        if version > self._state.version:
             await self._fetch_config(address)
 
     async def _fetch_config(self, address: str) -> None:
         try:
-            answer = await self._call("GET", address, CONFIG_PATH, None)
+            answer = await self._client.call(
+                "GET", address, CONFIG_PATH, timeout_s=PING_TIMEOUT_S
+            )
             record = self._platform.configs.decode(answer["name"], answer["payload"])
-        except (ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError):
-            logger.info("configuration not fetched", extra={"peer": address})
+        except (PeerError, KeyError, TypeError) as error:
+            logger.info(
+                "configuration not fetched",
+                extra={"peer": address, "error": str(error)},
+            )
             return
         if record is not None:
             self._configs.take(record, origin=address)
 
-    async def _call(self, method: str, address: str, path: str, body: Any) -> Any:
-        if self._session is None:
-            self._session = ClientSession(
-                connector=TCPConnector(limit=0, socket_factory=keepalive_socket),
-                cookie_jar=DummyCookieJar(),
-                timeout=ClientTimeout(total=PING_TIMEOUT_S),
-            )
-        data = None if body is None else json.dumps(body).encode()
-        async with self._session.request(
-            method, f"http://{address}{path}", data=data
-        ) as response:
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
-            return json.loads(await response.read())
-
     def _say(self) -> dict[str, Any]:
         now_s = self._clock.monotonic_s()
+        told: list[ServingDaemon] = []
+        if self._table.is_hub(now_s):
+            heard = self._table.heard_serving(now_s)
+            chosen = {
+                record.name
+                for record in select_entries(entry.record for entry in heard)
+            }
+            told = [entry for entry in heard if entry.record.name in chosen]
         return {
             "daemon": asdict(self._own),
             "serving": self._state.serving,
             "version": self._state.version,
-            "peers": [asdict(record) for record in self._table.serving(now_s)],
+            "told": [asdict(entry) for entry in told],
         }
 
     def _hear(self, said: Any) -> None:
         now_s = self._clock.monotonic_s()
-        self._table.heard(
-            DaemonRecord(**said["daemon"]), serving=bool(said["serving"]), now_s=now_s
-        )
-        for record in said["peers"]:
-            self._table.learn(DaemonRecord(**record), now_s)
+        record = DaemonRecord(**said["daemon"])
+        self._table.heard(record, serving=bool(said["serving"]), now_s=now_s)
+        told = [
+            ServingDaemon(DaemonRecord(**entry["record"]), float(entry["age_s"]))
+            for entry in said["told"]
+        ]
+        self._table.told(record.name, told, now_s)
 
 
 def _json(value: Any) -> Response:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -14,8 +14,8 @@
     from collections.abc import Sequence
 
     from gypsumvane_core.routing.config import RoutingConfig
+    from gypsumvane_core.routing.daemon_record import DaemonRecord
     from gypsumvane_core.routing.leaf_registry import LeafEntry
-    from gypsumvane_core.routing.peer_table import DaemonRecord
 
 Value = TypeVar("Value")
 
@@ -58,6 +58,9 @@
 
     records: tuple[Record[Value], ...]
     revision: int
+    # Time since the store confirmed this state to the peer it comes from.
+    age_s: float = 0.0
+    relayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +69,8 @@
 
     changes: tuple[tuple[str, Record[Value] | None], ...]
     revision: int
+    # Time since the store confirmed this state to the peer it comes from.
+    age_s: float = 0.0
 
 
 class RecordSource(ABC, Generic[Value]):
@@ -74,7 +79,7 @@
     label: str
 
     @abstractmethod
-    async def list(self) -> RecordList[Value]:
+    async def list_all(self) -> RecordList[Value]:
         """Return all objects, as they are now.
 
         Raises StoreUnavailableError.
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -0,0 +1,70 @@
+"""Serving of mirrored objects to peers of the same zone."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp.web import Response
+
+from gypsumvane_daemon.routing.listener import text_response
+from gypsumvane_daemon.routing.ports import HistoryLostError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from aiohttp.web import BaseRequest
+
+    from gypsumvane_daemon.routing.feed_mirror import FeedMirror
+
+RELAY_PATH = "/v1/relay/"
+# A copy that the store has not confirmed for this time is not handed out: the
+# peer may still reach the store. A watch ends after 1.5 s and is given up 0.5 s
+# later.
+CONFIRMED_MAX_S = 2.1
+WAIT_MAX_S = 5.0
+GONE = 410
+UNCONFIRMED = 503
+
+
+class RelayHandler:
+    """Answer peers that follow this daemon in place of the store."""
+
+    def __init__(
+        self,
+        mirrors: Mapping[str, FeedMirror[Any]],
+        confirmed_age_s: Callable[[], float],
+    ) -> None:
+        self._mirrors = mirrors
+        self._confirmed_age_s = confirmed_age_s
+
+    async def handle(self, request: BaseRequest) -> Response:
+        """Answer a list or a watch."""
+        mirror = self._mirrors.get(request.path.removeprefix(RELAY_PATH))
+        if mirror is None:
+            return text_response(404, "unknown kind\n")
+        if self._confirmed_age_s() > CONFIRMED_MAX_S or not mirror.revision:
+            return text_response(UNCONFIRMED, "the copy is not confirmed\n")
+        since = request.query.get("since")
+        if since is None:
+            return self._reply(mirror, mirror.objects())
+        try:
+            wait_s = min(float(request.query.get("wait_s", "0")), WAIT_MAX_S)
+            changes = await mirror.changes(int(since), wait_s)
+        except ValueError as error:
+            return text_response(400, f"{error}\n")
+        except HistoryLostError:
+            return text_response(GONE, "these changes are not known\n")
+        return self._reply(mirror, changes)
+
+    def _reply(self, mirror: FeedMirror[Any], objects: list[Any]) -> Response:
+        content = {
+            "objects": objects,
+            "revision": mirror.revision,
+            "age_s": self._confirmed_age_s(),
+        }
+        return Response(
+            body=json.dumps(content).encode(), content_type="application/json"
+        )
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -0,0 +1,136 @@
+"""Objects of one kind, from a hub of the zone or from the store."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from gypsumvane_daemon.routing.peer_client import PeerError
+from gypsumvane_daemon.routing.ports import HistoryLostError
+from gypsumvane_daemon.routing.ports import RecordChanges
+from gypsumvane_daemon.routing.ports import RecordList
+from gypsumvane_daemon.routing.ports import RecordSource
+from gypsumvane_daemon.routing.relay_handler import GONE
+from gypsumvane_daemon.routing.relay_handler import RELAY_PATH
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.routing.daemon_record import DaemonRecord
+    from gypsumvane_daemon.routing.peer_client import PeerClient
+    from gypsumvane_daemon.routing.ports import Record
+
+Value = TypeVar("Value")
+
+logger = logging.getLogger(__name__)
+
+# A hub that dies without a word is noticed after wait and margin.
+WAIT_S = 1.0
+MARGIN_S = 0.4
+# A hub that failed is not asked for this time.
+AVOID_S = 3.0
+
+
+class RelayedSource(RecordSource[Value]):
+    """Ask the hubs of the zone first, then the store."""
+
+    def __init__(
+        self,
+        store: RecordSource[Value],
+        relays: Callable[[], list[DaemonRecord]],
+        client: PeerClient,
+        clock: Clock,
+    ) -> None:
+        self.label = store.label
+        self._store = store
+        self._relays = relays
+        self._client = client
+        self._clock = clock
+        self._avoid_until_s: dict[str, float] = {}
+        # A hub that is behind what is known here is not listened to.
+        self._seen_revision = 0
+
+    async def list_all(self) -> RecordList[Value]:
+        """Return all objects.
+
+        Raises StoreUnavailableError.
+        """
+        for relay in self._usable():
+            try:
+                answer = await self._call(relay, {}, MARGIN_S + WAIT_S)
+                if int(answer["revision"]) < self._seen_revision:
+                    raise ValueError("the copy is behind")
+                return RecordList(
+                    tuple(
+                        record
+                        for name, payload in answer["objects"]
+                        if (record := self.decode(name, payload)) is not None
+                    ),
+                    int(answer["revision"]),
+                    float(answer["age_s"]),
+                    relayed=True,
+                )
+            except (PeerError, KeyError, TypeError, ValueError) as error:
+                self._avoid(relay, error)
+        listing = await self._store.list_all()
+        self._seen_revision = max(self._seen_revision, listing.revision)
+        return listing
+
+    async def watch(self, revision: int, wait_s: float) -> RecordChanges[Value]:
+        """Return the changes since a revision.
+
+        Raises StoreUnavailableError and HistoryLostError.
+        """
+        for relay in self._usable():
+            query = {"since": str(revision), "wait_s": f"{WAIT_S:g}"}
+            try:
+                answer = await self._call(relay, query, WAIT_S + MARGIN_S)
+                changes = tuple(
+                    (name, None if payload is None else self.decode(name, payload))
+                    for name, payload in answer["objects"]
+                )
+                return RecordChanges(
+                    changes, int(answer["revision"]), float(answer["age_s"])
+                )
+            except PeerError as error:
+                if error.status == GONE:
+                    raise HistoryLostError(str(error)) from error
+                self._avoid(relay, error)
+            except (KeyError, TypeError, ValueError) as error:
+                self._avoid(relay, error)
+        watched = await self._store.watch(revision, wait_s)
+        self._seen_revision = max(self._seen_revision, watched.revision)
+        return watched
+
+    def decode(self, name: str, payload: Any) -> Record[Value] | None:
+        """Return the object in a payload, None when it cannot be read."""
+        return self._store.decode(name, payload)
+
+    async def _call(
+        self, relay: DaemonRecord, query: dict[str, str], timeout_s: float
+    ) -> Any:
+        return await self._client.call(
+            "GET",
+            relay.peer_address,
+            f"{RELAY_PATH}{self.label}",
+            query=query,
+            timeout_s=timeout_s,
+        )
+
+    def _usable(self) -> list[DaemonRecord]:
+        now_s = self._clock.monotonic_s()
+        return [
+            relay
+            for relay in self._relays()
+            if self._avoid_until_s.get(relay.name, 0.0) <= now_s
+        ]
+
+    def _avoid(self, relay: DaemonRecord, error: Exception) -> None:
+        self._avoid_until_s[relay.name] = self._clock.monotonic_s() + AVOID_S
+        logger.info(
+            "relay failed",
+            extra={"relay": relay.name, "kind": self.label, "error": str(error)},
+        )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -12,19 +12,28 @@
 from aiohttp.web import Response
 
 from gypsumvane_core.clock import SystemClock
+from gypsumvane_core.routing.daemon_record import DaemonRecord
+from gypsumvane_core.routing.entry_selection import share_of
 from gypsumvane_core.routing.latency_book import LatencyBook
 from gypsumvane_core.routing.leaf_choice import LeafChooser
-from gypsumvane_core.routing.peer_table import DaemonRecord
 from gypsumvane_core.routing.peer_table import PeerTable
 from gypsumvane_core.routing.retry_budget import RetryBudget
 from gypsumvane_core.routing.traffic_split import TrafficSplit
 from gypsumvane_daemon.collector import reduce_collections
 from gypsumvane_daemon.routing.entry_directory import EntryDirectory
 from gypsumvane_daemon.routing.entry_handler import EntryHandler
+from gypsumvane_daemon.routing.feed_mirror import FeedMirror
 from gypsumvane_daemon.routing.leaf_attempt import LeafSender
 from gypsumvane_daemon.routing.leaf_pool import LeafPool
 from gypsumvane_daemon.routing.listener import HttpListener
+from gypsumvane_daemon.routing.listener import text_response
+from gypsumvane_daemon.routing.peer_client import PeerClient
+from gypsumvane_daemon.routing.peer_exchange import CONFIG_PATH
+from gypsumvane_daemon.routing.peer_exchange import PING_PATH
 from gypsumvane_daemon.routing.peer_exchange import PeerExchange
+from gypsumvane_daemon.routing.relay_handler import RELAY_PATH
+from gypsumvane_daemon.routing.relay_handler import RelayHandler
+from gypsumvane_daemon.routing.relayed_source import RelayedSource
 from gypsumvane_daemon.routing.request_log import RequestLog
 from gypsumvane_daemon.routing.routing_metrics import RoutingMetrics
 from gypsumvane_daemon.routing.routing_state import RoutingState
@@ -76,6 +85,7 @@
             zone=settings.zone,
             entry_address=settings.entry_address,
             peer_address=settings.peer_address,
+            capacity_cores=settings.capacity_cores,
         )
         self.peer_table = PeerTable(self.own)
         self.directory = EntryDirectory(
@@ -104,12 +114,14 @@
             clock=self.clock,
         )
         self._configs = ConfigListener(self.state)
+        self._peer_client = PeerClient()
         self.peers = PeerExchange(
             self.own,
             table=self.peer_table,
             state=self.state,
             configs=self._configs,
             platform=platform,
+            client=self._peer_client,
             seeds=settings.seed_addresses,
             clock=self.clock,
         )
@@ -117,12 +129,29 @@
             "callers", settings.entry_address, self.entry.handle
         )
         self._peer_listener = HttpListener(
-            "peers", settings.peer_address, self.peers.handle
+            "peers", settings.peer_address, self._handle_peer
         )
         self._metrics_listener = HttpListener(
             "metrics", settings.metrics_address, self._render_metrics
         )
         self.state.on_config(self._config_applied)
+        self._mirrors: dict[str, FeedMirror[Any]] = {}
+        self._leaf_feed = self._feed(
+            platform.leaves,
+            LeafListener(self.state, self.clock),
+            watch_s=QUICK_WATCH_S,
+            pause_s=LEAF_CHANGES_PAUSE_S,
+        )
+        self._slow_feeds: tuple[StoreFeed[Any], ...] = (
+            self._feed(platform.configs, self._configs, watch_s=SLOW_WATCH_S),
+            self._feed(
+                platform.evacuations,
+                EvacuationListener(self.state),
+                watch_s=SLOW_WATCH_S,
+            ),
+        )
+        link_feeds(self._leaf_feed, *self._slow_feeds)
+        self._relay = RelayHandler(self._mirrors, self._leaf_feed.confirmed_age_s)
 
     async def run(self, listeners: tuple[HttpListener, ...]) -> None:
         """Serve until stop is called; further listeners belong to the platform.
@@ -154,7 +183,8 @@
             await asyncio.gather(*tasks, return_exceptions=True)
             for listener in listeners:
                 await listener.stop()
-            await self.peers.close()
+            self.peers.cancel_pings()
+            await self._peer_client.close()
             await self.pool.close()
             await self.platform.close()
 
@@ -173,26 +203,17 @@
             task.result()
 
     def _work(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        platform = self.platform
-        evacuations = EvacuationListener(self.state)
-        leaves = LeafListener(self.state, self.clock)
-        feeds: tuple[StoreFeed[Any], ...] = (
-            self._feed(platform.configs, self._configs, watch_s=SLOW_WATCH_S),
-            self._feed(
-                platform.leaves,
-                leaves,
-                watch_s=QUICK_WATCH_S,
-                pause_s=LEAF_CHANGES_PAUSE_S,
-            ),
-            self._feed(platform.evacuations, evacuations, watch_s=SLOW_WATCH_S),
-        )
-        link_feeds(feeds)
         return (
-            *(feed.run() for feed in feeds),
-            self.peers.run(),
+            *(self._follow(feed) for feed in (self._leaf_feed, *self._slow_feeds)),
+            self.peers.run(first_start=self.settings.first_start),
             self._upkeep(),
         )
 
+    async def _follow(self, feed: StoreFeed[Any]) -> None:
+        # Hubs of the zone spare the store most calls.
+        await self.peers.listed.wait()
+        await feed.run()
+
     def _feed(
         self,
         source: RecordSource[Value],
@@ -201,9 +222,10 @@
         watch_s: float,
         pause_s: float = 0.0,
     ) -> StoreFeed[Value]:
+        mirror = self._mirrors[source.label] = FeedMirror(listener)
         return StoreFeed(
-            source,
-            listener,
+            RelayedSource(source, self._relays, self._peer_client, self.clock),
+            mirror,
             watch_s=watch_s,
             pause_s=pause_s,
             clock=self.clock,
@@ -213,8 +235,9 @@
     async def _upkeep(self) -> None:
         while True:
             count = self.peer_table.count(self.clock.monotonic_s())
-            self.budget.daemons = count
-            self.pool.daemons = count
+            share = share_of(self.own.name, self.directory.entries(), count)
+            self.budget.share = share
+            self.pool.share = share
             self.pool.keep_only(self.state.registry.entries())
             await asyncio.sleep(UPKEEP_INTERVAL_S)
 
@@ -225,5 +248,17 @@
         if config.routes and not self.state.stopping:
             self.peers.ping_now()
 
+    def _relays(self) -> list[DaemonRecord]:
+        return self.peer_table.relays(self.clock.monotonic_s())
+
+    async def _handle_peer(self, request: BaseRequest) -> Response:
+        if request.path == PING_PATH:
+            return await self.peers.handle_ping(request)
+        if request.path.startswith(RELAY_PATH):
+            return await self._relay.handle(request)
+        if request.path == CONFIG_PATH:
+            return await self.peers.handle_config(request)
+        return text_response(404, "unknown path\n")
+
     async def _render_metrics(self, request: BaseRequest) -> Response:
         return Response(body=self.metrics.render(), content_type="text/plain")
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -30,6 +30,10 @@
     retry_allowance: RetryAllowance
     # From SIGTERM to SIGKILL.
     stop_grace_s: float
+    # Processor time of the VM in cores.
+    capacity_cores: float = 1.0
+    # Whether the whole system starts for the first time.
+    first_start: bool = False
     # Requests that a cold leaf bears: its rate x ratio + slack in a second.
     warmup_overshoot_ratio: float = 1.0
     warmup_slack: float = 0.0
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -33,7 +33,7 @@
 # Each watch costs a store call. The store may drop a waiting watch without a
 # word, and 4 s later this machine counts as sound again, so that one feed has
 # to notice it within about 2.5 s; it makes the others start anew.
-QUICK_WATCH_S = 2.0
+QUICK_WATCH_S = 1.5
 SLOW_WATCH_S = 5.0
 # A machine that reaches the store again has 4 s until it counts as sound.
 RETRY_FIRST_S = 0.2
@@ -82,12 +82,29 @@
         self._restarting = False
         # Called when the store has failed this feed or forgotten its history.
         self.on_trouble: Callable[[], None] = lambda: None
+        # While this feed is lost, the store is not asked here either.
+        self._leader: StoreFeed[Any] | None = None
+        self._confirmed_s = -RETURN_S
+        self._reached = asyncio.Event()
+        self._reached.set()
 
     @property
     def lost(self) -> bool:
         """Return whether the store does not answer now."""
         return self._lost_s is not None
 
+    def confirmed_age_s(self) -> float:
+        """Return the time since the store confirmed what is known."""
+        return self._clock.monotonic_s() - self._confirmed_s
+
+    async def wait_reached(self) -> None:
+        """Return when the store is not lost."""
+        await self._reached.wait()
+
+    def follow(self, leader: StoreFeed[Any]) -> None:
+        """Ask the store only while another feed reaches it."""
+        self._leader = leader
+
     def restart(self) -> None:
         """Read the whole list again, because a waiting watch may be dead."""
         self._revision = None
@@ -115,15 +132,19 @@
                 self._restarting = False
 
     async def _step(self) -> None:
+        if self._leader is not None:
+            await self._leader.wait_reached()
         if self._revision is None:
-            listing = await self._source.list()
-            self._note_answer()
+            listing = await self._source.list_all()
+            self._note_answer(listing.age_s)
             self._revision = listing.revision
-            after_outage = self._clock.monotonic_s() - self._returned_s < RETURN_S
+            away_s = self._clock.monotonic_s() - self._returned_s
+            # A hub that lists anew may have lost the store for a while.
+            after_outage = away_s < RETURN_S or listing.relayed
             self._listener.replaced(listing, after_outage=after_outage)
             return
         changes = await self._source.watch(self._revision, self._watch_s)
-        self._note_answer()
+        self._note_answer(changes.age_s)
         self._revision = changes.revision
         if changes.changes:
             self._listener.changed(changes)
@@ -132,25 +153,31 @@
     def _note_lost(self, error: StoreUnavailableError) -> None:
         if self._lost_s is None:
             self._lost_s = self._clock.monotonic_s()
+            self._reached.clear()
             logger.warning(
                 "store lost", extra={"kind": self._source.label, "error": str(error)}
             )
             self.on_trouble()
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, age_s: float) -> None:
         self._backoff.reset()
+        now_s = self._clock.monotonic_s()
+        self._confirmed_s = now_s - age_s
         if self._lost_s is not None:
-            now_s = self._clock.monotonic_s()
             logger.info(
                 "store regained",
                 extra={"kind": self._source.label, "away_s": now_s - self._lost_s},
             )
             self._lost_s = None
+            self._reached.set()
             self._returned_s = now_s
 
 
-def link_feeds(feeds: Sequence[StoreFeed[Any]]) -> None:
-    """Let trouble of one feed start the others anew."""
+def link_feeds(leader: StoreFeed[Any], *followers: StoreFeed[Any]) -> None:
+    """Let trouble of one feed start the others anew, led by the quick one."""
+    feeds = (leader, *followers)
+    for follower in followers:
+        follower.follow(leader)
     for feed in feeds:
         others = [other for other in feeds if other is not feed]
         feed.on_trouble = partial(_restart_all, others)
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -0,0 +1,295 @@
+"""Tests of feeds from the store, their copies and the hubs that hand them out."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_core.clock import ManualClock
+from gypsumvane_core.routing.daemon_record import DaemonRecord
+from gypsumvane_daemon.routing.feed_mirror import FeedMirror
+from gypsumvane_daemon.routing.listener import HttpListener
+from gypsumvane_daemon.routing.peer_client import PeerClient
+from gypsumvane_daemon.routing.ports import HistoryLostError
+from gypsumvane_daemon.routing.ports import Record
+from gypsumvane_daemon.routing.ports import RecordChanges
+from gypsumvane_daemon.routing.ports import RecordList
+from gypsumvane_daemon.routing.ports import RecordSource
+from gypsumvane_daemon.routing.ports import StoreUnavailableError
+from gypsumvane_daemon.routing.relay_handler import CONFIRMED_MAX_S
+from gypsumvane_daemon.routing.relay_handler import RelayHandler
+from gypsumvane_daemon.routing.relayed_source import RelayedSource
+from gypsumvane_daemon.routing.store_feed import FeedListener
+from gypsumvane_daemon.routing.store_feed import StoreFeed
+from gypsumvane_daemon.routing.store_feed import link_feeds
+from gypsumvane_devtools.free_port import free_address
+from waiting import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+def record(name: str, payload: Any = 1) -> Record[Any]:
+    """Return a record whose value is its payload."""
+    return Record(name, payload, payload)
+
+
+class FakeSource(RecordSource[Any]):
+    """Answer lists and watches from queues of results."""
+
+    label = "things"
+
+    def __init__(self) -> None:
+        self.lists = 0
+        self.watches: list[int] = []
+        self.listing: RecordList[Any] = RecordList((), 1)
+        self.answers: asyncio.Queue[RecordChanges[Any] | Exception] = asyncio.Queue()
+        self.list_error: Exception | None = None
+
+    async def list_all(self) -> RecordList[Any]:
+        """Return the prepared list."""
+        self.lists += 1
+        if self.list_error is not None:
+            raise self.list_error
+        return self.listing
+
+    async def watch(self, revision: int, wait_s: float) -> RecordChanges[Any]:
+        """Wait for the next prepared answer."""
+        self.watches.append(revision)
+        answer = await self.answers.get()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def decode(self, name: str, payload: Any) -> Record[Any] | None:
+        """Return the record."""
+        return None if payload == "odd" else record(name, payload)
+
+
+class Seen(FeedListener[Any]):
+    """Remember what a feed reads."""
+
+    def __init__(self) -> None:
+        self.lists: list[tuple[list[str], bool]] = []
+        self.changes: list[str] = []
+
+    def replaced(self, listing: RecordList[Any], *, after_outage: bool) -> None:
+        """Take a list."""
+        names = [entry.name for entry in listing.records]
+        self.lists.append((names, after_outage))
+
+    def changed(self, changes: RecordChanges[Any]) -> None:
+        """Take changes."""
+        self.changes += [name for name, _ in changes.changes]
+
+
+class StoreFeedTest(unittest.IsolatedAsyncioTestCase):
+    """Check the order of lists and watches."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.feed, self.source, self.seen = self.make()
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def make(self) -> tuple[StoreFeed[Any], FakeSource, Seen]:
+        """Return a feed with its source and listener."""
+        source, seen = FakeSource(), Seen()
+        feed = StoreFeed(
+            source, seen, watch_s=1.0, clock=self.clock, rng=random.Random(1)
+        )
+        return feed, source, seen
+
+    def run_feed(self, feed: StoreFeed[Any]) -> None:
+        """Run a feed in the background."""
+        self.tasks.append(asyncio.create_task(feed.run()))
+
+    async def test_watch_goes_on_from_the_last_revision(self) -> None:
+        self.run_feed(self.feed)
+        changes = RecordChanges((("a", record("a")),), 5)
+        self.source.answers.put_nowait(changes)
+        await wait_until(lambda: self.source.watches == [1, 5])
+        self.assertEqual(self.seen.changes, ["a"])
+        self.assertEqual(self.source.lists, 1)
+
+    async def test_outage_continues_the_watch(self) -> None:
+        """Guard against a list for each short outage."""
+        self.run_feed(self.feed)
+        self.source.answers.put_nowait(StoreUnavailableError("down"))
+        await wait_until(lambda: self.source.watches == [1, 1])
+        self.assertTrue(self.feed.lost)
+        self.source.answers.put_nowait(RecordChanges((), 4))
+        await wait_until(lambda: not self.feed.lost)
+        self.assertEqual(self.source.lists, 1)
+
+    async def test_list_after_an_outage_is_marked(self) -> None:
+        """Guard against leaves that lapsed with the store and are dropped."""
+        self.run_feed(self.feed)
+        self.source.answers.put_nowait(StoreUnavailableError("down"))
+        self.source.answers.put_nowait(HistoryLostError("gone"))
+        await wait_until(lambda: len(self.seen.lists) == 2)
+        self.assertEqual([marked for _, marked in self.seen.lists], [False, True])
+
+    async def test_trouble_of_one_feed_restarts_the_others(self) -> None:
+        """Guard against a watch that the store dropped without a word."""
+        other, source, _ = self.make()
+        link_feeds(self.feed, other)
+        self.run_feed(self.feed)
+        self.run_feed(other)
+        await wait_until(lambda: self.source.watches and source.watches)
+        self.source.answers.put_nowait(HistoryLostError("gone"))
+        await wait_until(lambda: source.lists == 2)
+
+    async def test_followers_ask_only_while_the_leader_reaches_the_store(self) -> None:
+        """Guard against calls of every feed to a store that is down."""
+        other, source, _ = self.make()
+        link_feeds(self.feed, other)
+        self.source.list_error = StoreUnavailableError("down")
+        self.run_feed(self.feed)
+        await wait_until(lambda: self.feed.lost)
+        self.run_feed(other)
+        await wait_until(lambda: self.source.lists >= 3)
+        self.assertEqual(source.lists, 0)
+        self.source.list_error = None
+        await wait_until(lambda: source.lists == 1)
+
+    async def test_age_of_the_confirmation(self) -> None:
+        self.source.listing = RecordList((), 1, age_s=0.5)
+        self.run_feed(self.feed)
+        await wait_until(lambda: self.source.watches)
+        self.clock.advance(1.0)
+        self.assertAlmostEqual(self.feed.confirmed_age_s(), 1.5)
+
+
+class MirrorTest(unittest.IsolatedAsyncioTestCase):
+    """Check the copy that hubs hand out."""
+
+    def setUp(self) -> None:
+        self.seen = Seen()
+        self.mirror: FeedMirror[Any] = FeedMirror(self.seen)
+        self.mirror.replaced(
+            RecordList((record("a"), record("b")), 10), after_outage=False
+        )
+
+    async def test_changes_since_a_revision(self) -> None:
+        self.mirror.changed(RecordChanges((("c", record("c")),), 12))
+        self.mirror.changed(RecordChanges((("a", None),), 15))
+        self.assertEqual(await self.mirror.changes(10, 0.0), [("c", 1), ("a", None)])
+        self.assertEqual(await self.mirror.changes(12, 0.0), [("a", None)])
+        self.assertEqual(sorted(self.mirror.objects()), [("b", 1), ("c", 1)])
+        self.assertEqual(self.seen.changes, ["c", "a"])
+
+    async def test_forgotten_changes(self) -> None:
+        """Guard against changes that a peer never hears of."""
+        with self.assertRaises(HistoryLostError):
+            await self.mirror.changes(9, 0.0)
+
+    async def test_revision_that_is_not_reached(self) -> None:
+        """Guard against a peer that is taken back to an older state."""
+        with self.assertRaises(ValueError):
+            await self.mirror.changes(11, 0.0)
+
+    async def test_waiting_peer_gets_the_change(self) -> None:
+        waiting = asyncio.create_task(self.mirror.changes(10, 30.0))
+        await asyncio.sleep(0)
+        self.mirror.changed(RecordChanges((("c", record("c")),), 12))
+        self.assertEqual(await waiting, [("c", 1)])
+
+    async def test_waiting_peer_is_told_of_a_new_list(self) -> None:
+        """Guard against a peer that misses what a new list has changed."""
+        waiting = asyncio.create_task(self.mirror.changes(10, 30.0))
+        await asyncio.sleep(0)
+        self.mirror.replaced(RecordList((record("z"),), 20), after_outage=False)
+        with self.assertRaises(HistoryLostError):
+            await waiting
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """Check a source that asks a hub before the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.age_s = 0.3
+        self.mirror: FeedMirror[Any] = FeedMirror(Seen())
+        self.mirror.replaced(
+            RecordList((record("a"), record("b", "odd")), 10), after_outage=False
+        )
+        handler = RelayHandler({"things": self.mirror}, lambda: self.age_s)
+        self.address = free_address()
+        self.listener = HttpListener("relay", self.address, handler.handle)
+        await self.listener.start()
+        self.client = PeerClient()
+        self.store = FakeSource()
+        self.store.listing = RecordList((record("s"),), 30)
+        self.clock = ManualClock()
+        self.source = RelayedSource(self.store, self.hubs(), self.client, self.clock)
+
+    async def asyncTearDown(self) -> None:
+        await self.client.close()
+        await self.listener.stop()
+
+    def hubs(self) -> Callable[[], list[DaemonRecord]]:
+        """Return the only hub."""
+        hub = DaemonRecord("hub", "a", "none:1", self.address)
+        return lambda: [hub]
+
+    async def names(self) -> list[str]:
+        """Return the names in a list."""
+        listing = await self.source.list_all()
+        return [entry.name for entry in listing.records]
+
+    async def test_hub_spares_the_store(self) -> None:
+        listing = await self.source.list_all()
+        self.assertEqual([entry.name for entry in listing.records], ["a"])
+        self.assertEqual((listing.revision, listing.relayed), (10, True))
+        self.assertGreaterEqual(listing.age_s, 0.3)
+        self.mirror.changed(RecordChanges((("c", record("c")), ("a", None)), 12))
+        watched = await self.source.watch(10, 5.0)
+        self.assertEqual(
+            [(name, entry is None) for name, entry in watched.changes],
+            [("c", False), ("a", True)],
+        )
+        self.assertEqual(self.store.lists, 0)
+
+    async def test_unconfirmed_hub_is_left(self) -> None:
+        """Guard against a zone that follows a hub cut off from the store."""
+        self.age_s = CONFIRMED_MAX_S + 0.1
+        self.assertEqual(await self.names(), ["s"])
+        self.store.answers.put_nowait(RecordChanges((), 31))
+        self.assertEqual((await self.source.watch(30, 5.0)).revision, 31)
+
+    async def test_hub_that_is_behind_is_left(self) -> None:
+        """Guard against knowledge that goes back."""
+        self.age_s = 100.0
+        await self.names()
+        self.age_s = 0.0
+        self.clock.advance(60.0)
+        self.assertEqual(await self.names(), ["s"])
+        self.store.answers.put_nowait(RecordChanges((), 31))
+        self.clock.advance(60.0)
+        self.assertEqual((await self.source.watch(30, 5.0)).revision, 31)
+
+    async def test_lost_history_of_the_hub(self) -> None:
+        with self.assertRaises(HistoryLostError):
+            await self.source.watch(9, 5.0)
+
+    async def test_hub_that_ended(self) -> None:
+        await self.listener.stop()
+        self.assertEqual(await self.names(), ["s"])
+
+    async def test_bad_questions(self) -> None:
+        for path, status in (
+            ("/v1/relay/unknown", 404),
+            ("/v1/relay/things?since=x", 400),
+            ("/v1/relay/things?since=99", 400),
+            ("/v1/relay/things?since=9", 410),
+        ):
+            with self.subTest(path):
+                with self.assertRaisesRegex(Exception, f"status {status}"):
+                    await self.client.call("GET", self.address, path, timeout_s=9.0)
