--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -164,6 +164,12 @@
         ranked = self._ranked(self._own.zone, now_s)
         return ranked[: ranked.index(self._own)][:HUBS_PER_ZONE]
 
+    def present(self, now_s: float) -> list[DaemonRecord]:
+        """Return the peers that seem to run, those that serve first."""
+        peers = [peer for peer in self._peers.values() if peer.present(now_s)]
+        peers.sort(key=lambda peer: not peer.serving)
+        return [peer.record for peer in peers]
+
     def count(self, now_s: float) -> int:
         """Return how many daemons share common limits, this one included."""
         return 1 + sum(peer.counted(now_s) for peer in self._peers.values())
--- a/packages/gypsumvane-core/tests/test_core_routing_peers.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_peers.py
@@ -133,6 +133,13 @@
         self.assertLessEqual(len(asked), 4 * HUBS_PER_ZONE)
         self.assertEqual({name[0] for name in asked}, set("abcd"))
 
+    def test_present_peers_that_serve_come_first(self) -> None:
+        self.hear(daemon("b"), 0.0, serving=False)
+        self.hear(daemon("c", "z"), 0.0)
+        names = [record.name for record in self.table.present(0.1)]
+        self.assertEqual(names, ["c", "b"])
+        self.assertEqual(self.table.present(PEER_SILENT_S), [])
+
     def test_common_limits_are_divided_by_all_that_may_send(self) -> None:
         """Guard against shares that grow while a peer is only cut off."""
         self.hear(daemon("b"), 0.0)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -64,7 +64,8 @@
         self._configs = configs
         self._platform = platform
         self._client = client
-        self._seeds = tuple(seed for seed in seeds if seed != own.peer_address)
+        # They may be stale, and name this daemon.
+        self.seeds = seeds
         self._clock = clock
         self._pings: set[asyncio.Task[None]] = set()
         # Set when the hubs of the zone are known, as far as possible.
@@ -87,7 +88,8 @@
         known = self._table.asked(self._clock.monotonic_s())
         addresses = {record.peer_address: record.name for record in known}
         if not addresses:
-            addresses = dict.fromkeys(self._seeds, "")
+            addresses = dict.fromkeys(self.seeds, "")
+            addresses.pop(self._own.peer_address, None)
         for address, name in addresses.items():
             task = asyncio.create_task(self._ping(address, name))
             self._pings.add(task)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -25,6 +25,8 @@
 # later.
 CONFIRMED_MAX_S = 2.1
 WAIT_MAX_S = 5.0
+# Asks for a copy that the store does not confirm now.
+UNCONFIRMED_QUERY = "unconfirmed"
 GONE = 410
 UNCONFIRMED = 503
 
@@ -45,7 +47,8 @@
         mirror = self._mirrors.get(request.path.removeprefix(RELAY_PATH))
         if mirror is None:
             return text_response(404, "unknown kind\n")
-        if self._confirmed_age_s() > CONFIRMED_MAX_S or not mirror.revision:
+        confirmed = self._confirmed_age_s() <= CONFIRMED_MAX_S
+        if not mirror.revision or not (confirmed or UNCONFIRMED_QUERY in request.query):
             return text_response(UNCONFIRMED, "the copy is not confirmed\n")
         since = request.query.get("since")
         if since is None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -12,8 +12,10 @@
 from gypsumvane_daemon.routing.ports import RecordChanges
 from gypsumvane_daemon.routing.ports import RecordList
 from gypsumvane_daemon.routing.ports import RecordSource
+from gypsumvane_daemon.routing.ports import StoreUnavailableError
 from gypsumvane_daemon.routing.relay_handler import GONE
 from gypsumvane_daemon.routing.relay_handler import RELAY_PATH
+from gypsumvane_daemon.routing.relay_handler import UNCONFIRMED_QUERY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +34,8 @@
 MARGIN_S = 0.4
 # A hub that failed is not asked for this time.
 AVOID_S = 3.0
+# Peers that a daemon without any knowledge asks before it tries the store again.
+PEERS_TRIED_MAX = 4
 
 
 class RelayedSource(RecordSource[Value]):
@@ -40,13 +44,16 @@
     def __init__(
         self,
         store: RecordSource[Value],
+        *,
         relays: Callable[[], list[DaemonRecord]],
+        peers: Callable[[], list[DaemonRecord]],
         client: PeerClient,
         clock: Clock,
     ) -> None:
         self.label = store.label
         self._store = store
         self._relays = relays
+        self._peers = peers
         self._client = client
         self._clock = clock
         self._avoid_until_s: dict[str, float] = {}
@@ -60,22 +67,15 @@
         """
         for relay in self._usable():
             try:
-                answer = await self._call(relay, {}, MARGIN_S + WAIT_S)
-                if int(answer["revision"]) < self._seen_revision:
-                    raise ValueError("the copy is behind")
-                return RecordList(
-                    tuple(
-                        record
-                        for name, payload in answer["objects"]
-                        if (record := self.decode(name, payload)) is not None
-                    ),
-                    int(answer["revision"]),
-                    float(answer["age_s"]),
-                    relayed=True,
-                )
+                return await self._list_of(relay, {})
             except (PeerError, KeyError, TypeError, ValueError) as error:
                 self._avoid(relay, error)
-        listing = await self._store.list_all()
+        try:
+            listing = await self._store.list_all()
+        except StoreUnavailableError:
+            if self._seen_revision:
+                raise
+            return await self._list_of_any_peer()
         self._seen_revision = max(self._seen_revision, listing.revision)
         return listing
 
@@ -105,6 +105,42 @@
         self._seen_revision = max(self._seen_revision, watched.revision)
         return watched
 
+    async def _list_of(
+        self, relay: DaemonRecord, query: dict[str, str]
+    ) -> RecordList[Value]:
+        """Return the copy of a peer.
+
+        Raises PeerError, and KeyError, TypeError or ValueError for an answer
+        that cannot be used.
+        """
+        answer = await self._call(relay, query, MARGIN_S + WAIT_S)
+        revision = int(answer["revision"])
+        if revision < self._seen_revision:
+            raise ValueError("the copy is behind")
+        self._seen_revision = revision
+        records = (self.decode(name, payload) for name, payload in answer["objects"])
+        return RecordList(
+            tuple(record for record in records if record is not None),
+            revision,
+            float(answer["age_s"]),
+            relayed=True,
+        )
+
+    async def _list_of_any_peer(self) -> RecordList[Value]:
+        """Return the copy of a peer, for a daemon that starts in an outage.
+
+        It then knows what its peers serve by. Raises StoreUnavailableError.
+        """
+        for peer in self._peers()[:PEERS_TRIED_MAX]:
+            try:
+                return await self._list_of(peer, {UNCONFIRMED_QUERY: "1"})
+            except (PeerError, KeyError, TypeError, ValueError) as error:
+                logger.info(
+                    "peer has no copy",
+                    extra={"peer": peer.name, "kind": self.label, "error": str(error)},
+                )
+        raise StoreUnavailableError("neither the store nor a peer answers")
+
     def decode(self, name: str, payload: Any) -> Record[Value] | None:
         """Return the object in a payload, None when it cannot be read."""
         return self._store.decode(name, payload)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -5,6 +5,9 @@
 import asyncio
 import logging
 import random
+from collections.abc import Callable
+from collections.abc import Coroutine
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -26,6 +29,7 @@
 from gypsumvane_daemon.routing.leaf_attempt import LeafSender
 from gypsumvane_daemon.routing.leaf_pool import LeafPool
 from gypsumvane_daemon.routing.listener import HttpListener
+from gypsumvane_daemon.routing.listener import ListenError
 from gypsumvane_daemon.routing.listener import text_response
 from gypsumvane_daemon.routing.peer_client import PeerClient
 from gypsumvane_daemon.routing.peer_exchange import CONFIG_PATH
@@ -48,8 +52,6 @@
 from gypsumvane_daemon.routing.store_feed import link_feeds
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from aiohttp.web import BaseRequest
 
     from gypsumvane_core.routing.config import RoutingConfig
@@ -61,6 +63,7 @@
 logger = logging.getLogger(__name__)
 
 Value = TypeVar("Value")
+Work = Callable[[], Coroutine[Any, Any, None]]
 
 # Channels of leaves that have gone are closed, and limits divided anew, this
 # often.
@@ -153,8 +156,18 @@
         link_feeds(self._leaf_feed, *self._slow_feeds)
         self._relay = RelayHandler(self._mirrors, self._leaf_feed.confirmed_age_s)
 
-    async def run(self, listeners: tuple[HttpListener, ...]) -> None:
-        """Serve until stop is called; further listeners belong to the platform.
+    def apply_settings(self, settings: RoutingSettings) -> None:
+        """Use settings that have changed."""
+        self.settings = settings
+        self.budget.allowance = settings.retry_allowance
+        self.peers.seeds = settings.seed_addresses
+
+    async def run(
+        self,
+        listeners: tuple[HttpListener, ...],
+        further_work: tuple[Work, ...] = (),
+    ) -> None:
+        """Serve until stop is called, with the platform's listeners and work.
 
         Raises ListenError.
         """
@@ -164,10 +177,14 @@
             self._peer_listener,
             self._metrics_listener,
         )
-        for listener in listeners:
-            await listener.start()
+        try:
+            for listener in listeners:
+                await listener.start()
+        except ListenError:
+            await self._close(listeners)
+            raise
         logger.info("started", extra={"zone": self.settings.zone})
-        tasks = [asyncio.create_task(work) for work in self._work()]
+        tasks = [asyncio.create_task(work()) for work in (*self._work(), *further_work)]
         reduce_collections()
         try:
             await self._wait(tasks)
@@ -181,12 +198,15 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            for listener in listeners:
-                await listener.stop()
-            self.peers.cancel_pings()
-            await self._peer_client.close()
-            await self.pool.close()
-            await self.platform.close()
+            await self._close(listeners)
+
+    async def _close(self, listeners: tuple[HttpListener, ...]) -> None:
+        for listener in listeners:
+            await listener.stop()
+        self.peers.cancel_pings()
+        await self._peer_client.close()
+        await self.pool.close()
+        await self.platform.close()
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -202,11 +222,14 @@
         for task in done:
             task.result()
 
-    def _work(self) -> tuple[Coroutine[Any, Any, None], ...]:
+    def _work(self) -> tuple[Work, ...]:
         return (
-            *(self._follow(feed) for feed in (self._leaf_feed, *self._slow_feeds)),
-            self.peers.run(first_start=self.settings.first_start),
-            self._upkeep(),
+            *(
+                partial(self._follow, feed)
+                for feed in (self._leaf_feed, *self._slow_feeds)
+            ),
+            partial(self.peers.run, first_start=self.settings.first_start),
+            self._upkeep,
         )
 
     async def _follow(self, feed: StoreFeed[Any]) -> None:
@@ -224,7 +247,13 @@
     ) -> StoreFeed[Value]:
         mirror = self._mirrors[source.label] = FeedMirror(listener)
         return StoreFeed(
-            RelayedSource(source, self._relays, self._peer_client, self.clock),
+            RelayedSource(
+                source,
+                relays=self._relays,
+                peers=self._present_peers,
+                client=self._peer_client,
+                clock=self.clock,
+            ),
             mirror,
             watch_s=watch_s,
             pause_s=pause_s,
@@ -251,6 +280,9 @@
     def _relays(self) -> list[DaemonRecord]:
         return self.peer_table.relays(self.clock.monotonic_s())
 
+    def _present_peers(self) -> list[DaemonRecord]:
+        return self.peer_table.present(self.clock.monotonic_s())
+
     async def _handle_peer(self, request: BaseRequest) -> Response:
         if request.path == PING_PATH:
             return await self.peers.handle_ping(request)
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -228,7 +228,13 @@
         self.store = FakeSource()
         self.store.listing = RecordList((record("s"),), 30)
         self.clock = ManualClock()
-        self.source = RelayedSource(self.store, self.hubs(), self.client, self.clock)
+        self.source = RelayedSource(
+            self.store,
+            relays=self.hubs(),
+            peers=self.hubs(),
+            client=self.client,
+            clock=self.clock,
+        )
 
     async def asyncTearDown(self) -> None:
         await self.client.close()
@@ -264,6 +270,14 @@
         self.store.answers.put_nowait(RecordChanges((), 31))
         self.assertEqual((await self.source.watch(30, 5.0)).revision, 31)
 
+    async def test_daemon_that_starts_in_an_outage(self) -> None:
+        """Guard against a restarted daemon that refuses until the store is back."""
+        self.age_s = CONFIRMED_MAX_S + 0.1
+        self.store.list_error = StoreUnavailableError("down")
+        self.assertEqual(await self.names(), ["a"])
+        with self.assertRaises(StoreUnavailableError):
+            await self.names()
+
     async def test_hub_that_is_behind_is_left(self) -> None:
         """Guard against knowledge that goes back."""
         self.age_s = 100.0
