Move services to new versions by the platform's orders

Orders are followed like the other kinds of objects. A daemon sends a canary share to the new version, raises it with the time, compares the newest answers of both versions for each route and takes a bad version back at once; the state is recorded by a conditional update.

--- /dev/null
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -0,0 +1,186 @@
+"""Moving the requests of a service to leaves of a new version."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+from math import log
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.move_comparison import FAILURE_MARGIN
+from gypsumvane_core.move_comparison import RATE_FACTOR
+from gypsumvane_core.move_comparison import Stratum
+from gypsumvane_core.move_comparison import log_chance
+from gypsumvane_core.slow_threshold import SlowThreshold
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from gypsumvane_core.routing.leaf_registry import LeafEntry
+
+# Part of the operators' canary bound that is used, as each daemon draws alone.
+CANARY_PART = 0.5
+# Parts of the duration: the canary's end and the end of the rise, which leaves
+# time to write that the move is complete.
+CANARY_UNTIL = 0.3
+FULL_AT = 0.75
+COMPLETE_AT = 0.85
+# Good answers of the new version at this daemon before its share may rise.
+PROOF_ANSWERS = 10
+# Time after which the share rises with less proof, on rarely used services.
+PROOF_UNTIL = 0.5
+# Natural logarithm of the chance at which a version that is no worse is taken
+# back. A move makes about a thousand comparisons at each daemon.
+LOG_CHANCE_MAX = log(1e-5)
+# Newest answers of each version that are compared: a version may turn bad late.
+ANSWERS_COMPARED = 100
+
+
+class MoveState(StrEnum):
+    """Name the states of a move."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+@dataclass(frozen=True, slots=True)
+class MoveOrder:
+    """Hold an operator's order and what was recorded of it."""
+
+    service: str
+    target_version: str
+    duration_s: float
+    # None until a state was recorded for this target.
+    state: MoveState | None = None
+    # Revision of the order in the store, for conditional updates.
+    revision: int = 0
+
+
+def _answers() -> deque[bool]:
+    return deque(maxlen=ANSWERS_COMPARED)
+
+
+@dataclass(slots=True)
+class _RouteEvidence:
+    """Hold whether the newest answers of each version were bad."""
+
+    old: deque[bool] = field(default_factory=_answers)
+    new: deque[bool] = field(default_factory=_answers)
+    slow: SlowThreshold = field(default_factory=SlowThreshold)
+
+    def new_is_worse(self) -> bool:
+        """Return whether the new version is clearly worse than the old one."""
+        if not self.new or not self.old:
+            return False
+        stratum = Stratum(len(self.old), sum(self.old), len(self.new), sum(self.new))
+        old_rate = stratum.old_bad / stratum.old_answers
+        new_rate = stratum.new_bad / stratum.new_answers
+        if new_rate < RATE_FACTOR * old_rate + FAILURE_MARGIN:
+            return False
+        return log_chance([stratum]) < LOG_CHANCE_MAX
+
+
+class VersionMove:
+    """Follow one order at one daemon."""
+
+    def __init__(self, order: MoveOrder, started_s: float, canary_share: float) -> None:
+        self.order = order
+        self._started_s = started_s
+        self._canary_share = canary_share * CANARY_PART
+        self._routes: dict[str, _RouteEvidence] = {}
+        self._good_answers = 0
+        self.state = order.state or MoveState.RUNNING
+
+    def recorded(self, order: MoveOrder) -> None:
+        """Take the state that was recorded; one that ended stays ended."""
+        self.order = order
+        if self.state is MoveState.RUNNING and order.state is not None:
+            self.state = order.state
+
+    def share(self, now_s: float) -> float:
+        """Return the share of requests that go to the new version."""
+        if self.state is not MoveState.RUNNING:
+            return 1.0 if self.state is MoveState.COMPLETED else 0.0
+        part = self._part(now_s)
+        proven = self._good_answers >= PROOF_ANSWERS or part >= PROOF_UNTIL
+        if part < CANARY_UNTIL or not proven:
+            return self._canary_share
+        risen = min(1.0, (part - CANARY_UNTIL) / (FULL_AT - CANARY_UNTIL))
+        return self._canary_share + (1 - self._canary_share) * risen
+
+    def answered(
+        self, route: str, version: str, *, failed: bool, latency_ms: float
+    ) -> bool:
+        """Count an answer and return whether the new version is taken back now."""
+        evidence = self._routes.setdefault(route, _RouteEvidence())
+        bad = failed or evidence.slow.is_slow(latency_ms)
+        if version != self.order.target_version:
+            evidence.old.append(bad)
+            if not failed:
+                evidence.slow.add_old(latency_ms)
+            return False
+        evidence.new.append(bad)
+        self._good_answers += not bad
+        if self.state is MoveState.RUNNING and bad and evidence.new_is_worse():
+            self.state = MoveState.ROLLED_BACK
+            return True
+        return False
+
+    def completes(self, now_s: float) -> bool:
+        """Return whether the move may be recorded as complete."""
+        return self.state is MoveState.RUNNING and self._part(now_s) >= COMPLETE_AT
+
+    def choose(
+        self, entries: Sequence[LeafEntry], draw: float, now_s: float
+    ) -> list[LeafEntry]:
+        """Return the leaves of the version that a request goes to.
+
+        Without leaves of the old version, or of the new one once the move is
+        complete, all others may serve, but never a version taken back.
+        """
+        target = self.order.target_version
+        new = [entry for entry in entries if entry.version == target]
+        old = [entry for entry in entries if entry.version != target]
+        if self.state is MoveState.ROLLED_BACK:
+            return old
+        if draw < self.share(now_s):
+            return new or old
+        return old or (new if self.state is MoveState.COMPLETED else [])
+
+    def _part(self, now_s: float) -> float:
+        return (now_s - self._started_s) / max(self.order.duration_s, 0.001)
+
+
+class MoveBook:
+    """Hold the newest move of each service."""
+
+    def __init__(self, canary_share: float) -> None:
+        self._canary_share = canary_share
+        self._moves: dict[str, VersionMove] = {}
+
+    def put(self, order: MoveOrder, now_s: float) -> VersionMove:
+        """Take an order, new or with another state."""
+        move = self._moves.get(order.service)
+        if move is None or move.order.target_version != order.target_version:
+            move = VersionMove(order, now_s, self._canary_share)
+            self._moves[order.service] = move
+        else:
+            move.recorded(order)
+        return move
+
+    def remove(self, service: str) -> None:
+        """Forget an order; a version that was taken back stays out."""
+        move = self._moves.get(service)
+        if move is not None and move.state is not MoveState.ROLLED_BACK:
+            del self._moves[service]
+
+    def of(self, service: str) -> VersionMove | None:
+        """Return the move of a service."""
+        return self._moves.get(service)
+
+    def moves(self) -> list[VersionMove]:
+        """Return all moves."""
+        return list(self._moves.values())
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -0,0 +1,107 @@
+"""Recording the state of version moves in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from gypsumvane_core.routing.version_move import MoveState
+from gypsumvane_daemon.routing.ports import StoreUnavailableError
+from gypsumvane_daemon.routing.store_feed import FeedListener
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.routing.version_move import MoveBook
+    from gypsumvane_core.routing.version_move import MoveOrder
+    from gypsumvane_core.routing.version_move import VersionMove
+    from gypsumvane_daemon.routing.ports import Platform
+    from gypsumvane_daemon.routing.ports import RecordChanges
+    from gypsumvane_daemon.routing.ports import RecordList
+
+logger = logging.getLogger(__name__)
+
+# How often moves are looked at; a version that was taken back here gets nothing
+# from here at once, and from others once it is recorded.
+POLL_S = 0.2
+
+
+class MoveRecorder(FeedListener["MoveOrder"]):
+    """Take orders from the store and write their states back."""
+
+    def __init__(
+        self,
+        book: MoveBook,
+        platform: Platform,
+        leads: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._book = book
+        self._platform = platform
+        # Whether this daemon records progress; any daemon records a take-back.
+        self._leads = leads
+        self._clock = clock
+
+    def replaced(self, listing: RecordList[MoveOrder], *, after_outage: bool) -> None:
+        """Take a complete list."""
+        named = {record.value.service for record in listing.records}
+        for move in self._book.moves():
+            if move.order.service not in named:
+                self._book.remove(move.order.service)
+        for record in listing.records:
+            self._take(record.value)
+
+    def changed(self, changes: RecordChanges[MoveOrder]) -> None:
+        """Take changes in order."""
+        for name, record in changes.changes:
+            if record is None:
+                self._book.remove(name)
+            else:
+                self._take(record.value)
+
+    async def run(self) -> None:
+        """Record states until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_S)
+            for move in self._book.moves():
+                state = self._due(move)
+                if state is not None:
+                    await self._record(move, state)
+
+    def _due(self, move: VersionMove) -> MoveState | None:
+        recorded = move.order.state
+        if recorded in (MoveState.COMPLETED, MoveState.ROLLED_BACK):
+            return None
+        if move.state is MoveState.ROLLED_BACK:
+            return MoveState.ROLLED_BACK
+        if not self._leads():
+            return None
+        if move.completes(self._clock.monotonic_s()):
+            return MoveState.COMPLETED
+        return MoveState.RUNNING if recorded is None else None
+
+    async def _record(self, move: VersionMove, state: MoveState) -> None:
+        try:
+            order = await self._platform.record_move(move.order, state)
+        except StoreUnavailableError as error:
+            logger.info(
+                "move not recorded",
+                extra={"service": move.order.service, "error": str(error)},
+            )
+            return
+        self._take(order)
+
+    def _take(self, order: MoveOrder) -> None:
+        move = self._book.put(order, self._clock.monotonic_s())
+        logger.info(
+            "version move",
+            extra={
+                "service": order.service,
+                "target_version": order.target_version,
+                "recorded": order.state,
+                "state": move.state,
+                "revision": order.revision,
+            },
+        )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -16,6 +16,8 @@
     from gypsumvane_core.routing.config import RoutingConfig
     from gypsumvane_core.routing.daemon_record import DaemonRecord
     from gypsumvane_core.routing.leaf_registry import LeafEntry
+    from gypsumvane_core.routing.version_move import MoveOrder
+    from gypsumvane_core.routing.version_move import MoveState
 
 Value = TypeVar("Value")
 
@@ -104,6 +106,7 @@
     configs: RecordSource[RoutingConfig]
     leaves: RecordSource[LeafEntry]
     evacuations: RecordSource[str]
+    moves: RecordSource[MoveOrder]
 
     @abstractmethod
     async def register_daemon(self, record: DaemonRecord) -> None:
@@ -112,6 +115,13 @@
         Raises StoreUnavailableError.
         """
 
+    @abstractmethod
+    async def record_move(self, order: MoveOrder, state: MoveState) -> MoveOrder:
+        """Write the state of a move unless the order has changed.
+
+        Return the order as it is then. Raises StoreUnavailableError.
+        """
+
     @abstractmethod
     async def list_daemons(self) -> Sequence[DaemonRecord]:
         """Return the records of all daemons; they may be seconds old.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -22,6 +22,7 @@
 from gypsumvane_core.routing.peer_table import PeerTable
 from gypsumvane_core.routing.retry_budget import RetryBudget
 from gypsumvane_core.routing.traffic_split import TrafficSplit
+from gypsumvane_core.routing.version_move import MoveBook
 from gypsumvane_daemon.collector import reduce_collections
 from gypsumvane_daemon.routing.entry_directory import EntryDirectory
 from gypsumvane_daemon.routing.entry_handler import EntryHandler
@@ -31,6 +32,7 @@
 from gypsumvane_daemon.routing.listener import HttpListener
 from gypsumvane_daemon.routing.listener import ListenError
 from gypsumvane_daemon.routing.listener import text_response
+from gypsumvane_daemon.routing.move_recorder import MoveRecorder
 from gypsumvane_daemon.routing.peer_client import PeerClient
 from gypsumvane_daemon.routing.peer_exchange import CONFIG_PATH
 from gypsumvane_daemon.routing.peer_exchange import PING_PATH
@@ -83,6 +85,7 @@
         self.metrics = RoutingMetrics()
         self.pool = LeafPool()
         self.budget = RetryBudget(settings.retry_allowance)
+        self.moves = MoveBook(settings.canary_share)
         self.own = DaemonRecord(
             name=settings.daemon_name,
             zone=settings.zone,
@@ -104,6 +107,7 @@
             ),
             chooser=LeafChooser(settings.zone, self._rng),
             budget=self.budget,
+            moves=self.moves,
             latencies=self._latencies,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
@@ -145,7 +149,10 @@
             watch_s=QUICK_WATCH_S,
             pause_s=LEAF_CHANGES_PAUSE_S,
         )
+        recorder = MoveRecorder(self.moves, platform, self._leads, self.clock)
+        self._recorder = recorder
         self._slow_feeds: tuple[StoreFeed[Any], ...] = (
+            self._feed(platform.moves, recorder, watch_s=SLOW_WATCH_S),
             self._feed(platform.configs, self._configs, watch_s=SLOW_WATCH_S),
             self._feed(
                 platform.evacuations,
@@ -229,6 +236,7 @@
                 for feed in (self._leaf_feed, *self._slow_feeds)
             ),
             partial(self.peers.run, first_start=self.settings.first_start),
+            self._recorder.run,
             self._upkeep,
         )
 
@@ -280,6 +288,10 @@
     def _relays(self) -> list[DaemonRecord]:
         return self.peer_table.relays(self.clock.monotonic_s())
 
+    def _leads(self) -> bool:
+        entries = self.directory.entries()
+        return bool(entries) and entries[0].name == self.own.name
+
     def _present_peers(self) -> list[DaemonRecord]:
         return self.peer_table.present(self.clock.monotonic_s())
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from dataclasses import field
+from random import Random
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.reason import Reason
@@ -20,6 +21,7 @@
     from gypsumvane_core.routing.leaf_choice import LeafChooser
     from gypsumvane_core.routing.leaf_registry import LeafEntry
     from gypsumvane_core.routing.retry_budget import RetryBudget
+    from gypsumvane_core.routing.version_move import MoveBook
     from gypsumvane_daemon.routing.forwarded_request import ForwardedRequest
     from gypsumvane_daemon.routing.leaf_attempt import LeafResult
     from gypsumvane_daemon.routing.leaf_attempt import LeafSender
@@ -40,9 +42,10 @@
     chooser: LeafChooser
     budget: RetryBudget
     latencies: LatencyBook
+    moves: MoveBook
     clock: Clock
     log: RequestLog
-    cold_share: float = 1.0
+    rng: Random = field(default_factory=Random)
     _losers: set[asyncio.Task[LeafResult]] = field(default_factory=set)
 
     def finish_loser(self, task: asyncio.Task[LeafResult]) -> None:
@@ -77,6 +80,8 @@
         self._failures: list[LeafFailure] = []
         self._hedge_refused = False
         self._released = False
+        # All sends of a request go to one version.
+        self._version_draw = tools.rng.random()
         self.arrived = False
 
     @property
@@ -203,11 +208,35 @@
             self.arrived = True
         elif result.arrived:
             self.arrived = True
+        self._note_version(entry, result)
         return result
 
+    def _note_version(self, entry: LeafEntry, result: LeafResult) -> None:
+        move = self._tools.moves.of(self._service)
+        if move is None:
+            return
+        if isinstance(result, LeafReply):
+            failed, latency_ms = False, result.latency_s * 1000
+        elif result.verdict is Verdict.NOT_RUN:
+            return
+        else:
+            failed, latency_ms = True, 0.0
+        if move.answered(
+            self._route.name, entry.version, failed=failed, latency_ms=latency_ms
+        ):
+            self._tools.log.decision(
+                "version_taken_back",
+                self._request,
+                service=self._service,
+                version=entry.version,
+            )
+
     def _choose(self, now_s: float) -> LeafEntry | None:
         tools = self._tools
         entries = tools.sender.registry.usable(self._service, now_s)
+        move = tools.moves.of(self._service)
+        if move is not None:
+            entries = move.choose(entries, self._version_draw, now_s)
         unused = [entry for entry in entries if entry.incarnation not in self._used]
         return tools.chooser.choose(
             unused,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -28,6 +28,8 @@
     seed_addresses: tuple[str, ...]
     store_address: str
     retry_allowance: RetryAllowance
+    # Share of a service's requests that a bad version may get.
+    canary_share: float
     # From SIGTERM to SIGKILL.
     stop_grace_s: float
     # Processor time of the VM in cores.
