--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -170,7 +170,7 @@
         peers.sort(key=lambda peer: not peer.serving)
         return [peer.record for peer in peers]
 
-    def count(self, now_s: float) -> int:
+    def fleet_size(self, now_s: float) -> int:
         """Return how many daemons share common limits, this one included."""
         return 1 + sum(peer.counted(now_s) for peer in self._peers.values())
 
--- a/packages/gypsumvane-core/tests/test_core_routing_peers.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_peers.py
@@ -144,5 +144,5 @@
         """Guard against shares that grow while a peer is only cut off."""
         self.hear(daemon("b"), 0.0)
         self.table.learn(daemon("c"), 0.0)
-        self.assertEqual(self.table.count(PEER_SILENT_S), 3)
-        self.assertEqual(self.table.count(PEER_LOST_S), 1)
+        self.assertEqual(self.table.fleet_size(PEER_SILENT_S), 3)
+        self.assertEqual(self.table.fleet_size(PEER_LOST_S), 1)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/log_setup.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/log_setup.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line."""
 
 from __future__ import annotations
 
@@ -11,15 +11,18 @@
     from gypsumvane_daemon.settings import Settings
 
 
+def json_formatter(vm_id: str) -> JsonFormatter:
+    """Return the formatter of all log lines."""
+    return JsonFormatter(
+        "%(asctime)s %(levelname)s %(name)s %(message)s",
+        static_fields={"vm_id": vm_id},
+    )
+
+
 def configure_logging(settings: Settings) -> None:
     """Send JSON lines with the VM's name to standard error."""
     handler = logging.StreamHandler()
-    handler.setFormatter(
-        JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
-            static_fields={"vm_id": settings.vm.vm_id},
-        )
-    )
+    handler.setFormatter(json_formatter(settings.vm.vm_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(settings.logging.level)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -95,6 +95,7 @@
                 request_id=request_id,
                 reason="stopping" if self.refusing else "not_informed",
                 version=self._state.version,
+                leaves_known=self._state.leaves_known,
             )
             return self._refusal(UNINFORMED_RETRY_AFTER_S)
         path = request.raw_path.partition("?")[0]
@@ -198,6 +199,7 @@
                 request_id=request.request_id,
                 route=route.name,
                 version=config.version,
+                store_age_ms=round(self._state.confirmed_age_s() * 1000),
                 outcome=outcome,
                 status=status,
                 elapsed_ms=round(elapsed_s * 1000, 1),
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/request_log.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/request_log.py
@@ -35,7 +35,7 @@
 
     def line(self, event: str, **fields: Any) -> None:
         """Record an event."""
-        self._metrics.count("request_decisions", event=event)
+        self._metrics.count("request_decisions", decision=event)
         if not self._take():
             self._dropped += 1
             self._metrics.count("log_lines_dropped")
@@ -43,7 +43,7 @@
         if self._dropped:
             fields["lines_dropped_before"] = self._dropped
             self._dropped = 0
-        logger.info(event, extra=fields)
+        logger.info("request", extra={"decision": event, **fields})
 
     def _take(self) -> bool:
         now_s = self._clock.monotonic_s()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -161,6 +161,7 @@
             ),
         )
         link_feeds(self._leaf_feed, *self._slow_feeds)
+        self.state.confirmed_age_s = self._leaf_feed.confirmed_age_s
         self._relay = RelayHandler(self._mirrors, self._leaf_feed.confirmed_age_s)
 
     def apply_settings(self, settings: RoutingSettings) -> None:
@@ -271,7 +272,7 @@
 
     async def _upkeep(self) -> None:
         while True:
-            count = self.peer_table.count(self.clock.monotonic_s())
+            count = self.peer_table.fleet_size(self.clock.monotonic_s())
             share = share_of(self.own.name, self.directory.entries(), count)
             self.budget.share = share
             self.pool.share = share
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
@@ -24,6 +24,8 @@
         self.zones_known = False
         # Set at SIGTERM: callers are sent elsewhere, open requests end.
         self.stopping = False
+        # Returns the time since the store confirmed what is known of leaves.
+        self.confirmed_age_s: Callable[[], float] = lambda: 0.0
         self._listeners: list[ConfigListener] = []
 
     @property
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
@@ -48,8 +48,9 @@
         if applied:
             self.record = record
         logger.info(
-            "configuration applied" if applied else "configuration ignored",
+            "configuration received",
             extra={
+                "applied": applied,
                 "version": record.value.version,
                 "version_before": before,
                 "origin": origin,
--- a/packages/gypsumvane-daemon/tests/test_daemon_log_page.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_log_page.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[3]
-PAGE = ROOT / "docs" / "operations.md"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
 SOURCE = ROOT / "packages" / "gypsumvane-daemon" / "src"
 LEVELS = frozenset({"debug", "info", "warning", "error", "exception"})
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_metrics_page.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_metrics_page.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[3]
-PAGE = ROOT / "docs" / "operations.md"
+PAGE = ROOT / "docs" / "OPERATIONS.md"
 SOURCES = (
     ROOT / "packages" / "gypsumvane-daemon" / "src",
     ROOT / "packages" / "gypsumvane-core" / "src",
