--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
@@ -27,6 +27,8 @@
 BACKLOG = 512
 # Header lines up to the operator's usual limit of a whole head are read.
 HEADER_LINE_BYTES = 65_536
+# A planned stop waits for requests before; what is left is cut off.
+SHUTDOWN_TIMEOUT_S = 0.2
 
 
 class ListenError(Exception):
@@ -57,7 +59,7 @@
             max_line_size=HEADER_LINE_BYTES,
             max_field_size=HEADER_LINE_BYTES,
         )
-        self._runner = ServerRunner(self._server)
+        self._runner = ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         try:
             await TCPSite(self._runner, host, port, backlog=BACKLOG).start()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -121,7 +121,10 @@
             try:
                 await self._step_task
             except asyncio.CancelledError:
-                if not self._restarting:
+                # A restart cancels the step only; this task may be cancelled at
+                # the same time.
+                task = asyncio.current_task()
+                if not self._restarting or (task is not None and task.cancelling()):
                     raise
             except HistoryLostError:
                 logger.info("store history lost", extra={"kind": self._source.label})
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -160,6 +160,16 @@
         self.source.list_error = None
         await wait_until(lambda: source.lists == 1)
 
+    async def test_cancelled_while_it_restarts(self) -> None:
+        """Guard against a planned stop that waits for a feed (soak seed 44)."""
+        self.run_feed(self.feed)
+        await wait_until(lambda: self.source.watches)
+        self.feed.restart()
+        self.tasks[0].cancel()
+        async with asyncio.timeout(10):
+            await asyncio.wait(self.tasks)
+        self.assertTrue(self.tasks[0].cancelled())
+
     async def test_age_of_the_confirmation(self) -> None:
         self.source.listing = RecordList((), 1, age_s=0.5)
         self.run_feed(self.feed)
