Bound what cold leaves get by the configured rate

The allowance of a cold leaf (rate x overshoot + slack) is divided among the daemons like the other common limits; without a rate in the configuration cold leaves are only slow.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_load.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_load.py
@@ -94,13 +94,14 @@
         load = len(self.in_flight) + waiting
         return self._slowness * (1 + load / max(1, slots))
 
-    def take_cold_send(self, per_s: float, now_s: float) -> bool:
-        """Return whether a cold leaf may get a request now, and count it."""
+    def cold_room(self, per_s: float, now_s: float) -> bool:
+        """Return whether a cold leaf may get one more request now."""
         self._cold_sends_s = [at for at in self._cold_sends_s if now_s - at < 1.0]
-        if len(self._cold_sends_s) + 1 > per_s:
-            return False
+        return len(self._cold_sends_s) + 1 <= per_s
+
+    def note_cold_send(self, now_s: float) -> None:
+        """Count a request to a cold leaf."""
         self._cold_sends_s.append(now_s)
-        return True
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = now_s - self._updated_s
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -44,6 +44,7 @@
     entry: LeafEntry
     # None while the leaf is ready.
     grace_until_s: float | None = None
+    cold_until_s: float = 0.0
 
 
 class LeafRegistry:
@@ -63,7 +64,7 @@
         known = self._leaves.get(entry.leaf_id)
         if known and known.entry.started_unix_ms > entry.started_unix_ms:
             return
-        leaf = _Leaf(entry)
+        leaf = _Leaf(entry, cold_until_s=now_s + entry.warmup_left_ms / 1000)
         if entry.draining:
             if known and known.entry.draining:
                 leaf.grace_until_s = known.grace_until_s
@@ -133,6 +134,11 @@
                 self._drop(leaf_id)
         return ready or leaving
 
+    def cold(self, entry: LeafEntry, now_s: float) -> bool:
+        """Return whether a leaf is in its cold start."""
+        leaf = self._leaves.get(entry.leaf_id)
+        return leaf is not None and now_s < leaf.cold_until_s
+
     def entries(self) -> list[LeafEntry]:
         """Return all known leaves."""
         return [leaf.entry for leaf in self._leaves.values()]
--- a/packages/gypsumvane-core/tests/test_core_routing_registry.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_registry.py
@@ -97,6 +97,14 @@
         self.registry.set_zones_out(())
         self.assertEqual(self.usable(4.0), {"1", "2"})
 
+    def test_cold_leaf(self) -> None:
+        """Guard against a cold leaf that is taken for a warm one."""
+        cold = leaf("1", warmup_left_ms=3000)
+        self.registry.put(cold, 10.0)
+        self.assertTrue(self.registry.cold(cold, 12.9))
+        self.assertFalse(self.registry.cold(cold, 13.0))
+        self.assertFalse(self.registry.cold(leaf("2"), 10.0))
+
     def test_leaf_that_changes_service(self) -> None:
         """Guard against requests of the old service."""
         self.registry.put(leaf("1", service="t"), 10.0)
--- a/packages/gypsumvane-core/tests/test_core_routing_rules.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_rules.py
@@ -6,6 +6,7 @@
 import unittest
 from collections import Counter
 
+from gypsumvane_core.routing.cold_start import ColdStartBound
 from gypsumvane_core.routing.config import GatherPlan
 from gypsumvane_core.routing.config import Route
 from gypsumvane_core.routing.config import RoutingConfig
@@ -213,6 +214,27 @@
         )
 
 
+class ColdStartTest(unittest.TestCase):
+    """Check that daemons together stay below what a cold leaf bears."""
+
+    def test_requests_of_all_daemons_in_any_second(self) -> None:
+        """Guard against a cold leaf that falls over."""
+        bound = ColdStartBound(overshoot_ratio=1.5, slack=5)
+        daemons, warmup_per_s = 8, 12.0
+        loads = [LeafLoad() for _ in range(daemons)]
+        sends: list[float] = []
+        for step in range(500):
+            now_s = step * 0.01
+            for load in loads:
+                if load.cold_room(bound.per_s(warmup_per_s, 1 / daemons), now_s):
+                    load.note_cold_send(now_s)
+                    sends.append(now_s)
+        self.assertGreater(len(sends), 20)
+        for start_s in sends:
+            within = sum(start_s <= at < start_s + 1.0 for at in sends)
+            self.assertLessEqual(within, warmup_per_s * 1.5 + 5)
+
+
 class LatencyBookTest(unittest.TestCase):
     """Check the delay of hedges."""
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -112,6 +112,7 @@
             latencies=self._latencies,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
+            cold_bound=settings.cold_start_bound,
         )
         self.entry = EntryHandler(
             names=platform.headers,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.reason import Reason
+from gypsumvane_core.routing.cold_start import ColdStartBound
 from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.routing.leaf_attempt import LeafFailure
 from gypsumvane_daemon.routing.leaf_attempt import LeafReply
@@ -45,6 +46,7 @@
     moves: MoveBook
     clock: Clock
     log: RequestLog
+    cold_bound: ColdStartBound = field(default_factory=ColdStartBound)
     rng: Random = field(default_factory=Random)
     _losers: set[asyncio.Task[LeafResult]] = field(default_factory=set)
 
@@ -188,6 +190,8 @@
                 leaf=entry.leaf_id,
                 reason=self._failures[-1].reason if self._failures else "late",
             )
+        if self._limited(entry, now_s):
+            tools.sender.pool.load(entry).note_cold_send(now_s)
         self._used.add(entry.incarnation)
         self._sends += 1
         self._runs += 1
@@ -237,6 +241,7 @@
         move = tools.moves.of(self._service)
         if move is not None:
             entries = move.choose(entries, self._version_draw, now_s)
+        entries = [entry for entry in entries if self._has_room(entry, now_s)]
         unused = [entry for entry in entries if entry.incarnation not in self._used]
         return tools.chooser.choose(
             unused,
@@ -245,6 +250,21 @@
             now_s=now_s,
         )
 
+    def _has_room(self, entry: LeafEntry, now_s: float) -> bool:
+        """Return whether a leaf, if cold, bears one more request."""
+        if not self._limited(entry, now_s) or self._config is None:
+            return True
+        tools = self._tools
+        share = tools.sender.pool.share
+        per_s = tools.cold_bound.per_s(self._config.warmup_per_s, share)
+        return tools.sender.pool.load(entry).cold_room(per_s, now_s)
+
+    def _limited(self, entry: LeafEntry, now_s: float) -> bool:
+        # Without a rate in the configuration cold leaves are only slow.
+        if self._config is None or self._config.warmup_per_s <= 0:
+            return False
+        return self._tools.sender.registry.cold(entry, now_s)
+
     def _cancel_running(self) -> None:
         for task in self._running:
             task.cancel()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.routing.cold_start import ColdStartBound
+
 if TYPE_CHECKING:
     from gypsumvane_core.routing.retry_budget import RetryAllowance
 
@@ -36,9 +39,7 @@
     capacity_cores: float = 1.0
     # Whether the whole system starts for the first time.
     first_start: bool = False
-    # Requests that a cold leaf bears: its rate x ratio + slack in a second.
-    warmup_overshoot_ratio: float = 1.0
-    warmup_slack: float = 0.0
+    cold_start_bound: ColdStartBound = field(default_factory=ColdStartBound)
 
 
 def split_address(address: str) -> tuple[str, int]:
