--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
@@ -35,8 +35,6 @@
     timeout_ms: int
     # Time within which an answer is useful to the caller; 0 when unknown.
     objective_ms: int = 0
-    # 0 is the highest rank.
-    priority: int = 0
     # Leaves on which one request may run, for each service.
     attempts_max: int = 1
     services: tuple[WeightedService, ...] = ()
@@ -50,10 +48,8 @@
     """State what all leaves of a service accept."""
 
     name: str
-    health_path: str
     # From all callers of a leaf together.
     connections_max: int
-    warmup_s: float = 0.0
     # Requests that a cold leaf accepts in a second; 0 when it has no limit.
     warmup_per_s: float = 0.0
 
@@ -64,7 +60,6 @@
 
     header_bytes: int = 16_384
     body_bytes: int = 262_144
-    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -142,6 +142,9 @@
                     400, f"header {self._names.deadline_ms} is not a number of ms"
                 )
             timeout_ms = min(timeout_ms, int(text))
+        size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
+        if size > limits.header_bytes:
+            raise BadRequestError(431, f"headers exceed {limits.header_bytes} bytes")
         body = await self._read_body(request, limits)
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -112,6 +112,7 @@
             latencies=self._latencies,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
+            region_of_zone=settings.region_of_zone,
             cold_bound=settings.cold_start_bound,
         )
         self.entry = EntryHandler(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -46,6 +46,7 @@
     moves: MoveBook
     clock: Clock
     log: RequestLog
+    region_of_zone: dict[str, str] = field(default_factory=dict)
     cold_bound: ColdStartBound = field(default_factory=ColdStartBound)
     rng: Random = field(default_factory=Random)
     _losers: set[asyncio.Task[LeafResult]] = field(default_factory=set)
@@ -241,7 +242,11 @@
         move = tools.moves.of(self._service)
         if move is not None:
             entries = move.choose(entries, self._version_draw, now_s)
-        entries = [entry for entry in entries if self._has_room(entry, now_s)]
+        entries = [
+            entry
+            for entry in entries
+            if self._in_region(entry) and self._has_room(entry, now_s)
+        ]
         unused = [entry for entry in entries if entry.incarnation not in self._used]
         return tools.chooser.choose(
             unused,
@@ -250,6 +255,10 @@
             now_s=now_s,
         )
 
+    def _in_region(self, entry: LeafEntry) -> bool:
+        regions = self._route.regions
+        return not regions or self._tools.region_of_zone.get(entry.zone) in regions
+
     def _has_room(self, entry: LeafEntry, now_s: float) -> bool:
         """Return whether a leaf, if cold, bears one more request."""
         if not self._limited(entry, now_s) or self._config is None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -19,7 +19,6 @@
     daemon_name: str
     ip: str
     zone: str
-    region: str
     region_of_zone: dict[str, str]
     # HOST:PORT each.
     entry_address: str
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings_reload.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings_reload.py
@@ -20,9 +20,7 @@
 # The file may change without a signal.
 POLL_INTERVAL_S = 2.0
 # Applied while running; a change of another field takes a restart.
-LIVE_FIELDS = frozenset(
-    {"retry_allowance", "stop_grace_s", "seed_addresses", "capacity_cores"}
-)
+LIVE_FIELDS = frozenset({"retry_allowance", "stop_grace_s", "seed_addresses"})
 
 
 class SettingsError(Exception):
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
@@ -20,7 +20,6 @@
     daemon_name="d",
     ip="127.0.0.1",
     zone="a",
-    region="r",
     region_of_zone={},
     entry_address="127.0.0.1:1",
     readiness_address="127.0.0.1:2",
