--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
@@ -65,12 +65,11 @@
     async def changes(self, revision: int, wait_s: float) -> list[Change]:
         """Return the changes since a revision, after wait_s without any.
 
-        Raises HistoryLostError, and ValueError for a revision that this copy has
-        not reached.
+        The revision may be above this copy's: the store's revision grows with
+        changes of other kinds too, and a watch that waits brings each change of
+        its own kind at once. Raises HistoryLostError.
         """
-        if revision > self.revision:
-            raise ValueError(f"revision {revision} is not reached yet")
-        if revision == self.revision:
+        if revision >= self.revision:
             try:
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -55,17 +55,21 @@
             return self._reply(mirror, mirror.objects())
         try:
             wait_s = min(float(request.query.get("wait_s", "0")), WAIT_MAX_S)
-            changes = await mirror.changes(int(since), wait_s)
+            revision = int(since)
+            changes = await mirror.changes(revision, wait_s)
         except ValueError as error:
             return text_response(400, f"{error}\n")
         except HistoryLostError:
             return text_response(GONE, "these changes are not known\n")
-        return self._reply(mirror, changes)
+        return self._reply(mirror, changes, revision)
 
-    def _reply(self, mirror: FeedMirror[Any], objects: list[Any]) -> Response:
+    def _reply(
+        self, mirror: FeedMirror[Any], objects: list[Any], revision: int = 0
+    ) -> Response:
         content = {
             "objects": objects,
-            "revision": mirror.revision,
+            # A peer does not go back behind what it knows.
+            "revision": max(revision, mirror.revision),
             "age_s": self._confirmed_age_s(),
         }
         return Response(
