--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -10,7 +10,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import TypeVar
 
 from aiohttp.web import Response
 
@@ -26,7 +25,6 @@
 from gypsumvane_daemon.collector import reduce_collections
 from gypsumvane_daemon.routing.entry_directory import EntryDirectory
 from gypsumvane_daemon.routing.entry_handler import EntryHandler
-from gypsumvane_daemon.routing.feed_mirror import FeedMirror
 from gypsumvane_daemon.routing.leaf_attempt import LeafSender
 from gypsumvane_daemon.routing.leaf_pool import LeafPool
 from gypsumvane_daemon.routing.listener import HttpListener
@@ -38,41 +36,29 @@
 from gypsumvane_daemon.routing.peer_exchange import PING_PATH
 from gypsumvane_daemon.routing.peer_exchange import PeerExchange
 from gypsumvane_daemon.routing.relay_handler import RELAY_PATH
-from gypsumvane_daemon.routing.relay_handler import RelayHandler
-from gypsumvane_daemon.routing.relayed_source import RelayedSource
 from gypsumvane_daemon.routing.request_log import RequestLog
+from gypsumvane_daemon.routing.routing_feeds import RoutingFeeds
 from gypsumvane_daemon.routing.routing_metrics import RoutingMetrics
 from gypsumvane_daemon.routing.routing_state import RoutingState
 from gypsumvane_daemon.routing.service_call import CallTools
 from gypsumvane_daemon.routing.state_listeners import ConfigListener
-from gypsumvane_daemon.routing.state_listeners import EvacuationListener
-from gypsumvane_daemon.routing.state_listeners import LeafListener
 from gypsumvane_daemon.routing.stop_sequence import StopSequence
-from gypsumvane_daemon.routing.store_feed import QUICK_WATCH_S
-from gypsumvane_daemon.routing.store_feed import RARE_WATCH_S
-from gypsumvane_daemon.routing.store_feed import SLOW_WATCH_S
-from gypsumvane_daemon.routing.store_feed import StoreFeed
-from gypsumvane_daemon.routing.store_feed import link_feeds
 
 if TYPE_CHECKING:
     from aiohttp.web import BaseRequest
 
     from gypsumvane_core.routing.config import RoutingConfig
     from gypsumvane_daemon.routing.ports import Platform
-    from gypsumvane_daemon.routing.ports import RecordSource
     from gypsumvane_daemon.routing.settings import RoutingSettings
-    from gypsumvane_daemon.routing.store_feed import FeedListener
+    from gypsumvane_daemon.routing.store_feed import StoreFeed
 
 logger = logging.getLogger(__name__)
 
-Value = TypeVar("Value")
 Work = Callable[[], Coroutine[Any, Any, None]]
 
 # Channels of leaves that have gone are closed, and limits divided anew, this
 # often.
 UPKEEP_INTERVAL_S = 0.5
-# A leaf that drains may still get requests for 3 s.
-LEAF_CHANGES_PAUSE_S = 0.4
 
 
 class RoutingDaemon:
@@ -102,19 +88,7 @@
         self._stop = asyncio.Event()
         self._split = TrafficSplit()
         self._latencies = LatencyBook()
-        self._tools = CallTools(
-            sender=LeafSender(
-                platform.headers, self.pool, self.state.registry, self.clock
-            ),
-            chooser=LeafChooser(settings.zone, self._rng),
-            budget=self.budget,
-            moves=self.moves,
-            latencies=self._latencies,
-            clock=self.clock,
-            log=RequestLog(self.clock, self.metrics),
-            region_of_zone=settings.region_of_zone,
-            cold_bound=settings.cold_start_bound,
-        )
+        self._tools = self._call_tools()
         self.entry = EntryHandler(
             names=platform.headers,
             state=self.state,
@@ -138,34 +112,40 @@
         self._entry_listener = HttpListener(
             "callers", settings.entry_address, self.entry.handle
         )
-        self._peer_listener = HttpListener(
-            "peers", settings.peer_address, self._handle_peer
-        )
-        self._metrics_listener = HttpListener(
-            "metrics", settings.metrics_address, self._render_metrics
+        self._own_listeners = (
+            self._entry_listener,
+            HttpListener("peers", settings.peer_address, self._handle_peer),
+            HttpListener("metrics", settings.metrics_address, self._render_metrics),
         )
         self.state.on_config(self._config_applied)
-        self._mirrors: dict[str, FeedMirror[Any]] = {}
-        self._leaf_feed = self._feed(
-            platform.leaves,
-            LeafListener(self.state, self.clock),
-            watch_s=QUICK_WATCH_S,
-            pause_s=LEAF_CHANGES_PAUSE_S,
+        self._recorder = MoveRecorder(self.moves, platform, self._leads, self.clock)
+        self._feeds = RoutingFeeds(
+            platform,
+            self.state,
+            self._configs,
+            self._recorder,
+            peers=self.peer_table,
+            client=self._peer_client,
+            clock=self.clock,
+            rng=self._rng,
         )
-        recorder = MoveRecorder(self.moves, platform, self._leads, self.clock)
-        self._recorder = recorder
-        self._slow_feeds: tuple[StoreFeed[Any], ...] = (
-            self._feed(platform.moves, recorder, watch_s=RARE_WATCH_S),
-            self._feed(platform.configs, self._configs, watch_s=SLOW_WATCH_S),
-            self._feed(
-                platform.evacuations,
-                EvacuationListener(self.state),
-                watch_s=RARE_WATCH_S,
-            ),
+
+    def _call_tools(self) -> CallTools:
+        settings = self.settings
+        sender = LeafSender(
+            self.platform.headers, self.pool, self.state.registry, self.clock
+        )
+        return CallTools(
+            sender=sender,
+            chooser=LeafChooser(settings.zone, self._rng),
+            budget=self.budget,
+            moves=self.moves,
+            latencies=self._latencies,
+            clock=self.clock,
+            log=RequestLog(self.clock, self.metrics),
+            region_of_zone=settings.region_of_zone,
+            cold_bound=settings.cold_start_bound,
         )
-        link_feeds(self._leaf_feed, *self._slow_feeds)
-        self.state.confirmed_age_s = self._leaf_feed.confirmed_age_s
-        self._relay = RelayHandler(self._mirrors, self._leaf_feed.confirmed_age_s)
 
     def apply_settings(self, settings: RoutingSettings) -> None:
         """Use settings that have changed."""
@@ -182,12 +162,7 @@
 
         Raises ListenError.
         """
-        listeners = (
-            *listeners,
-            self._entry_listener,
-            self._peer_listener,
-            self._metrics_listener,
-        )
+        listeners = (*listeners, *self._own_listeners)
         try:
             for listener in listeners:
                 await listener.start()
@@ -235,10 +210,7 @@
 
     def _work(self) -> tuple[Work, ...]:
         return (
-            *(
-                partial(self._follow, feed)
-                for feed in (self._leaf_feed, *self._slow_feeds)
-            ),
+            *(partial(self._follow, feed) for feed in self._feeds.all()),
             partial(self.peers.run, first_start=self.settings.first_start),
             self._recorder.run,
             self._upkeep,
@@ -249,30 +221,6 @@
         await self.peers.listed.wait()
         await feed.run()
 
-    def _feed(
-        self,
-        source: RecordSource[Value],
-        listener: FeedListener[Value],
-        *,
-        watch_s: float,
-        pause_s: float = 0.0,
-    ) -> StoreFeed[Value]:
-        mirror = self._mirrors[source.label] = FeedMirror(listener)
-        return StoreFeed(
-            RelayedSource(
-                source,
-                relays=self._relays,
-                peers=self._present_peers,
-                client=self._peer_client,
-                clock=self.clock,
-            ),
-            mirror,
-            watch_s=watch_s,
-            pause_s=pause_s,
-            clock=self.clock,
-            rng=self._rng,
-        )
-
     async def _upkeep(self) -> None:
         while True:
             count = self.peer_table.fleet_size(self.clock.monotonic_s())
@@ -289,21 +237,15 @@
         if config.routes and not self.state.stopping:
             self.peers.ping_now()
 
-    def _relays(self) -> list[DaemonRecord]:
-        return self.peer_table.relays(self.clock.monotonic_s())
-
     def _leads(self) -> bool:
         entries = self.directory.entries()
         return bool(entries) and entries[0].name == self.own.name
 
-    def _present_peers(self) -> list[DaemonRecord]:
-        return self.peer_table.present(self.clock.monotonic_s())
-
     async def _handle_peer(self, request: BaseRequest) -> Response:
         if request.path == PING_PATH:
             return await self.peers.handle_ping(request)
         if request.path.startswith(RELAY_PATH):
-            return await self._relay.handle(request)
+            return await self._feeds.relay.handle(request)
         if request.path == CONFIG_PATH:
             return await self.peers.handle_config(request)
         return text_response(404, "unknown path\n")
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -0,0 +1,110 @@
+"""The feeds of a routing daemon and the copies that it hands on."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from gypsumvane_daemon.routing.feed_mirror import FeedMirror
+from gypsumvane_daemon.routing.relay_handler import RelayHandler
+from gypsumvane_daemon.routing.relayed_source import RelayedSource
+from gypsumvane_daemon.routing.state_listeners import EvacuationListener
+from gypsumvane_daemon.routing.state_listeners import LeafListener
+from gypsumvane_daemon.routing.store_feed import QUICK_WATCH_S
+from gypsumvane_daemon.routing.store_feed import RARE_WATCH_S
+from gypsumvane_daemon.routing.store_feed import SLOW_WATCH_S
+from gypsumvane_daemon.routing.store_feed import StoreFeed
+from gypsumvane_daemon.routing.store_feed import link_feeds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.routing.daemon_record import DaemonRecord
+    from gypsumvane_core.routing.peer_table import PeerTable
+    from gypsumvane_daemon.routing.move_recorder import MoveRecorder
+    from gypsumvane_daemon.routing.peer_client import PeerClient
+    from gypsumvane_daemon.routing.ports import Platform
+    from gypsumvane_daemon.routing.ports import RecordSource
+    from gypsumvane_daemon.routing.routing_state import RoutingState
+    from gypsumvane_daemon.routing.state_listeners import ConfigListener
+    from gypsumvane_daemon.routing.store_feed import FeedListener
+
+Value = TypeVar("Value")
+
+# Leaves that register together cost one watch. Together with the watch's way
+# this stays far below the 3 s that a draining leaf still serves.
+LEAF_CHANGES_PAUSE_S = 0.4
+
+
+class RoutingFeeds:
+    """Follow each kind of object, from a hub of the zone or from the store."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        state: RoutingState,
+        configs: ConfigListener,
+        moves: MoveRecorder,
+        *,
+        peers: PeerTable,
+        client: PeerClient,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._peers = peers
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._mirrors: dict[str, FeedMirror[Any]] = {}
+        self._leaves = self._feed(
+            platform.leaves,
+            LeafListener(state, clock),
+            watch_s=QUICK_WATCH_S,
+            pause_s=LEAF_CHANGES_PAUSE_S,
+        )
+        self._others: tuple[StoreFeed[Any], ...] = (
+            self._feed(platform.configs, configs, watch_s=SLOW_WATCH_S),
+            self._feed(platform.moves, moves, watch_s=RARE_WATCH_S),
+            self._feed(
+                platform.evacuations, EvacuationListener(state), watch_s=RARE_WATCH_S
+            ),
+        )
+        link_feeds(self._leaves, *self._others)
+        state.confirmed_age_s = self._leaves.confirmed_age_s
+        self.relay = RelayHandler(self._mirrors, self._leaves.confirmed_age_s)
+
+    def all(self) -> tuple[StoreFeed[Any], ...]:
+        """Return all feeds."""
+        return (self._leaves, *self._others)
+
+    def _feed(
+        self,
+        source: RecordSource[Value],
+        listener: FeedListener[Value],
+        *,
+        watch_s: float,
+        pause_s: float = 0.0,
+    ) -> StoreFeed[Value]:
+        mirror = self._mirrors[source.label] = FeedMirror(listener)
+        relayed = RelayedSource(
+            source,
+            relays=partial(self._now, self._peers.relays),
+            peers=partial(self._now, self._peers.present),
+            client=self._client,
+            clock=self._clock,
+        )
+        return StoreFeed(
+            relayed,
+            mirror,
+            watch_s=watch_s,
+            pause_s=pause_s,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    def _now(self, select: Callable[[float], list[DaemonRecord]]) -> list[DaemonRecord]:
+        return select(self._clock.monotonic_s())
