--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
@@ -9,6 +9,7 @@
 from typing import Generic
 from typing import TypeVar
 
+from gypsumvane_daemon.event_wait import wait_for_event
 from gypsumvane_daemon.routing.ports import HistoryLostError
 from gypsumvane_daemon.routing.store_feed import FeedListener
 
@@ -62,22 +63,25 @@
         """Return all objects as they are now."""
         return list(self._payloads.items())
 
-    async def changes(self, revision: int, wait_s: float) -> list[Change]:
-        """Return the changes since a revision, after wait_s without any.
+    async def changes(self, revision: int, wait_s: float) -> tuple[list[Change], int]:
+        """Return the changes since a revision and the revision that they reach.
+
+        Without a change the answer comes after wait_s.
 
         The revision may be above this copy's: the store's revision grows with
         changes of other kinds too, and a watch that waits brings each change of
         its own kind at once. Raises HistoryLostError.
         """
         if revision >= self.revision:
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                return []
+            await wait_for_event(self._changed, timeout_s=wait_s)
+        # A change may have come together with the end of the wait.
         if revision < self._history_start:
             raise HistoryLostError(f"changes since {revision}")
-        return [(name, payload) for at, name, payload in self._history if at > revision]
+        changes = [
+            (name, payload) for at, name, payload in self._history if at > revision
+        ]
+        # A peer does not go back behind what it knows.
+        return changes, max(revision, self.revision)
 
     def _advance(self, revision: int) -> None:
         self.revision = revision
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -52,24 +52,20 @@
             return text_response(UNCONFIRMED, "the copy is not confirmed\n")
         since = request.query.get("since")
         if since is None:
-            return self._reply(mirror, mirror.objects())
+            return self._reply(mirror.objects(), mirror.revision)
         try:
             wait_s = min(float(request.query.get("wait_s", "0")), WAIT_MAX_S)
-            revision = int(since)
-            changes = await mirror.changes(revision, wait_s)
+            changes, revision = await mirror.changes(int(since), wait_s)
         except ValueError as error:
             return text_response(400, f"{error}\n")
         except HistoryLostError:
             return text_response(GONE, "these changes are not known\n")
-        return self._reply(mirror, changes, revision)
+        return self._reply(changes, revision)
 
-    def _reply(
-        self, mirror: FeedMirror[Any], objects: list[Any], revision: int = 0
-    ) -> Response:
+    def _reply(self, objects: list[Any], revision: int) -> Response:
         content = {
             "objects": objects,
-            # A peer does not go back behind what it knows.
-            "revision": max(revision, mirror.revision),
+            "revision": revision,
             "age_s": self._confirmed_age_s(),
         }
         return Response(
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 from typing import TYPE_CHECKING
 from typing import Any
@@ -191,8 +192,9 @@
     async def test_changes_since_a_revision(self) -> None:
         self.mirror.changed(RecordChanges((("c", record("c")),), 12))
         self.mirror.changed(RecordChanges((("a", None),), 15))
-        self.assertEqual(await self.mirror.changes(10, 0.0), [("c", 1), ("a", None)])
-        self.assertEqual(await self.mirror.changes(12, 0.0), [("a", None)])
+        both = [("c", 1), ("a", None)]
+        self.assertEqual(await self.mirror.changes(10, 0.0), (both, 15))
+        self.assertEqual(await self.mirror.changes(12, 0.0), ([("a", None)], 15))
         self.assertEqual(sorted(self.mirror.objects()), [("b", 1), ("c", 1)])
         self.assertEqual(self.seen.changes, ["c", "a"])
 
@@ -203,17 +205,33 @@
 
     async def test_revision_above_that_of_the_copy(self) -> None:
         """Guard against a peer that leaves its hub because of other kinds."""
-        self.assertEqual(await self.mirror.changes(11, 0.0), [])
+        self.assertEqual(await self.mirror.changes(11, 0.0), ([], 11))
         waiting = asyncio.create_task(self.mirror.changes(11, 30.0))
         await asyncio.sleep(0)
         self.mirror.changed(RecordChanges((("c", record("c")),), 15))
-        self.assertEqual(await waiting, [("c", 1)])
+        self.assertEqual((await waiting)[0], [("c", 1)])
 
     async def test_waiting_peer_gets_the_change(self) -> None:
         waiting = asyncio.create_task(self.mirror.changes(10, 30.0))
         await asyncio.sleep(0)
         self.mirror.changed(RecordChanges((("c", record("c")),), 12))
-        self.assertEqual(await waiting, [("c", 1)])
+        self.assertEqual((await waiting)[0], [("c", 1)])
+
+    async def test_change_at_the_end_of_the_wait(self) -> None:
+        """Guard against a change that is skipped when the wait ends with it.
+
+        A follower then sent requests to a leaf that had left 5 s before
+        (sustanar-hq-grown, mix --seed 779461485647).
+        """
+        loop = asyncio.get_running_loop()
+        waiting = asyncio.create_task(self.mirror.changes(10, 0.005))
+        await asyncio.sleep(0)
+        change: RecordChanges[Any] = RecordChanges((("c", record("c")),), 12)
+        loop.call_later(0.006, self.mirror.changed, change)
+        # Both timers are due in the same iteration of the loop.
+        loop.call_soon(time.sleep, 0.02)
+        changes, revision = await waiting
+        self.assertEqual((changes, revision), ([("c", 1)], 12))
 
     async def test_waiting_peer_is_told_of_a_new_list(self) -> None:
         """Guard against a peer that misses what a new list has changed."""
