Remove what nothing reads and share the session of calls between daemons

Nothing read a constant of the registry, a counter's value, the entry in a leaf's state, the address in an encoded request and the headers of short answers. A comment named the wrong meaning of a status. Behaviour is unchanged.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -12,9 +12,6 @@
 # leaf of its service can, and only for this time. Entries of live leaves that
 # lapsed during a store outage are back within 2 s of its return.
 LEAVING_LEAF_GRACE_S = 2.2
-# Entries of live leaves are missing from a list that is read sooner after the
-# store's return.
-STORE_RETURN_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/forwarded_request.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/forwarded_request.py
@@ -41,9 +41,7 @@
     # When the caller stops waiting or the route's timeout ends.
     deadline_s: float
 
-    def encode(
-        self, names: HeaderNames, *, leaf_id: str, address: str, now_s: float
-    ) -> bytes:
+    def encode(self, names: HeaderNames, *, leaf_id: str, now_s: float) -> bytes:
         """Return the bytes for one leaf."""
         left_ms = max(1, int((self.deadline_s - now_s) * 1000))
         own = f"{names.deadline_ms}: {left_ms}\r\n{names.expected_leaf}: {leaf_id}\r\n"
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -20,7 +20,7 @@
     from gypsumvane_daemon.routing.ports import HeaderNames
 
 MISDIRECTED = 421
-# Answers of which a leaf says that it refused them; they were not run.
+# From here on a status is a failure of the leaf, which has run the request.
 FIRST_FAILURE_STATUS = 500
 
 
@@ -82,7 +82,6 @@
                 request.encode(
                     self.names,
                     leaf_id=entry.leaf_id,
-                    address=entry.address,
                     now_s=sent_s,
                 ),
                 request_id=request.request_id,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
@@ -27,7 +27,6 @@
 class LeafState:
     """Hold what is kept for one incarnation of a leaf."""
 
-    entry: LeafEntry
     load: LeafLoad = field(default_factory=LeafLoad)
     channel: LeafChannel | None = None
     # Connections that the channel may open.
@@ -47,7 +46,7 @@
         """Return the state of a leaf."""
         state = self._states.get(entry.incarnation)
         if state is None:
-            state = self._states[entry.incarnation] = LeafState(entry)
+            state = self._states[entry.incarnation] = LeafState()
         return state
 
     def load(self, entry: LeafEntry) -> LeafLoad:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
@@ -81,11 +81,6 @@
             self._runner = None
 
 
-def text_response(status: int, text: str, **headers: str) -> Response:
+def text_response(status: int, text: str) -> Response:
     """Return a short text."""
-    return Response(
-        status=status,
-        body=text.encode(),
-        content_type="text/plain",
-        headers={name.replace("_", "-"): value for name, value in headers.items()},
-    )
+    return Response(status=status, body=text.encode(), content_type="text/plain")
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 from typing import Any
 
 from aiohttp import ClientConnectorError
 from aiohttp import ClientError
-from aiohttp import ClientSession
 from aiohttp import ClientTimeout
-from aiohttp import DummyCookieJar
-from aiohttp import TCPConnector
 
-from gypsumvane_daemon.routing.sockets import keepalive_socket
+from gypsumvane_daemon.routing.sockets import keepalive_session
+
+if TYPE_CHECKING:
+    from aiohttp import ClientSession
 
 CONNECT_TIMEOUT_S = 0.5
 OK = 200
@@ -50,10 +51,8 @@
         Raises PeerError.
         """
         if self._session is None:
-            self._session = ClientSession(
-                connector=TCPConnector(limit=0, socket_factory=keepalive_socket),
-                cookie_jar=DummyCookieJar(),
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            self._session = keepalive_session(
+                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding")
             )
         try:
             async with self._session.request(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_metrics.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_metrics.py
@@ -39,10 +39,6 @@
         key = (counter, tuple(sorted(labels.items())))
         self._counts[key] = self._counts.get(key, 0) + amount
 
-    def value(self, counter: str, **labels: str) -> int:
-        """Return the value of a counter."""
-        return self._counts.get((counter, tuple(sorted(labels.items()))), 0)
-
     def observe(self, histogram: str, value_s: float, **labels: str) -> None:
         """Add a duration to a histogram."""
         key = (histogram, tuple(sorted(labels.items())))
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
@@ -5,6 +5,10 @@
 import socket
 from typing import TYPE_CHECKING
 
+from aiohttp import ClientSession
+from aiohttp import DummyCookieJar
+from aiohttp import TCPConnector
+
 if TYPE_CHECKING:
     from aiohttp.connector import AddrInfoType
 
@@ -29,3 +33,12 @@
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     return sock
+
+
+def keepalive_session(*, skip_auto_headers: tuple[str, ...] = ()) -> ClientSession:
+    """Create a session for calls to the store or to peers."""
+    return ClientSession(
+        connector=TCPConnector(limit=0, socket_factory=keepalive_socket),
+        cookie_jar=DummyCookieJar(),
+        skip_auto_headers=skip_auto_headers,
+    )
