--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/daemon_record.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/daemon_record.py
@@ -10,7 +10,7 @@
     """Describe a daemon to its peers."""
 
     name: str
-    zone: str
+    failure_domain: str
     # HOST:PORT for callers.
     entry_address: str
     # HOST:PORT for peers.
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_choice.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_choice.py
@@ -17,8 +17,8 @@
 STALLED_COST = 6.0
 AVOIDED_COST = 40.0
 FAILURE_COST = 12.0
-# Bytes between zones are charged for; a longer queue outweighs them.
-OTHER_ZONE_COST = 0.15
+# Bytes between failure domains are charged for; a longer queue outweighs them.
+OTHER_DOMAIN_COST = 0.15
 # Spreads requests over leaves that look alike.
 RANDOM_COST = 0.2
 
@@ -27,7 +27,7 @@
 class LeafChooser:
     """Choose the leaf with the least expected latency."""
 
-    zone: str
+    failure_domain: str
     rng: Random
 
     def choose(
@@ -49,8 +49,8 @@
                 cost += STALLED_COST
             if load.avoided(now_s):
                 cost += AVOIDED_COST
-            if entry.zone != self.zone:
-                cost += OTHER_ZONE_COST
+            if entry.failure_domain != self.failure_domain:
+                cost += OTHER_DOMAIN_COST
             cost += RANDOM_COST * self.rng.random()
             if best is None or cost < best_cost:
                 best, best_cost = entry, cost
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -21,7 +21,7 @@
     leaf_id: str
     service: str
     address: str
-    zone: str
+    failure_domain: str
     version: str = ""
     slots: int = 1
     draining: bool = False
@@ -50,7 +50,7 @@
     def __init__(self) -> None:
         self._leaves: dict[str, _Leaf] = {}
         self._services: dict[str, dict[str, _Leaf]] = {}
-        self._zones_out: frozenset[str] = frozenset()
+        self._domains_out: frozenset[str] = frozenset()
 
     def put(self, entry: LeafEntry, now_s: float, *, grace: bool = True) -> None:
         """Add or update a leaf; an older incarnation of its id is ignored.
@@ -102,9 +102,9 @@
         if known and known.entry.incarnation == entry.incarnation:
             self._drop(entry.leaf_id)
 
-    def set_zones_out(self, zones: Iterable[str]) -> None:
-        """Set the zones whose leaves get no requests."""
-        self._zones_out = frozenset(zones)
+    def set_domains_out(self, domains: Iterable[str]) -> None:
+        """Set the failure domains whose leaves get no requests."""
+        self._domains_out = frozenset(domains)
 
     def usable(self, service: str, now_s: float) -> list[LeafEntry]:
         """Return the leaves that may get requests of a service now.
@@ -120,7 +120,7 @@
         for leaf_id, leaf in leaves.items():
             if leaf.grace_until_s is not None and leaf.grace_until_s <= now_s:
                 expired.append(leaf_id)
-            elif leaf.entry.zone in self._zones_out:
+            elif leaf.entry.failure_domain in self._domains_out:
                 continue
             elif leaf.grace_until_s is None:
                 ready.append(leaf.entry)
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -1,4 +1,4 @@
-"""The other daemons: which are hubs of their zone and which serve."""
+"""The other daemons: which are hubs of their failure domain and which serve."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 # A silent peer may only be cut off: it is asked and shares common limits for
 # this time.
 PEER_LOST_S = 60.0
-# The daemons with most processor time of each zone. Hubs ask each other, the
-# others ask the hubs of their zone only, so that the traffic between zones does
-# not grow with the fleet.
-HUBS_PER_ZONE = 2
+# The daemons with most processor time of each failure domain. Hubs ask each
+# other, the others ask the hubs of their failure domain only, so that the traffic
+# between failure domains does not grow with the fleet.
+HUBS_PER_DOMAIN = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,8 +131,10 @@
         return list(known.values())
 
     def is_hub(self, now_s: float) -> bool:
-        """Return whether this daemon is a hub of its zone."""
-        return self._own in self._ranked(self._own.zone, now_s)[:HUBS_PER_ZONE]
+        """Return whether this daemon is a hub of its failure domain."""
+        return (
+            self._own in self._ranked(self._own.failure_domain, now_s)[:HUBS_PER_DOMAIN]
+        )
 
     def asked(self, now_s: float) -> list[DaemonRecord]:
         """Return the peers to ask now.
@@ -140,29 +142,29 @@
         Those that were hubs before they fell silent are asked too, because the
         link between may be cut.
         """
-        zones = {self._own.zone}
+        domains = {self._own.failure_domain}
         if self.is_hub(now_s):
-            zones |= {peer.record.zone for peer in self._peers.values()}
+            domains |= {peer.record.failure_domain for peer in self._peers.values()}
         chosen: dict[str, DaemonRecord] = {}
-        for zone in sorted(zones):
+        for failure_domain in sorted(domains):
             counted = [
                 peer.record
                 for peer in self._peers.values()
-                if peer.record.zone == zone and peer.counted(now_s)
+                if peer.record.failure_domain == failure_domain and peer.counted(now_s)
             ]
-            hubs = self._ranked(zone, now_s)[:HUBS_PER_ZONE]
-            hubs += _rank(counted)[:HUBS_PER_ZONE]
+            hubs = self._ranked(failure_domain, now_s)[:HUBS_PER_DOMAIN]
+            hubs += _rank(counted)[:HUBS_PER_DOMAIN]
             chosen.update({record.name: record for record in hubs})
         chosen.pop(self._own.name, None)
         return list(chosen.values())
 
     def relays(self, now_s: float) -> list[DaemonRecord]:
-        """Return the hubs of this zone that rank before this daemon.
+        """Return the hubs of this failure domain that rank before this daemon.
 
-        They follow the store for the zone. Without any this daemon does.
+        They follow the store for the failure domain. Without any this daemon does.
         """
-        ranked = self._ranked(self._own.zone, now_s)
-        return ranked[: ranked.index(self._own)][:HUBS_PER_ZONE]
+        ranked = self._ranked(self._own.failure_domain, now_s)
+        return ranked[: ranked.index(self._own)][:HUBS_PER_DOMAIN]
 
     def present(self, now_s: float) -> list[DaemonRecord]:
         """Return the peers that seem to run, those that serve first."""
@@ -174,13 +176,13 @@
         """Return how many daemons share common limits, this one included."""
         return 1 + sum(peer.counted(now_s) for peer in self._peers.values())
 
-    def _ranked(self, zone: str, now_s: float) -> list[DaemonRecord]:
+    def _ranked(self, failure_domain: str, now_s: float) -> list[DaemonRecord]:
         present = [
             peer.record
             for peer in self._peers.values()
-            if peer.record.zone == zone and peer.present(now_s)
+            if peer.record.failure_domain == failure_domain and peer.present(now_s)
         ]
-        if zone == self._own.zone:
+        if failure_domain == self._own.failure_domain:
             present.append(self._own)
         return _rank(present)
 
--- a/packages/gypsumvane-core/tests/test_core_routing_peers.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_peers.py
@@ -8,7 +8,7 @@
 from gypsumvane_core.routing.entry_selection import ENTRIES_MIN
 from gypsumvane_core.routing.entry_selection import select_entries
 from gypsumvane_core.routing.entry_selection import share_of
-from gypsumvane_core.routing.peer_table import HUBS_PER_ZONE
+from gypsumvane_core.routing.peer_table import HUBS_PER_DOMAIN
 from gypsumvane_core.routing.peer_table import LEARNED_S
 from gypsumvane_core.routing.peer_table import PEER_LOST_S
 from gypsumvane_core.routing.peer_table import PEER_SILENT_S
@@ -20,9 +20,11 @@
 GONE_S = 7.0
 
 
-def daemon(name: str, zone: str = "a", capacity_cores: float = 1.0) -> DaemonRecord:
+def daemon(
+    name: str, failure_domain: str = "a", capacity_cores: float = 1.0
+) -> DaemonRecord:
     """Return a record."""
-    return DaemonRecord(name, zone, f"{name}:1", f"{name}:2", capacity_cores)
+    return DaemonRecord(name, failure_domain, f"{name}:1", f"{name}:2", capacity_cores)
 
 
 class EntrySelectionTest(unittest.TestCase):
@@ -103,7 +105,7 @@
         self.table.told("hub", [ServingDaemon(daemon("y", "b"), 0.0)], 1.5)
         self.assertEqual(self.serving(1.5), {"y"})
 
-    def test_largest_daemons_of_a_zone_are_its_hubs(self) -> None:
+    def test_largest_daemons_of_a_domain_are_its_hubs(self) -> None:
         self.assertTrue(self.table.is_hub(0.0))
         self.assertEqual(self.relays(0.0), [])
         for name, capacity in (("z", 3.0), ("y", 2.0), ("x", 0.5)):
@@ -113,7 +115,7 @@
         self.assertEqual(self.asked(0.1), {"z", "y"})
 
     def test_silent_hub_is_replaced_but_still_asked(self) -> None:
-        """Guard against a zone that follows a hub that is gone."""
+        """Guard against a failure domain that follows a hub that is gone."""
         for name in ("z", "y"):
             self.hear(daemon(name, capacity_cores=3.0), 0.0)
         self.assertEqual(self.relays(PEER_SILENT_S), [])
@@ -125,12 +127,14 @@
         self.assertEqual(self.relays(0.1), ["z"])
         self.assertEqual(self.relays(LEARNED_S), [])
 
-    def test_hubs_ask_the_hubs_of_all_zones(self) -> None:
-        for zone in "abcd":
+    def test_hubs_ask_the_hubs_of_all_domains(self) -> None:
+        for failure_domain in "abcd":
             for number in range(20):
-                self.table.learn(daemon(f"{zone}{number}", zone, 0.1), 0.0)
+                self.table.learn(
+                    daemon(f"{failure_domain}{number}", failure_domain, 0.1), 0.0
+                )
         asked = self.asked(0.1)
-        self.assertLessEqual(len(asked), 4 * HUBS_PER_ZONE)
+        self.assertLessEqual(len(asked), 4 * HUBS_PER_DOMAIN)
         self.assertEqual({name[0] for name in asked}, set("abcd"))
 
     def test_present_peers_that_serve_come_first(self) -> None:
--- a/packages/gypsumvane-core/tests/test_core_routing_registry.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_registry.py
@@ -14,8 +14,10 @@
 
 
 def leaf(name: str, **fields: object) -> LeafEntry:
-    """Return a ready leaf of service ``s`` in zone ``a``."""
-    entry = LeafEntry(leaf_id=name, service="s", address=f"10.0.0.1:{name}", zone="a")
+    """Return a ready leaf of service ``s`` in failure domain ``a``."""
+    entry = LeafEntry(
+        leaf_id=name, service="s", address=f"10.0.0.1:{name}", failure_domain="a"
+    )
     return replace(entry, **fields)  # type: ignore[arg-type]
 
 
@@ -85,16 +87,16 @@
         self.registry.misdirected(leaf("1"))
         self.assertEqual(self.usable(11.0), {"1", "2"})
 
-    def test_evacuated_zone(self) -> None:
-        """Guard against requests into a zone that operators took out."""
-        self.registry.put(leaf("3", zone="b"), 1.0)
-        self.registry.set_zones_out({"a"})
+    def test_evacuated_domain(self) -> None:
+        """Guard against requests into a failure domain that operators took out."""
+        self.registry.put(leaf("3", failure_domain="b"), 1.0)
+        self.registry.set_domains_out({"a"})
         self.assertEqual(self.usable(2.0), {"3"})
         self.registry.remove("3", 3.0)
         self.assertEqual(self.usable(3.0), {"3"})
-        self.registry.set_zones_out({"a", "b"})
+        self.registry.set_domains_out({"a", "b"})
         self.assertEqual(self.usable(3.0), set())
-        self.registry.set_zones_out(())
+        self.registry.set_domains_out(())
         self.assertEqual(self.usable(4.0), {"1", "2"})
 
     def test_cold_leaf(self) -> None:
--- a/packages/gypsumvane-core/tests/test_core_routing_rules.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_rules.py
@@ -159,7 +159,9 @@
         self.loads: dict[str, LeafLoad] = {}
         self.chooser = LeafChooser("a", random.Random(1))
         self.entries = [
-            LeafEntry(leaf_id=name, service="s", address=name, zone="a", slots=2)
+            LeafEntry(
+                leaf_id=name, service="s", address=name, failure_domain="a", slots=2
+            )
             for name in ("1", "2")
         ]
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -219,7 +219,7 @@
         call = GatherCall(self._tools, route, plan, config, request)
         result = await call.run(request.deadline_s - ANSWER_MARGIN_S)
         if isinstance(result, GatheredAnswer):
-            headers = {self._names.part_proofs: ", ".join(result.proofs)}
+            headers = {self._names.part_signatures: ", ".join(result.signatures)}
             if result.missing:
                 headers[self._names.missing_parts] = str(result.missing)
             response = Response(status=200, body=result.body, headers=headers)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
@@ -27,7 +27,7 @@
 class GatheredAnswer:
     """Carry the merged records of the parts that are in."""
 
-    proofs: tuple[str, ...]
+    signatures: tuple[str, ...]
     missing: int
     body: bytes
 
@@ -128,7 +128,7 @@
         services = len(self._plan.services)
         if self._policy.sufficient(parts):
             return GatheredAnswer(
-                proofs=tuple(part.proof for part in self._parts),
+                signatures=tuple(part.signature for part in self._parts),
                 missing=services - parts,
                 body=merge_records(
                     [part.answer.body for part in self._parts], self._plan.records_max
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -30,7 +30,7 @@
 
     entry: LeafEntry
     answer: LeafAnswer
-    proof: str
+    signature: str
     latency_s: float
 
     @property
@@ -140,17 +140,17 @@
                 f"refused with status {answer.status}",
                 arrived=True,
             )
-        proof = answer.header(self.names.answer_proof)
-        if not proof or answer.header("Content-Encoding"):
+        signature = answer.header(self.names.answer_signature)
+        if not signature or answer.header("Content-Encoding"):
             load.failed(now_s)
             return LeafFailure(
                 entry,
                 Reason.ANSWER_MISMATCH,
                 Verdict.MAY_HAVE_RUN,
-                f"status {answer.status} without proof",
+                f"status {answer.status} without signature",
                 arrived=True,
             )
-        reply = LeafReply(entry, answer, proof, latency_s)
+        reply = LeafReply(entry, answer, signature, latency_s)
         if answer.status >= FIRST_FAILURE_STATUS:
             load.failed(now_s)
             return LeafFailure(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -68,7 +68,7 @@
         self.seeds = seeds
         self._clock = clock
         self._pings: set[asyncio.Task[None]] = set()
-        # Set when the hubs of the zone are known, as far as possible.
+        # Set when the hubs of the failure domain are known, as far as possible.
         self.listed = asyncio.Event()
 
     async def run(self, *, first_start: bool) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -28,12 +28,12 @@
 
     request_id: str
     deadline_ms: str
-    answer_proof: str
+    answer_signature: str
     expected_leaf: str
     leaf_load: str
     not_run: str
     retry_after: str
-    part_proofs: str
+    part_signatures: str
     missing_parts: str
 
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -1,4 +1,4 @@
-"""Serving of mirrored objects to peers of the same zone."""
+"""Serving of mirrored objects to peers of the same failure domain."""
 
 from __future__ import annotations
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -1,4 +1,4 @@
-"""Objects of one kind, from a hub of the zone or from the store."""
+"""Objects of one kind, from a hub of the failure domain or from the store."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 class RelayedSource(RecordSource[Value]):
-    """Ask the hubs of the zone first, then the store."""
+    """Ask the hubs of the failure domain first, then the store."""
 
     def __init__(
         self,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -75,7 +75,7 @@
         self.moves = MoveBook(settings.canary_share)
         self.own = DaemonRecord(
             name=settings.daemon_name,
-            zone=settings.zone,
+            failure_domain=settings.failure_domain,
             entry_address=settings.entry_address,
             peer_address=settings.peer_address,
             capacity_cores=settings.capacity_cores,
@@ -137,13 +137,13 @@
         )
         return CallTools(
             sender=sender,
-            chooser=LeafChooser(settings.zone, self._rng),
+            chooser=LeafChooser(settings.failure_domain, self._rng),
             budget=self.budget,
             moves=self.moves,
             latencies=self._latencies,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
-            region_of_zone=settings.region_of_zone,
+            region_of_domain=settings.region_of_domain,
             cold_bound=settings.cold_start_bound,
         )
 
@@ -169,7 +169,7 @@
         except ListenError:
             await self._close(listeners)
             raise
-        logger.info("started", extra={"zone": self.settings.zone})
+        logger.info("started", extra={"failure_domain": self.settings.failure_domain})
         tasks = [asyncio.create_task(work()) for work in (*self._work(), *further_work)]
         reduce_collections()
         try:
@@ -217,7 +217,7 @@
         )
 
     async def _follow(self, feed: StoreFeed[Any]) -> None:
-        # Hubs of the zone spare the store most calls.
+        # Hubs of the failure domain spare the store most calls.
         await self.peers.listed.wait()
         await feed.run()
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -41,7 +41,7 @@
 
 
 class RoutingFeeds:
-    """Follow each kind of object, from a hub of the zone or from the store."""
+    """Follow each kind of object, from a hub or from the store."""
 
     def __init__(
         self,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
@@ -21,7 +21,7 @@
         self.table: RouteTable | None = None
         self.registry = LeafRegistry()
         self.leaves_known = False
-        self.zones_known = False
+        self.domains_known = False
         # Set at SIGTERM: callers are sent elsewhere, open requests end.
         self.stopping = False
         # Returns the time since the store confirmed what is known of leaves.
@@ -36,7 +36,7 @@
     @property
     def informed(self) -> bool:
         """Return whether requests can be routed."""
-        return self.table is not None and self.leaves_known and self.zones_known
+        return self.table is not None and self.leaves_known and self.domains_known
 
     @property
     def serving(self) -> bool:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -46,7 +46,7 @@
     moves: MoveBook
     clock: Clock
     log: RequestLog
-    region_of_zone: dict[str, str] = field(default_factory=dict)
+    region_of_domain: dict[str, str] = field(default_factory=dict)
     cold_bound: ColdStartBound = field(default_factory=ColdStartBound)
     rng: Random = field(default_factory=Random)
     _losers: set[asyncio.Task[LeafResult]] = field(default_factory=set)
@@ -257,7 +257,10 @@
 
     def _in_region(self, entry: LeafEntry) -> bool:
         regions = self._route.regions
-        return not regions or self._tools.region_of_zone.get(entry.zone) in regions
+        return (
+            not regions
+            or self._tools.region_of_domain.get(entry.failure_domain) in regions
+        )
 
     def _has_room(self, entry: LeafEntry, now_s: float) -> bool:
         """Return whether a leaf, if cold, bears one more request."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -18,8 +18,8 @@
 
     daemon_name: str
     ip: str
-    zone: str
-    region_of_zone: dict[str, str]
+    failure_domain: str
+    region_of_domain: dict[str, str]
     # HOST:PORT each.
     entry_address: str
     readiness_address: str
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
@@ -106,30 +106,30 @@
 
 
 class EvacuationListener(FeedListener[str]):
-    """Follow the zones that operators have taken out."""
+    """Follow the failure domains that operators have taken out."""
 
     def __init__(self, state: RoutingState) -> None:
         self._state = state
-        self._zones: set[str] = set()
+        self._domains: set[str] = set()
 
     def replaced(self, listing: RecordList[str], *, after_outage: bool) -> None:
         """Take a complete list."""
-        self._zones = {record.value for record in listing.records}
-        self._state.zones_known = True
+        self._domains = {record.value for record in listing.records}
+        self._state.domains_known = True
         self._apply(listing.revision)
 
     def changed(self, changes: RecordChanges[str]) -> None:
         """Take changes in order."""
         for name, record in changes.changes:
             if record is None:
-                self._zones.discard(name)
+                self._domains.discard(name)
             else:
-                self._zones.add(record.value)
+                self._domains.add(record.value)
         self._apply(changes.revision)
 
     def _apply(self, revision: int) -> None:
-        self._state.registry.set_zones_out(self._zones)
+        self._state.registry.set_domains_out(self._domains)
         logger.info(
-            "evacuated zones",
-            extra={"zones": sorted(self._zones), "revision": revision},
+            "evacuated failure domains",
+            extra={"failure_domains": sorted(self._domains), "revision": revision},
         )
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -295,7 +295,7 @@
         self.assertEqual(self.store.lists, 0)
 
     async def test_unconfirmed_hub_is_left(self) -> None:
-        """Guard against a zone that follows a hub cut off from the store."""
+        """Guard against a failure domain that follows a hub cut off from the store."""
         self.age_s = CONFIRMED_MAX_S + 0.1
         self.assertEqual(await self.names(), ["s"])
         self.store.answers.put_nowait(RecordChanges((), 31))
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
@@ -19,8 +19,8 @@
 SETTINGS = RoutingSettings(
     daemon_name="d",
     ip="127.0.0.1",
-    zone="a",
-    region_of_zone={},
+    failure_domain="a",
+    region_of_domain={},
     entry_address="127.0.0.1:1",
     readiness_address="127.0.0.1:2",
     directory_address="127.0.0.1:3",
