Fuzz the exchange with a leaf that answers in odd ways

It finds no fault in the channel. It fails without the check of the echoed id and without the check of a reset in a response without a length; without the close of dirty idle connections it passes, because the echoed id guards against the same fault.

--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_machine.py
@@ -0,0 +1,247 @@
+"""Stateful test of the exchange with a leaf that answers in odd ways."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass
+from dataclasses import field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import rule
+
+from gypsumvane_daemon.routing.leaf_channel import ExchangeError
+from gypsumvane_daemon.routing.leaf_channel import LeafAnswer
+from gypsumvane_daemon.routing.leaf_channel import LeafChannel
+from waiting import LIMIT_S
+
+ID_HEADER = "Gypsumvane-Request-Id"
+# Closing with this option resets the connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
+# After this time a caller gives up on a silent leaf.
+PATIENCE_S = 0.02
+# Pause before bytes that arrive after the answer.
+LATE_S = 0.005
+LENGTH, CHUNKED, UNTIL_CLOSE = "length", "chunked", "until_close"
+FRAMINGS = st.sampled_from([LENGTH, CHUNKED, UNTIL_CLOSE])
+BODIES = st.binary(max_size=60)
+CUTS = st.sampled_from([0.0, 0.2, 0.5, 0.8, 0.9, 1.0])
+STATUSES = st.sampled_from([200, 201, 204, 404, 500, 503])
+
+
+@dataclass(frozen=True, slots=True)
+class Script:
+    """Say what the leaf does with the next request."""
+
+    status: int = 200
+    body: bytes = b"ok"
+    framing: str = LENGTH
+    # Bytes and whole answers to other requests before the answer.
+    before: bytes = b""
+    foreign_answers: int = 0
+    provisional: bool = False
+    # Share of the answer that is sent before the connection ends.
+    cut: float | None = None
+    reset: bool = False
+    # Bytes after the answer, at once or later.
+    after: bytes = b""
+    repeated: bool = False
+    late: bool = False
+    silent: bool = False
+
+
+@dataclass(slots=True)
+class OddLeaf:
+    """Answer requests by script and record each answer that was whole."""
+
+    script: Script = field(default_factory=Script)
+    whole: dict[str, tuple[int, bytes]] = field(default_factory=dict)
+    port: int = 0
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        # Lets the tasks of the connections end by themselves.
+        await asyncio.sleep(2 * LATE_S)
+        await self._server.wait_closed()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (OSError, EOFError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        request_id = head.split(b": ")[1].split(b"\r\n")[0].decode()
+        script = self.script
+        if script.silent:
+            return True
+        answer = encode_answer(request_id, script)
+        sent = answer if script.cut is None else answer[: int(script.cut * len(answer))]
+        self._note(request_id, script, answer, sent)
+        others = b"".join(
+            encode_answer(f"other-{number}", Script(body=b"other"))
+            for number in range(script.foreign_answers)
+        )
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n" if script.provisional else b""
+        writer.write(script.before + others + interim + sent)
+        if script.reset:
+            await asyncio.sleep(0)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            writer.transport.abort()
+            return False
+        if len(sent) < len(answer) or script.framing == UNTIL_CLOSE:
+            return False
+        if script.late:
+            await asyncio.sleep(LATE_S)
+        writer.write(script.after + (answer if script.repeated else b""))
+        return True
+
+    def _note(
+        self, request_id: str, script: Script, answer: bytes, sent: bytes
+    ) -> None:
+        """Record the answer if all that its framing announces is sent."""
+        body = b"" if script.status == 204 else script.body
+        if script.framing == UNTIL_CLOSE and script.status != 204:
+            head_end = answer.index(b"\r\n\r\n") + 4
+            if len(sent) >= head_end and not script.reset:
+                self.whole[request_id] = (script.status, sent[head_end:])
+        elif len(sent) == len(answer):
+            self.whole[request_id] = (script.status, body)
+
+
+def encode_answer(request_id: str, script: Script) -> bytes:
+    """Return the bytes of one answer."""
+    lines = [f"HTTP/1.1 {script.status} Text", f"{ID_HEADER}: {request_id}"]
+    body = script.body
+    if script.status == 204:
+        body = b""
+    elif script.framing == LENGTH:
+        lines.append(f"Content-Length: {len(body)}")
+    elif script.framing == CHUNKED:
+        lines.append("Transfer-Encoding: chunked")
+        chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+        body = chunk + b"0\r\n\r\n"
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class LeafMachine(RuleBasedStateMachine):
+    """Exchange requests with an odd leaf and compare with what it sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.leaf = OddLeaf()
+        self.runner.run(self.leaf.start())
+        self.runner.run(self._open())
+        self.count = 0
+        # Exchanges in a row that the leaf answered as it should.
+        self.clean = 0
+
+    async def _open(self) -> None:
+        self.channel = LeafChannel(f"127.0.0.1:{self.leaf.port}", connections=1)
+
+    def teardown(self) -> None:
+        self.runner.run(self.channel.close())
+        self.runner.run(self.leaf.stop())
+        self.runner.close()
+
+    def exchange(self, script: Script) -> LeafAnswer | None:
+        """Return the answer that the channel delivers, None without one."""
+        self.count += 1
+        request_id = f"request-{self.count}"
+        self.leaf.script = script
+        answer = self.runner.run(self._exchange(request_id, script))
+        if answer is not None:
+            delivered = (answer.status, answer.body)
+            assert answer.header(ID_HEADER) == request_id, answer
+            assert self.leaf.whole.get(request_id) == delivered, answer
+        return answer
+
+    async def _exchange(self, request_id: str, script: Script) -> LeafAnswer | None:
+        request = f"GET / HTTP/1.1\r\n{ID_HEADER}: {request_id}\r\n\r\n".encode()
+        try:
+            async with asyncio.timeout(PATIENCE_S if script.silent else LIMIT_S):
+                return await self.channel.exchange(
+                    request, request_id=request_id, id_header=ID_HEADER
+                )
+        except (ExchangeError, TimeoutError):
+            return None
+
+    @rule(status=STATUSES, body=BODIES, framing=FRAMINGS)
+    def whole_answer(self, status: int, body: bytes, framing: str) -> None:
+        """Deliver whole answers; what came before may cost one of them."""
+        answer = self.exchange(Script(status=status, body=body, framing=framing))
+        self.clean += 1
+        assert answer is not None or self.clean < 2
+
+    @rule(body=BODIES, framing=FRAMINGS, cut=CUTS, reset=st.booleans())
+    def answer_is_cut(self, body: bytes, framing: str, cut: float, reset: bool) -> None:
+        """Deliver nothing of an answer that ends early."""
+        self.clean = 0
+        self.exchange(Script(body=body, framing=framing, cut=cut, reset=reset))
+
+    @rule(body=BODIES, framing=FRAMINGS, before=st.binary(min_size=1, max_size=40))
+    def unframed_bytes_come_first(
+        self, body: bytes, framing: str, before: bytes
+    ) -> None:
+        """Deliver nothing that begins with bytes of no answer."""
+        self.clean = 0
+        self.exchange(Script(body=body, framing=framing, before=before))
+
+    @rule(count=st.integers(1, 4), provisional=st.booleans(), framing=FRAMINGS)
+    def other_answers_come_first(
+        self, count: int, provisional: bool, framing: str
+    ) -> None:
+        """Deliver no answer to another request."""
+        self.clean = 0
+        self.exchange(
+            Script(foreign_answers=count, provisional=provisional, framing=framing)
+        )
+
+    @rule(
+        body=BODIES,
+        after=st.binary(max_size=40),
+        repeated=st.booleans(),
+        late=st.booleans(),
+    )
+    def more_follows(
+        self, body: bytes, after: bytes, repeated: bool, late: bool
+    ) -> None:
+        """Deliver bytes after an answer with no later request."""
+        self.clean = 0
+        self.exchange(Script(body=body, after=after, repeated=repeated, late=late))
+
+    @rule()
+    def leaf_is_silent(self) -> None:
+        """Give up; the answer that never came belongs to no later request."""
+        self.clean = 0
+        self.exchange(Script(silent=True))
+
+
+LeafMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+)
+LeafMachineTest = LeafMachine.TestCase
