Count log lines that a slow reader of standard output costs

Headers of leaves' answers are looked up in the parser's own mapping instead of a scan per look-up, and the text of caught errors has one function.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -17,6 +17,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
+from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.leaf_connector import LeafConnector
 from gypsumvane_daemon.routing.sockets import keepalive_socket
 
@@ -25,6 +26,7 @@
     from aiohttp.connector import Connection
     from aiohttp.http_parser import RawResponseMessage
     from aiohttp.tracing import Trace
+    from multidict import CIMultiDictProxy
 
 # Leaves are about 1 ms away. A connection that takes longer waits for a packet
 # that was dropped or goes to a machine that is down.
@@ -42,16 +44,15 @@
     """Carry one complete response of a leaf."""
 
     status: int
+    # As they came, in their order.
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    # The same for look-ups without regard to case.
+    _fields: CIMultiDictProxy[str]
 
     def header(self, name: str) -> str:
         """Return the first header of a name, empty without one."""
-        wanted = name.lower()
-        for key, value in self.headers:
-            if key.lower() == wanted:
-                return value
-        return ""
+        return self._fields.get(name, "")
 
 
 class ExchangeError(Exception):
@@ -132,7 +133,7 @@
         except TimeoutError as error:
             raise ExchangeError("no connection in time", written=False) from error
         except (ClientConnectorError, ClientError, OSError) as error:
-            raise ExchangeError(_describe(error), written=False) from error
+            raise ExchangeError(describe_error(error), written=False) from error
         try:
             answer = await self._transfer(
                 connection, request, request_id, id_header, bodiless=bodiless
@@ -142,7 +143,7 @@
             raise
         except (ClientError, HttpProcessingError, OSError, ValueError) as error:
             connection.close()
-            raise ExchangeError(_describe(error), written=True) from error
+            raise ExchangeError(describe_error(error), written=True) from error
         except BaseException:
             connection.close()
             raise
@@ -195,6 +196,7 @@
             for name, value in message.raw_headers
         ),
         body=body,
+        _fields=message.headers,
     )
 
 
@@ -202,7 +204,3 @@
     if message.chunked or message.code in BODILESS_STATUSES:
         return False
     return "Content-Length" not in message.headers
-
-
-def _describe(error: BaseException) -> str:
-    return f"{type(error).__name__}: {error}"
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/log_queue.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/log_queue.py
@@ -7,9 +7,13 @@
 import sys
 from logging.handlers import QueueHandler
 from logging.handlers import QueueListener
+from typing import TYPE_CHECKING
 
 from gypsumvane_daemon.log_setup import json_formatter
 
+if TYPE_CHECKING:
+    from gypsumvane_daemon.routing.routing_metrics import RoutingMetrics
+
 # Lines that wait while the reader of standard output is slow; later ones are
 # dropped. About 1 MB.
 QUEUE_LINES_MAX = 4000
@@ -18,7 +22,7 @@
 class _BoundedHandler(QueueHandler):
     """Drop lines when the queue is full and count them."""
 
-    dropped = 0
+    metrics: RoutingMetrics | None = None
 
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Return the record as it is; the listener formats it."""
@@ -29,7 +33,8 @@
         try:
             self.queue.put_nowait(record)
         except queue.Full:
-            self.dropped += 1
+            if self.metrics is not None:
+                self.metrics.count("log_lines_dropped", reason="queue_full")
 
 
 class LogQueue:
@@ -43,17 +48,20 @@
         self._listener = QueueListener(lines, stream)
         self._level = level
 
-    @property
-    def dropped(self) -> int:
-        """Return how many lines were dropped."""
-        return self._handler.dropped
+    def count_drops(self, metrics: RoutingMetrics) -> None:
+        """Count the lines that are dropped from now on."""
+        self._handler.metrics = metrics
 
     def start(self) -> None:
+        """Take over all log lines of the process and write them."""
+        self.install()
+        self._listener.start()
+
+    def install(self) -> None:
         """Take over all log lines of the process."""
         root = logging.getLogger()
         root.handlers[:] = [self._handler]
         root.setLevel(self._level)
-        self._listener.start()
 
     def stop(self) -> None:
         """Write what waits and end the thread."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientError
 from aiohttp import ClientTimeout
 
+from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.routing.sockets import keepalive_session
 
 if TYPE_CHECKING:
@@ -73,9 +74,7 @@
             refused = isinstance(error.os_error, ConnectionRefusedError)
             raise PeerError(f"{address}{path}: {error}", refused=refused) from error
         except (ClientError, OSError, TimeoutError, ValueError) as error:
-            raise PeerError(
-                f"{address}{path}: {type(error).__name__}: {error}"
-            ) from error
+            raise PeerError(f"{address}{path}: {describe_error(error)}") from error
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/request_log.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/request_log.py
@@ -38,7 +38,7 @@
         self._metrics.count("request_decisions", decision=event)
         if not self._take():
             self._dropped += 1
-            self._metrics.count("log_lines_dropped")
+            self._metrics.count("log_lines_dropped", reason="rate")
             return
         if self._dropped:
             fields["lines_dropped_before"] = self._dropped
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -17,6 +17,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
+from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.leaf_connector import LeafConnector
 
 if TYPE_CHECKING:
@@ -146,12 +147,12 @@
         except ClientConnectorError as error:
             raise LeafCallError(str(error), unreachable=True) from error
         except (ClientError, OSError) as error:
-            raise LeafCallError(f"{type(error).__name__}: {error}") from error
+            raise LeafCallError(describe_error(error)) from error
         try:
             answer = await self._exchange(connection, call)
         except (ClientError, HttpProcessingError, OSError, ValueError) as error:
             connection.close()
-            raise LeafCallError(f"{type(error).__name__}: {error}") from error
+            raise LeafCallError(describe_error(error)) from error
         except BaseException:
             connection.close()
             raise
@@ -189,7 +190,7 @@
             ) as response:
                 await response.read()
         except (ClientError, OSError) as error:
-            raise LeafCallError(f"{type(error).__name__}: {error}") from error
+            raise LeafCallError(describe_error(error)) from error
 
     async def status(self) -> LeafAnswer:
         """Read the status report of the upstream.
@@ -212,7 +213,7 @@
         except TimeoutError as error:
             raise LeafCallError("no status in time", late=True) from error
         except (ClientError, OSError, ValueError) as error:
-            raise LeafCallError(f"{type(error).__name__}: {error}") from error
+            raise LeafCallError(describe_error(error)) from error
 
     async def open_ahead(self, count: int) -> None:
         """Open connections up to a number, by status requests at once."""
