--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/main.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/main.py
@@ -18,6 +18,8 @@
     from gypsumvane_devtools.measure.figures import Figure
 
 FLAGS = flags.FLAGS
+# Generates the page without an experiment.
+REPORT = "report"
 
 
 def show(figure: Figure) -> None:
@@ -25,13 +27,19 @@
     print(f"round {figure.round + 1} {figure.variant}: {figure.values}", flush=True)
 
 
+def write_root_page(root: Path) -> None:
+    """Generate the page of a work tree."""
+    page = root / "docs" / "measurements.md"
+    write_page(root / "measurements", page, journal=root / "journal")
+
+
 async def run_all(names: list[str], root: Path) -> bool:
     """Run experiments one after the other; tell whether all targets are met."""
     all_met = True
     for name in names:
         result = await EXPERIMENTS[name]().run(show)
         store_result(result, root / "measurements")
-        write_page(root / "measurements", root / "docs" / "measurements.md")
+        write_root_page(root)
         all_met = all_met and result.met
         print(f"{name}: target {'met' if result.met else 'not met'} {result.error}")
         for check in result.checks:
@@ -41,11 +49,16 @@
 
 
 def main(argv: list[str]) -> None:
-    """Run the experiments named on the command line."""
+    """Run the experiments named on the command line, or only write the page."""
+    if argv[1:] == [REPORT]:
+        write_root_page(Path(FLAGS.root))
+        return
     names = list(EXPERIMENTS) if argv[1:] == ["all"] else argv[1:]
     unknown = [name for name in names if name not in EXPERIMENTS]
     if not names or unknown:
-        sys.exit(f"usage: measure all | NAME...; names: {', '.join(EXPERIMENTS)}")
+        sys.exit(
+            f"usage: measure {REPORT} | all | NAME...; names: {', '.join(EXPERIMENTS)}"
+        )
     met = asyncio.run(run_all(names, Path(FLAGS.root)))
     sys.exit(0 if met else 1)
 
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/plot.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/measure/plot.py
@@ -15,8 +15,8 @@
 BAR_LEFT = 200
 
 
-def line_plot(title: str, series: dict[str, list[float]]) -> str:
-    """Plot one value for each second of a run, one line for each series."""
+def line_plot(title: str, series: dict[str, list[float]], *, unit: str = "s") -> str:
+    """Plot one value for each second or run, one line for each series."""
     highest = max((max(values) for values in series.values()), default=0.0) or 1.0
     seconds = max(max(len(values) for values in series.values()) - 1, 1)
 
@@ -41,8 +41,8 @@
         )
         x = LEFT + number * (WIDTH - LEFT - RIGHT) / len(series)
         parts.append(text(x, HEIGHT - 4, label, colour=colour))
-    parts.append(text(LEFT, HEIGHT - 19, "0 s"))
-    parts.append(text(WIDTH - RIGHT - 30, HEIGHT - 19, f"{seconds} s"))
+    parts.append(text(LEFT, HEIGHT - 19, f"0 {unit}"))
+    parts.append(text(WIDTH - RIGHT - 30, HEIGHT - 19, f"{seconds} {unit}"))
     return document(HEIGHT, parts)
 
 
--- a/packages/gypsumvane-devtools/tests/test_devtools_measure.py
+++ b/packages/gypsumvane-devtools/tests/test_devtools_measure.py
@@ -75,7 +75,9 @@
         with tempfile.TemporaryDirectory() as name:
             store_result(result, Path(name))
             stored = json.loads((Path(name) / "counting.json").read_text())
-            write_page(Path(name), Path(name) / "page.md")
+            write_page(
+                Path(name), Path(name) / "page.md", journal=Path(name) / "journal"
+            )
             page = (Path(name) / "page.md").read_text()
             plots = {path.name for path in (Path(name) / "plots").iterdir()}
             line = (Path(name) / "plots" / "counting-current.svg").read_text()
