Derive the hedge delay from the objective and leave time for the second answer

Cause: a daemon with fewer than 20 answers of a route hedged each request after 50 ms. And a hedge after up to three medians came too late to be part of an answer that is given 26 ms before the objective.

Without samples the usual latency is taken as a quarter of the objective; with an objective a hedge is sent early enough for a usual answer, but not before 1.5 medians. Ruled out: the choice of the leaf; the late requests had no second send, 'retry_refused' at 49 ms stands in their lines.

The tests of the delay fail on the former code.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
@@ -42,6 +42,11 @@
     # Empty: leaves of every region may serve the route.
     regions: frozenset[str] = frozenset()
 
+    @property
+    def objective_s(self) -> float | None:
+        """Return the objective, None when it is unknown."""
+        return self.objective_ms / 1000 if self.objective_ms else None
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceConfig:
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/latency_book.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/latency_book.py
@@ -6,7 +6,16 @@
 from dataclasses import field
 
 from gypsumvane_core.hedge_delay import DEFAULT_DELAY_S
+from gypsumvane_core.hedge_delay import MEDIAN_FACTOR_MIN
 from gypsumvane_core.hedge_delay import HedgeDelays
+from gypsumvane_core.routing.coverage import DELIVERY_S
+
+# Usual latency of a route without samples, as a share of its objective: the
+# objectives of the platform's kinds of requests are 3.6 to 10 times their work.
+USUAL_SHARE = 0.25
+# A hedge that has to be sent earlier than at this multiple of the median, so
+# that it is in time, seldom comes first and uses the budget up.
+MEDIAN_FACTOR_DUE = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,14 +37,26 @@
         """Record the latency of one leaf's answer."""
         self._delays.add(route, latency_s)
 
-    def median_s(self, route: str) -> float:
-        """Return the median latency of a route."""
+    def median_s(self, route: str, *, objective_s: float | None = None) -> float:
+        """Return the median latency of a route, an estimate without samples."""
         median_s = self._delays.median_s(route)
-        return DEFAULT_DELAY_S if median_s is None else median_s
-
-    def hedge_after_s(self, route: str) -> float:
-        """Return the age of a send after which another leaf is asked."""
-        return self._delays.delay_s(route, self.settings)
+        if median_s is not None:
+            return median_s
+        return DEFAULT_DELAY_S if objective_s is None else USUAL_SHARE * objective_s
+
+    def hedge_after_s(self, route: str, *, objective_s: float | None = None) -> float:
+        """Return the age of a send after which another leaf is asked.
+
+        With an objective the second leaf gets the time of a usual answer.
+        """
+        median_s = self.median_s(route, objective_s=objective_s)
+        delay_s = MEDIAN_FACTOR_MIN * median_s
+        if self._delays.median_s(route) is not None:
+            delay_s = max(delay_s, self._delays.delay_s(route, self.settings))
+        if objective_s is None:
+            return delay_s
+        latest_s = objective_s - DELIVERY_S - median_s
+        return min(delay_s, max(latest_s, MEDIAN_FACTOR_DUE * median_s))
 
     def keep_only(self, routes: set[str]) -> None:
         """Forget the routes that are configured no longer."""
--- a/packages/gypsumvane-core/tests/test_core_routing_rules.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_rules.py
@@ -11,6 +11,7 @@
 from gypsumvane_core.routing.config import Route
 from gypsumvane_core.routing.config import RoutingConfig
 from gypsumvane_core.routing.config import WeightedService
+from gypsumvane_core.routing.coverage import DELIVERY_S
 from gypsumvane_core.routing.coverage import CoveragePolicy
 from gypsumvane_core.routing.latency_book import LatencyBook
 from gypsumvane_core.routing.leaf_choice import LeafChooser
@@ -247,5 +248,32 @@
         self.assertAlmostEqual(book.hedge_after_s("r"), 0.09)
         self.assertAlmostEqual(book.median_s("r"), 0.03)
 
-    def test_unknown_route(self) -> None:
+    def test_route_without_an_objective(self) -> None:
         self.assertGreater(LatencyBook().hedge_after_s("r"), 0)
+
+    def test_objective_stands_in_for_samples(self) -> None:
+        """Guard against a hedge for each request of a slow, rare kind.
+
+        Seen on a quiet day: look-ups of 160 ms were hedged after 50 ms, which
+        used up the budget, so that none was left for a slow leaf.
+        """
+        book = LatencyBook()
+        self.assertGreater(book.hedge_after_s("r", objective_s=0.6), 0.25)
+        self.assertAlmostEqual(book.median_s("r", objective_s=0.6), 0.15)
+        self.assertLess(book.hedge_after_s("r", objective_s=0.06), 0.05)
+
+    def test_hedge_leaves_time_for_its_answer(self) -> None:
+        """Guard against a hedge that can only come after the answer is due."""
+        book = LatencyBook()
+        for step in range(100):
+            book.add("r", 0.15 if step % 8 == 0 else 0.05)
+        self.assertAlmostEqual(book.hedge_after_s("r"), 0.15)
+        due_s = 0.18 - DELIVERY_S
+        self.assertAlmostEqual(book.hedge_after_s("r", objective_s=0.18), due_s - 0.05)
+
+    def test_hedge_is_not_sent_within_usual_latency(self) -> None:
+        """Guard against hedges of most requests of a tight objective."""
+        book = LatencyBook()
+        for _ in range(100):
+            book.add("r", 0.05)
+        self.assertGreaterEqual(book.hedge_after_s("r", objective_s=0.07), 0.07)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
@@ -61,7 +61,7 @@
         self._policy = CoveragePolicy(
             services=len(plan.services),
             min_share=plan.min_share,
-            objective_s=route.objective_ms / 1000 if route.objective_ms else None,
+            objective_s=route.objective_s,
         )
         self._calls = {
             service: ServiceCall(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -155,7 +155,10 @@
         )
 
     def _hedge_after_s(self) -> float:
-        return self._tools.latencies.hedge_after_s(self._route.name)
+        route = self._route
+        return self._tools.latencies.hedge_after_s(
+            route.name, objective_s=route.objective_s
+        )
 
     def _retry(self, failure: LeafFailure) -> None:
         if failure.verdict is Verdict.NOT_RUN:
@@ -206,7 +209,9 @@
             entry,
             self._config,
             self._request,
-            usual_latency_s=self._tools.latencies.median_s(self._route.name),
+            usual_latency_s=self._tools.latencies.median_s(
+                self._route.name, objective_s=self._route.objective_s
+            ),
         )
         if isinstance(result, LeafReply):
             self._tools.latencies.add(self._route.name, result.latency_s)
