Try a hedge again that the budget refused

Cause: a request whose hedge found no budget never asked a second leaf again, though the budget fills up while a slow leaf works. The next try comes after twice the delay, and so on.

The new test fails on the former code.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -81,7 +81,8 @@
         # Sends that a leaf may have run.
         self._runs = 0
         self._failures: list[LeafFailure] = []
-        self._hedge_refused = False
+        # Hedges that were due and had no leaf or no budget.
+        self._hedges_missed = 0
         self._released = False
         # All sends of a request go to one version.
         self._version_draw = tools.rng.random()
@@ -113,7 +114,7 @@
                     self._failures.append(result)
                     self._retry(result)
                 elif not self._start(hedge=True):
-                    self._hedge_refused = True
+                    self._hedges_missed += 1
             return self._failure()
         except asyncio.CancelledError:
             if not self._released:
@@ -127,7 +128,8 @@
         """Return the next result, None when a hedge is due."""
         timeout_s = None
         if self._may_hedge():
-            hedge_s = self._hedge_after_s()
+            # The budget fills up while a slow leaf works.
+            hedge_s = self._hedge_after_s() * 2**self._hedges_missed
             begun_s = max(self._begun_s, self._request.arrived_s)
             timeout_s = max(0.0, begun_s + hedge_s - self._tools.clock.monotonic_s())
         done, _ = await asyncio.wait(
@@ -149,7 +151,6 @@
     def _may_hedge(self) -> bool:
         return (
             self._route.idempotent
-            and not self._hedge_refused
             and len(self._running) == 1
             and self._runs < self._route.attempts_max
         )
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_service_call.py
@@ -0,0 +1,125 @@
+"""Tests of hedges of a call with a scripted sender."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from gypsumvane_core.clock import SystemClock
+from gypsumvane_core.routing.config import Route
+from gypsumvane_core.routing.config import WeightedService
+from gypsumvane_core.routing.latency_book import LatencyBook
+from gypsumvane_core.routing.leaf_choice import LeafChooser
+from gypsumvane_core.routing.leaf_registry import LeafEntry
+from gypsumvane_core.routing.leaf_registry import LeafRegistry
+from gypsumvane_core.routing.version_move import MoveBook
+from gypsumvane_daemon.routing.forwarded_request import ForwardedRequest
+from gypsumvane_daemon.routing.leaf_attempt import LeafReply
+from gypsumvane_daemon.routing.leaf_channel import LeafAnswer
+from gypsumvane_daemon.routing.leaf_pool import LeafPool
+from gypsumvane_daemon.routing.request_log import RequestLog
+from gypsumvane_daemon.routing.routing_metrics import RoutingMetrics
+from gypsumvane_daemon.routing.service_call import CallTools
+from gypsumvane_daemon.routing.service_call import ServiceCall
+from waiting import LIMIT_S
+
+SERVICE = "ledger"
+ROUTE = Route(
+    name="r",
+    host="shop.example",
+    path_prefix="/",
+    idempotent=True,
+    timeout_ms=60_000,
+    objective_ms=100,
+    attempts_max=2,
+    services=(WeightedService(SERVICE, 1.0),),
+)
+
+
+@dataclass(slots=True)
+class SilentFirstLeaf:
+    """Answer the second send of a request; the first one stays unanswered."""
+
+    registry: LeafRegistry
+    pool: LeafPool = field(default_factory=LeafPool)
+    asked: list[str] = field(default_factory=list)
+
+    async def send(
+        self, entry: LeafEntry, *_: Any, usual_latency_s: float
+    ) -> LeafReply:
+        """Send once."""
+        self.asked.append(entry.leaf_id)
+        if len(self.asked) == 1:
+            await asyncio.Event().wait()
+        answer = LeafAnswer(200, (), b"", _fields={})  # type: ignore[arg-type]
+        return LeafReply(entry, answer, "signature", usual_latency_s)
+
+
+@dataclass(slots=True)
+class ScriptedBudget:
+    """Refuse the first extra sends."""
+
+    refusals: int
+
+    def add_request(self, service: str, now_s: float) -> None:
+        """Count nothing."""
+
+    def take(self, service: str, now_s: float) -> bool:
+        """Return whether an extra send is allowed."""
+        self.refusals -= 1
+        return self.refusals < 0
+
+
+class HedgeTest(unittest.IsolatedAsyncioTestCase):
+    """Check when a second leaf is asked."""
+
+    async def test_refused_hedge_is_tried_again(self) -> None:
+        """Guard against a request that waits for a slow leaf to its end.
+
+        Seen on a quiet day: the budget had no extra send at the first try and
+        many a moment later, and the answer came after 2.2 s.
+        """
+        registry = LeafRegistry()
+        for leaf_id in ("a", "b"):
+            registry.put(
+                LeafEntry(
+                    leaf_id=leaf_id,
+                    service=SERVICE,
+                    address="127.0.0.1:1",
+                    failure_domain="fd-a",
+                    version="v1",
+                    slots=2,
+                    draining=False,
+                    started_unix_ms=1,
+                ),
+                0.0,
+            )
+        sender = SilentFirstLeaf(registry)
+        clock = SystemClock()
+        tools = CallTools(
+            sender=sender,  # type: ignore[arg-type]
+            chooser=LeafChooser("fd-a", random.Random(1)),
+            budget=ScriptedBudget(refusals=2),  # type: ignore[arg-type]
+            latencies=LatencyBook(),
+            moves=MoveBook(canary_share=0.1),
+            clock=clock,
+            log=RequestLog(clock, RoutingMetrics()),
+        )
+        now_s = clock.monotonic_s()
+        request = ForwardedRequest(
+            method="GET",
+            request_id="1",
+            head=b"",
+            body=b"",
+            arrived_s=now_s,
+            deadline_s=now_s + LIMIT_S,
+        )
+        call = ServiceCall(tools, ROUTE, SERVICE, None, request)
+        async with asyncio.timeout(LIMIT_S):
+            result = await call.run()
+        self.assertIsInstance(result, LeafReply)
+        self.assertEqual(sorted(sender.asked), ["a", "b"])
