Keep the least delay of hedges below a tight objective

The cap by the objective could ask for a hedge within a few milliseconds on a route with answers of 2 ms; the new test fails without the floor.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/latency_book.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/latency_book.py
@@ -56,7 +56,10 @@
         if objective_s is None:
             return delay_s
         latest_s = objective_s - DELIVERY_S - median_s
-        return min(delay_s, max(latest_s, MEDIAN_FACTOR_DUE * median_s))
+        earliest_s = max(
+            MEDIAN_FACTOR_DUE * median_s, self.settings.hedge_min_ms / 1000
+        )
+        return min(delay_s, max(latest_s, earliest_s))
 
     def keep_only(self, routes: set[str]) -> None:
         """Forget the routes that are configured no longer."""
--- a/packages/gypsumvane-core/tests/test_core_routing_rules.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_rules.py
@@ -271,6 +271,13 @@
         due_s = 0.18 - DELIVERY_S
         self.assertAlmostEqual(book.hedge_after_s("r", objective_s=0.18), due_s - 0.05)
 
+    def test_objective_does_not_undercut_the_least_delay(self) -> None:
+        """Guard against hedges within the noise of timers."""
+        book = LatencyBook()
+        for _ in range(100):
+            book.add("r", 0.002)
+        self.assertGreaterEqual(book.hedge_after_s("r", objective_s=0.02), 0.008)
+
     def test_hedge_is_not_sent_within_usual_latency(self) -> None:
         """Guard against hedges of most requests of a tight objective."""
         book = LatencyBook()
