Call one piece of code where the routing daemons had a second one

- json_response for three answers built by hand; rank_by_capacity for the order of daemons that the hubs and the entries share; read_response for the two channels to leaves; the token bucket of the stand-ins, now in the core package, for the rate of log lines.
- What a daemon says of itself is put together once for a round of pings, and the median of a route is looked up once for a hedge delay.
- A test outside platform/ used a name of the platform's wire.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/daemon_record.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/daemon_record.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,3 +21,8 @@
     peer_address: str
     # Processor time of the VM in cores.
     capacity_cores: float = 1.0
+
+
+def rank_by_capacity(records: Iterable[DaemonRecord]) -> list[DaemonRecord]:
+    """Return the records, those with most processor time first."""
+    return sorted(records, key=lambda record: (-record.capacity_cores, record.name))
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/entry_selection.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/entry_selection.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.routing.daemon_record import rank_by_capacity
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -21,7 +23,7 @@
 
 def select_entries(records: Iterable[DaemonRecord]) -> list[DaemonRecord]:
     """Return the daemons with most processor time."""
-    ranked = sorted(records, key=lambda record: (-record.capacity_cores, record.name))
+    ranked = rank_by_capacity(records)
     if not ranked:
         return []
     least = ranked[0].capacity_cores * CAPACITY_SHARE_MIN
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/latency_book.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/latency_book.py
@@ -40,19 +40,20 @@
     def median_s(self, route: str, *, objective_s: float | None = None) -> float:
         """Return the median latency of a route, an estimate without samples."""
         median_s = self._delays.median_s(route)
-        if median_s is not None:
-            return median_s
-        return DEFAULT_DELAY_S if objective_s is None else USUAL_SHARE * objective_s
+        return _estimate_s(objective_s) if median_s is None else median_s
 
     def hedge_after_s(self, route: str, *, objective_s: float | None = None) -> float:
         """Return the age of a send after which another leaf is asked.
 
         With an objective the second leaf gets the time of a usual answer.
         """
-        median_s = self.median_s(route, objective_s=objective_s)
-        delay_s = MEDIAN_FACTOR_MIN * median_s
-        if self._delays.median_s(route) is not None:
-            delay_s = max(delay_s, self._delays.delay_s(route, self.settings))
+        median_s = self._delays.median_s(route)
+        if median_s is None:
+            median_s = _estimate_s(objective_s)
+            delay_s = MEDIAN_FACTOR_MIN * median_s
+        else:
+            learned_s = self._delays.delay_s(route, self.settings)
+            delay_s = max(MEDIAN_FACTOR_MIN * median_s, learned_s)
         if objective_s is None:
             return delay_s
         latest_s = objective_s - DELIVERY_S - median_s
@@ -64,3 +65,7 @@
     def keep_only(self, routes: set[str]) -> None:
         """Forget the routes that are configured no longer."""
         self._delays.keep_only(routes)
+
+
+def _estimate_s(objective_s: float | None) -> float:
+    return DEFAULT_DELAY_S if objective_s is None else USUAL_SHARE * objective_s
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.routing.daemon_record import rank_by_capacity
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -153,7 +155,7 @@
                 if peer.record.failure_domain == failure_domain and peer.counted(now_s)
             ]
             hubs = self._ranked(failure_domain, now_s)[:HUBS_PER_DOMAIN]
-            hubs += _rank(counted)[:HUBS_PER_DOMAIN]
+            hubs += rank_by_capacity(counted)[:HUBS_PER_DOMAIN]
             chosen.update({record.name: record for record in hubs})
         chosen.pop(self._own.name, None)
         return list(chosen.values())
@@ -184,8 +186,4 @@
         ]
         if failure_domain == self._own.failure_domain:
             present.append(self._own)
-        return _rank(present)
-
-
-def _rank(records: list[DaemonRecord]) -> list[DaemonRecord]:
-    return sorted(records, key=lambda record: (-record.capacity_cores, record.name))
+        return rank_by_capacity(present)
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/rate_limit.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/token_bucket.py
@@ -1,4 +1,4 @@
-"""Token buckets for the rate limits of stand-ins."""
+"""Token buckets for rate limits."""
 
 from __future__ import annotations
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -12,6 +12,7 @@
 from gypsumvane_core.query_answer import AnswerOutcome
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
+from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.admission_service import AdmissionRefused
 from gypsumvane_daemon.caller_error import CallerError
 from gypsumvane_daemon.caller_headers import REQUEST_ID
@@ -22,7 +23,6 @@
 from gypsumvane_daemon.caller_routes import CallerRoutes
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
-from gypsumvane_daemon.settings import split_address
 from gypsumvane_daemon.tls import server_context
 from gypsumvane_daemon.typed_runner import TypedRunner
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
@@ -7,12 +7,24 @@
 from aiohttp import TCPConnector
 
 if TYPE_CHECKING:
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
     from aiohttp.connector import SocketFactoryType
+    from aiohttp.http_parser import RawResponseMessage
     from aiohttp.tracing import Trace
 
 
+async def read_response(protocol: ResponseHandler) -> tuple[RawResponseMessage, bytes]:
+    """Return the next final response and its body."""
+    message, payload = await protocol.read()
+    while message.code < 200:
+        message, payload = await protocol.read()
+    # A small body has mostly arrived with its headers.
+    body = payload.read_nowait() if payload.is_eof() else await payload.read()
+    return message, body
+
+
 class LeafConnector(TCPConnector):
     """Keep connections open and change their limit while running.
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
@@ -10,6 +10,7 @@
 from aiohttp.web import TCPSite
 from aiohttp.web import middleware
 
+from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.document_service import DocumentService
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.operator_documents import DocumentRoutes
@@ -19,7 +20,6 @@
 from gypsumvane_daemon.operator_errors import missing_part
 from gypsumvane_daemon.operator_moves import MoveRoutes
 from gypsumvane_daemon.operator_status import StatusRoutes
-from gypsumvane_daemon.settings import split_address
 from gypsumvane_daemon.tls import server_context
 from gypsumvane_daemon.typed_runner import TypedRunner
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -22,6 +22,7 @@
 from gypsumvane_core.messages import HeartbeatReply
 from gypsumvane_core.messages import Hello
 from gypsumvane_core.messages import Message
+from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.kernel import Service
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_codec import LENGTH_BYTES
@@ -30,7 +31,6 @@
 from gypsumvane_daemon.peer_codec import decode_frame
 from gypsumvane_daemon.peer_codec import decode_head
 from gypsumvane_daemon.peer_codec import encode_frame
-from gypsumvane_daemon.settings import split_address
 from gypsumvane_daemon.tls import client_context
 from gypsumvane_daemon.tls import server_context
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -19,6 +19,7 @@
 
 from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.leaf_connector import LeafConnector
+from gypsumvane_daemon.leaf_connector import read_response
 from gypsumvane_daemon.routing.sockets import keepalive_socket
 
 if TYPE_CHECKING:
@@ -182,11 +183,7 @@
 
 
 async def _read_answer(protocol: ResponseHandler) -> LeafAnswer:
-    message, payload = await protocol.read()
-    while message.code < 200:
-        message, payload = await protocol.read()
-    # A small body has mostly arrived with its headers.
-    body = payload.read_nowait() if payload.is_eof() else await payload.read()
+    message, body = await read_response(protocol)
     if _ends_with_connection(message) and getattr(protocol, "lost_by_error", True):
         raise ServerDisconnectedError("reset within a response without a length")
     return LeafAnswer(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import json
 import logging
 from typing import TYPE_CHECKING
+from typing import Any
 
 from aiohttp.web import Response
 from aiohttp.web import Server
 from aiohttp.web import ServerRunner
 from aiohttp.web import TCPSite
 
-from gypsumvane_daemon.routing.settings import split_address
+from gypsumvane_daemon.addresses import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -81,6 +83,11 @@
             self._runner = None
 
 
+def json_response(value: Any) -> Response:
+    """Return a value as JSON."""
+    return Response(body=json.dumps(value).encode(), content_type="application/json")
+
+
 def text_response(status: int, text: str) -> Response:
     """Return a short text."""
     return Response(status=status, body=text.encode(), content_type="text/plain")
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -9,17 +9,17 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from aiohttp.web import Response
-
 from gypsumvane_core.routing.daemon_record import DaemonRecord
 from gypsumvane_core.routing.entry_selection import select_entries
 from gypsumvane_core.routing.peer_table import ServingDaemon
+from gypsumvane_daemon.routing.listener import json_response
 from gypsumvane_daemon.routing.listener import text_response
 from gypsumvane_daemon.routing.peer_client import PeerError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 
 if TYPE_CHECKING:
     from aiohttp.web import BaseRequest
+    from aiohttp.web import Response
 
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.routing.peer_table import PeerTable
@@ -90,8 +90,9 @@
         if not addresses:
             addresses = dict.fromkeys(self.seeds, "")
             addresses.pop(self._own.peer_address, None)
+        said = self._say()
         for address, name in addresses.items():
-            task = asyncio.create_task(self._ping(address, name))
+            task = asyncio.create_task(self._ping(address, name, said))
             self._pings.add(task)
             task.add_done_callback(self._pings.discard)
 
@@ -101,14 +102,14 @@
             self._hear(json.loads(await request.read()))
         except (ValueError, KeyError, TypeError) as error:
             return text_response(400, f"ping cannot be read: {error}\n")
-        return _json(self._say())
+        return json_response(self._say())
 
     async def handle_config(self, request: BaseRequest) -> Response:
         """Answer with the configuration in force."""
         record = self._configs.record
         if record is None:
             return text_response(404, "no configuration yet\n")
-        return _json({"name": record.name, "payload": record.payload})
+        return json_response({"name": record.name, "payload": record.payload})
 
     async def _register(self) -> None:
         while True:
@@ -143,10 +144,10 @@
             self.ping_now()
             await asyncio.sleep(PING_INTERVAL_S)
 
-    async def _ping(self, address: str, name: str) -> None:
+    async def _ping(self, address: str, name: str, said: dict[str, Any]) -> None:
         try:
             answer = await self._client.call(
-                "POST", address, PING_PATH, body=self._say(), timeout_s=PING_TIMEOUT_S
+                "POST", address, PING_PATH, body=said, timeout_s=PING_TIMEOUT_S
             )
             self._hear(answer)
             version = int(answer["version"])
@@ -204,7 +205,3 @@
             for entry in said["told"]
         ]
         self._table.told(record.name, told, now_s)
-
-
-def _json(value: Any) -> Response:
-    return Response(body=json.dumps(value).encode(), content_type="application/json")
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 from typing import Any
 
-from aiohttp.web import Response
-
+from gypsumvane_daemon.routing.listener import json_response
 from gypsumvane_daemon.routing.listener import text_response
 from gypsumvane_daemon.routing.ports import HistoryLostError
 
@@ -16,6 +14,7 @@
     from collections.abc import Mapping
 
     from aiohttp.web import BaseRequest
+    from aiohttp.web import Response
 
     from gypsumvane_daemon.routing.feed_mirror import FeedMirror
 
@@ -63,11 +62,10 @@
         return self._reply(changes, revision)
 
     def _reply(self, objects: list[Any], revision: int) -> Response:
-        content = {
-            "objects": objects,
-            "revision": revision,
-            "age_s": self._confirmed_age_s(),
-        }
-        return Response(
-            body=json.dumps(content).encode(), content_type="application/json"
+        return json_response(
+            {
+                "objects": objects,
+                "revision": revision,
+                "age_s": self._confirmed_age_s(),
+            }
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/request_log.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/request_log.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from gypsumvane_core.token_bucket import TokenBucket
+
 if TYPE_CHECKING:
     from gypsumvane_core.clock import Clock
     from gypsumvane_daemon.routing.forwarded_request import ForwardedRequest
@@ -24,8 +26,7 @@
     def __init__(self, clock: Clock, metrics: RoutingMetrics) -> None:
         self._clock = clock
         self._metrics = metrics
-        self._tokens = LINES_BURST
-        self._filled_s = clock.monotonic_s()
+        self._lines = TokenBucket(LINES_PER_S, LINES_BURST)
         self._dropped = 0
 
     def decision(self, event: str, request: ForwardedRequest, **fields: Any) -> None:
@@ -36,7 +37,7 @@
     def line(self, event: str, **fields: Any) -> None:
         """Record an event."""
         self._metrics.count("request_decisions", decision=event)
-        if not self._take():
+        if not self._lines.take(self._clock.monotonic_s()):
             self._dropped += 1
             self._metrics.count("log_lines_dropped", reason="rate")
             return
@@ -44,13 +45,3 @@
             fields["lines_dropped_before"] = self._dropped
             self._dropped = 0
         logger.info("request", extra={"decision": event, **fields})
-
-    def _take(self) -> bool:
-        now_s = self._clock.monotonic_s()
-        earned = (now_s - self._filled_s) * LINES_PER_S
-        self._filled_s = now_s
-        self._tokens = min(LINES_BURST, self._tokens + earned)
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -39,14 +39,3 @@
     # Whether the whole system starts for the first time.
     first_start: bool = False
     cold_start_bound: ColdStartBound = field(default_factory=ColdStartBound)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of HOST:PORT.
-
-    Raises ValueError.
-    """
-    host, colon, port = address.rpartition(":")
-    if not colon or not host or not port.isdigit():
-        raise ValueError(f"{address!r} is not HOST:PORT")
-    return host, int(port)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/settings.py
@@ -109,12 +109,6 @@
     logging: LoggingSettings = LoggingSettings()
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def load_settings(path: Path) -> Settings:
     """Read and validate a settings file.
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -19,6 +19,7 @@
 
 from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.leaf_connector import LeafConnector
+from gypsumvane_daemon.leaf_connector import read_response
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -171,12 +172,7 @@
         # From here on the upstream may have run the request.
         call.written = True
         protocol.transport.write(call.encode(self._host))
-        message, payload = await protocol.read()
-        while message.code < 200:
-            message, payload = await protocol.read()
-        # A small body has mostly arrived with its headers.
-        whole = payload.is_eof()
-        body = payload.read_nowait() if whole else await payload.read()
+        message, body = await read_response(protocol)
         return _read_answer(message.code, message.headers, body)
 
     async def cancel(self, request_id: str) -> None:
--- a/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_peer_network.py
@@ -14,6 +14,7 @@
 from gypsumvane_core.messages import PartialBatch
 from gypsumvane_core.messages import PartialResult
 from gypsumvane_core.messages import PartialResults
+from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.identity import DaemonIdentity
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.peer_codec import LENGTH_BYTES
@@ -22,7 +23,6 @@
 from gypsumvane_daemon.peer_codec import encode_frame
 from gypsumvane_daemon.peer_network import PeerError
 from gypsumvane_daemon.peer_network import PeerNetwork
-from gypsumvane_daemon.settings import split_address
 from tls_files import Authority
 from waiting import wait_until
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_machine.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_machine.py
@@ -18,7 +18,7 @@
 from gypsumvane_daemon.routing.leaf_channel import LeafChannel
 from waiting import LIMIT_S
 
-ID_HEADER = "Gypsumvane-Request-Id"
+ID_HEADER = "Request-Id"
 # Closing with this option resets the connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 # After this time a caller gives up on a silent leaf.
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 
 from gypsumvane_core.routing.retry_budget import RetryAllowance
+from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.routing.settings import RoutingSettings
-from gypsumvane_daemon.routing.settings import split_address
 from gypsumvane_daemon.routing.settings_reload import SettingsError
 from gypsumvane_daemon.routing.settings_reload import SettingsReload
 from waiting import wait_until
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/cold_state.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/cold_state.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from gypsumvane_devtools.rate_limit import TokenBucket
+from gypsumvane_core.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from gypsumvane_devtools.leaf_settings import ColdSettings
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/store.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/store.py
@@ -12,9 +12,9 @@
 from absl import flags
 from aiohttp import web
 
+from gypsumvane_core.token_bucket import TokenBucket
 from gypsumvane_devtools import stand_in
 from gypsumvane_devtools.object_table import ObjectTable
-from gypsumvane_devtools.rate_limit import TokenBucket
 from gypsumvane_devtools.store_faults import StoreCounters
 from gypsumvane_devtools.store_faults import StoreFaults
 
