Keep the slot of a cancelled call until the leaf confirms

Cause: LeafCalls freed the slot 0.1 s after it had asked the leaf to cancel a call, also when the request to cancel was not answered. A leaf that is slow to read it still runs the call, so that the next one exceeds its slots. This is the state that three tests of test_system_cold_start showed beside load (in_progress_max 3 with 2 slots, cancelled 1 and 2).

Ruled out: the limit itself; those leaves had 2 calls and one cancelled call in progress, never 3 that the home counted.

A failed or unanswered cancellation, or one answered with a server error, now keeps the slot until the deadline, at which the leaf stops by itself.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_calls.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_calls.py
@@ -136,9 +136,9 @@
 
         A lost connection does not stop the work at the upstream. If the slot were
         freed at once, the next call could reach a cold upstream that still runs
-        this one, and overload it. The wait is cancelled after the upstream was
-        asked to cancel the work, or else after the deadline, at which the
-        upstream stops by itself.
+        this one, and overload it. The wait is cancelled after the upstream has
+        confirmed that it cancelled the work, or else after the deadline, at which
+        the upstream stops by itself.
         """
         active.abandoned = True
         self._context.count("leaf_slots_held")
@@ -235,12 +235,18 @@
             self._spawn(self._cancel_upstream(active))
 
     async def _cancel_upstream(self, active: _ActiveCall) -> None:
+        """Ask the upstream to cancel a call and free its slot once it confirms.
+
+        Without a confirmation the upstream may still work on the call, so that the
+        slot stays taken until the deadline.
+        """
         self._context.count("leaf_cancels")
         try:
             async with asyncio.timeout(CANCEL_GRACE_S):
                 await self._state.client.cancel(active.call.request_id)
         except (LeafCallError, TimeoutError):
             self._context.count("leaf_cancel_failures")
+            return
         self._end_call_after(active, CANCEL_GRACE_S)
 
     def _end_call_after(self, active: _ActiveCall, delay_s: float) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -179,13 +179,16 @@
     async def cancel(self, request_id: str) -> None:
         """Ask the upstream to cancel a request.
 
-        Raises LeafCallError.
+        Raises LeafCallError, also for the answer of a server error, which confirms
+        nothing.
         """
         try:
             async with self._session.delete(
                 self._requests_url / request_id, allow_redirects=False
             ) as response:
                 await response.read()
+                if response.status >= 500:
+                    raise LeafCallError(f"cancellation failed with {response.status}")
         except (ClientError, OSError) as error:
             raise LeafCallError(describe_error(error)) from error
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -187,6 +187,23 @@
         await wait_until(lambda: self.service.idle("leaf-1"))
         self.assertEqual((await self.search()).kind, "answered")
 
+    async def test_unconfirmed_cancellation_keeps_the_slot(self) -> None:
+        """Guard against more calls than slots at a leaf that is slow to cancel."""
+        self.documents.put_index([self.leaf_model(slots=1)])
+        self.leaf.answer = answer_late
+        self.leaf.confirms_cancel = False
+        batch = self.batch()
+        pending = asyncio.ensure_future(
+            self.service.run_partial(batch, batch.requests[0])
+        )
+        await wait_until(lambda: self.leaf.running)
+        self.service.cancel(batch.query_id, [1])
+        self.assertEqual((await pending).verdict, "may_have_run")
+        await wait_until(lambda: self.leaf.cancelled)
+        result = await self.search(query_id="query-2", deadline_left_ms=500)
+        self.assertEqual((result.verdict, result.reason), ("not_run", "deadline"))
+        self.assertEqual(self.leaf.running_max, 1)
+
     async def test_unconfirmed_home_sends_nothing_to_a_cold_leaf(self) -> None:
         """Guard against two homes that both send to a cold leaf."""
         self.membership.share = "other_half"
--- a/packages/gypsumvane-daemon/tests/upstream_fakes.py
+++ b/packages/gypsumvane-daemon/tests/upstream_fakes.py
@@ -107,6 +107,8 @@
     snapshots: list[int] = field(default_factory=lambda: [7])
     # Overrides the answer to searches, lookups and runs.
     answer: Callable[[web.Request], Awaitable[web.StreamResponse]] | None = None
+    # Whether cancellations are answered.
+    confirms_cancel: bool = True
     calls: list[dict[str, str]] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     running: int = 0
@@ -158,6 +160,8 @@
 
     async def _delete(self, request: web.Request) -> web.Response:
         self.cancelled.append(request.match_info["id"])
+        if not self.confirms_cancel:
+            return await answer_late(request)
         return web.Response(status=204)
 
     async def _status(self, request: web.Request) -> web.Response:
