--- a/tests/system_case.py
+++ b/tests/system_case.py
@@ -184,6 +184,20 @@
 
         await self.until(listens, f"vm-{number} listens")
 
+    async def wait_leaves_warm(self, *, daemon: int = 0) -> None:
+        """Wait until a daemon sees every leaf as warm; needs load."""
+
+        async def warm() -> bool:
+            for leaf in self.cluster.upstreams.leaves:
+                reply = await self.cluster.operator_request(
+                    "GET", f"/v1/leaves/{leaf.leaf_id}", daemon=daemon
+                )
+                if reply.values["state"] != "warm":
+                    return False
+            return True
+
+        await self.until(warm, "all leaves are warm")
+
     async def wait_in_force(self, name: str, revision: int) -> None:
         """Wait until every running daemon has applied a revision."""
 
