Give up responses without end at a bound

Bytes on an idle connection were kept as well.

BoundedResponseHandler counts what arrives from one request to the next and closes the connection at the bound: for a part 64 times the records of the merged answer (at least 64 KiB), for a plain answer 2 MiB, for the store, peers and the product's own upstream client 8 MiB, 8 MiB and 1 MiB, for the live list 4 MiB. The answer counts as the leaf's failure (reason answer_too_large), is never taken as complete, and the verdict stays may_have_run. An idle connection to a leaf is closed when anything arrives.

The stateful test of the exchange has an endless answer as a move.

--- a/packages/gypsumvane-core/src/gypsumvane_core/reason.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/reason.py
@@ -30,6 +30,7 @@
     SNAPSHOT_GONE = "snapshot_gone"
     SNAPSHOT_MISMATCH = "snapshot_mismatch"
     ANSWER_MISMATCH = "answer_mismatch"
+    ANSWER_TOO_LARGE = "answer_too_large"
     NO_SNAPSHOT = "no_snapshot"
     CANCELLED = "cancelled"
     STORE_UNAVAILABLE = "store_unavailable"
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
@@ -5,6 +5,15 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from gypsumvane_core.routing.part_merge import RECORD_BYTES
+
+# Largest body of a leaf's answer to a request that is not gathered.
+PLAIN_ANSWER_BYTES_MAX = 2 * 2**20
+# Largest body of a part: this many times the records of the merged answer, which a
+# leaf may exceed, but at least PART_BYTES_FLOOR.
+PART_RECORDS_FACTOR = 64
+PART_BYTES_FLOOR = 65_536
+
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -23,6 +32,12 @@
     # Least share of the services that must answer for the request to succeed.
     min_share: float
 
+    @property
+    def part_bytes_max(self) -> int:
+        """Return the largest body of one service's part."""
+        records_bytes = self.records_max * RECORD_BYTES
+        return max(PART_BYTES_FLOOR, PART_RECORDS_FACTOR * records_bytes)
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -47,6 +62,13 @@
         """Return the latency objective in seconds, None if unset."""
         return self.latency_objective_ms / 1000 if self.latency_objective_ms else None
 
+    @property
+    def answer_bytes_max(self) -> int:
+        """Return the largest body that a leaf may answer with."""
+        if self.gather is None:
+            return PLAIN_ANSWER_BYTES_MAX
+        return self.gather.part_bytes_max
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceConfig:
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/bounded_response.py
@@ -0,0 +1,94 @@
+"""HTTP responses with a bound on their size, for clients of other processes."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp import ClientPayloadError
+from aiohttp import TCPConnector
+from aiohttp.client_proto import ResponseHandler
+
+if TYPE_CHECKING:
+    from aiohttp.connector import SocketFactoryType
+
+
+class ResponseTooLargeError(ClientPayloadError):
+    """Report a response that exceeds its bound."""
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Parse responses and close the connection when one exceeds a bound.
+
+    aiohttp bounds the lines of a head but not the number of informational
+    responses, the body, chunk extensions and trailers. It also takes a response
+    without a length as complete when its connection is reset.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, *, bytes_max: int) -> None:
+        super().__init__(loop=loop)
+        # Bound of everything that arrives from one request to the next.
+        self.bytes_max = bytes_max
+        # Whether the connection ended by an error or by this class.
+        self.lost_by_error = False
+        self._received_bytes = 0
+        self._awaits_response = True
+
+    def set_response_params(self, **params: Any) -> None:
+        """Expect the response to a new request."""
+        self._received_bytes = 0
+        self._awaits_response = True
+        super().set_response_params(**params)
+
+    def end_response(self) -> None:
+        """Close the connection if anything arrives before the next request."""
+        self._awaits_response = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes within the bound."""
+        self._received_bytes += len(data)
+        if not self._awaits_response and data:
+            self._fail(ResponseTooLargeError("bytes without a request"))
+        elif self._received_bytes > self.bytes_max:
+            self._fail(
+                ResponseTooLargeError(f"response exceeds {self.bytes_max} bytes")
+            )
+        else:
+            super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record whether the connection ended by an error."""
+        self.lost_by_error = self.lost_by_error or exc is not None
+        super().connection_lost(exc)
+
+    def _fail(self, error: ResponseTooLargeError) -> None:
+        self.lost_by_error = True
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class BoundedConnector(TCPConnector):
+    """Open connections whose responses are bounded."""
+
+    def __init__(
+        self,
+        *,
+        bytes_max: int,
+        limit: int = 0,
+        keepalive_timeout: float | None = None,
+        socket_factory: SocketFactoryType | None = None,
+    ) -> None:
+        super().__init__(
+            limit=limit,
+            keepalive_timeout=keepalive_timeout,
+            socket_factory=socket_factory,
+        )
+        # aiohttp has no public way to choose the protocol class.
+        self._factory = partial(  # type: ignore[assignment]
+            BoundedResponseHandler, asyncio.get_running_loop(), bytes_max=bytes_max
+        )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from aiohttp import TCPConnector
+from gypsumvane_daemon.bounded_response import BoundedConnector
 
 if TYPE_CHECKING:
     from aiohttp.client_proto import ResponseHandler
@@ -25,7 +25,7 @@
     return message, body
 
 
-class LeafConnector(TCPConnector):
+class LeafConnector(BoundedConnector):
     """Keep connections open and allow changing their limit at run time.
 
     aiohttp has no public API to change the limit of a connector, and a new
@@ -34,11 +34,18 @@
     """
 
     def __init__(
-        self, limit: int, *, socket_factory: SocketFactoryType | None = None
+        self,
+        limit: int,
+        *,
+        bytes_max: int,
+        socket_factory: SocketFactoryType | None = None,
     ) -> None:
         # Idle connections never expire, because opening one takes up to 6 ms.
         super().__init__(
-            limit=max(1, limit), keepalive_timeout=None, socket_factory=socket_factory
+            bytes_max=bytes_max,
+            limit=max(1, limit),
+            keepalive_timeout=None,
+            socket_factory=socket_factory,
         )
 
     def set_limit(self, limit: int) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
@@ -12,6 +12,8 @@
 from pydantic import BaseModel
 from pydantic import ValidationError
 
+from gypsumvane_daemon.bounded_response import BoundedConnector
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -22,6 +24,8 @@
 logger = logging.getLogger(__name__)
 
 REQUEST_TIMEOUT_S = 1.0
+# Largest list; an entry takes about 100 bytes.
+LISTING_BYTES_MAX = 4 * 2**20
 
 
 class ListedVm(BaseModel):
@@ -64,7 +68,8 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         timeout = ClientTimeout(total=REQUEST_TIMEOUT_S)
-        async with ClientSession(timeout=timeout) as session:
+        connector = BoundedConnector(bytes_max=LISTING_BYTES_MAX)
+        async with ClientSession(connector=connector, timeout=timeout) as session:
             while True:
                 await self._poll(session)
                 await asyncio.sleep(self._interval_s)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -73,11 +73,13 @@
         request: ForwardedRequest,
         *,
         median_latency_s: float,
+        answer_bytes_max: int,
     ) -> LeafResult:
         """Send the request to a leaf once and classify the outcome.
 
         median_latency_s is the median of the route, to which the latency of
-        the answer is compared.
+        the answer is compared. An answer with a longer body than answer_bytes_max
+        is a failure of the leaf.
         """
         load = self.pool.load(entry)
         sent_s = self.clock.monotonic_s()
@@ -91,6 +93,7 @@
                 ),
                 request_id=request.request_id,
                 id_header=self.names.request_id,
+                body_bytes_max=answer_bytes_max,
                 bodiless=request.method == "HEAD",
             )
         except ExchangeError as error:
@@ -112,7 +115,11 @@
                 entry, Reason.UPSTREAM_UNAVAILABLE, Verdict.NOT_RUN, str(error)
             )
         load.record_failure(now_s)
-        reason = Reason.ANSWER_MISMATCH if error.foreign else Reason.CONNECTION_LOST
+        reason = Reason.CONNECTION_LOST
+        if error.foreign:
+            reason = Reason.ANSWER_MISMATCH
+        elif error.too_large:
+            reason = Reason.ANSWER_TOO_LARGE
         return LeafFailure(
             entry, reason, Verdict.MAY_HAVE_RUN, str(error), reached_leaf=True
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from functools import partial
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -13,10 +12,11 @@
 from aiohttp import ClientRequest
 from aiohttp import ClientTimeout
 from aiohttp import ServerDisconnectedError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
+from gypsumvane_daemon.bounded_response import BoundedResponseHandler
+from gypsumvane_daemon.bounded_response import ResponseTooLargeError
 from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.leaf_connector import LeafConnector
 from gypsumvane_daemon.leaf_connector import read_response
@@ -38,6 +38,10 @@
 # Responses read from a connection before the exchange fails; all but the last may
 # be additional responses to earlier requests.
 FOREIGN_ANSWERS_MAX = 3
+# Bound of the heads that are read in an exchange.
+HEADS_BYTES_MAX = 65_536
+# Bytes on the connection per byte of a body, for the framing of small chunks.
+FRAMING_FACTOR = 2
 # Statuses whose responses have no body.
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -61,36 +65,30 @@
 class ExchangeError(Exception):
     """Report an exchange that ended without a usable response."""
 
-    def __init__(self, message: str, *, written: bool, foreign: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        written: bool,
+        foreign: bool = False,
+        too_large: bool = False,
+    ) -> None:
         super().__init__(message)
         # Whether any byte of the request may have reached the leaf.
         self.written = written
         # Whether the responses belonged to other requests.
         self.foreign = foreign
-
-
-class _LeafProtocol(ResponseHandler):
-    """Record whether the connection was lost by an error.
-
-    aiohttp treats a response without a length as complete even if the connection
-    was reset, so the error has to be detected here.
-    """
-
-    lost_by_error = False
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self.lost_by_error = exc is not None
-        super().connection_lost(exc)
+        # Whether the response exceeded its bound.
+        self.too_large = too_large
 
 
 class _Connector(LeafConnector):
     """Connector that closes idle connections before the leaf does."""
 
     def __init__(self, limit: int) -> None:
-        super().__init__(limit, socket_factory=keepalive_socket)
-        loop = asyncio.get_running_loop()
-        # aiohttp has no public way to choose the protocol class.
-        self._factory = partial(_LeafProtocol, loop=loop)  # type: ignore[assignment]
+        super().__init__(
+            limit, bytes_max=HEADS_BYTES_MAX, socket_factory=keepalive_socket
+        )
         self.idle_max_s: float | None = None
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
@@ -121,12 +119,18 @@
         await self._connector.close()
 
     async def exchange(
-        self, request: bytes, *, request_id: str, id_header: str, bodiless: bool = False
+        self,
+        request: bytes,
+        *,
+        request_id: str,
+        id_header: str,
+        body_bytes_max: int,
+        bodiless: bool = False,
     ) -> LeafAnswer:
         """Send a request once and return the response with its request id.
 
         Cancellation closes the connection. Raises ExchangeError if no complete
-        response arrives.
+        response of at most body_bytes_max arrives.
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S) as connecting:
@@ -141,12 +145,20 @@
         except (ClientConnectorError, ClientError, OSError) as error:
             raise ExchangeError(describe_error(error), written=False) from error
         try:
-            answer = await self._transfer(
-                connection, request, request_id, id_header, bodiless=bodiless
+            protocol = _open_protocol(connection)
+            protocol.bytes_max = HEADS_BYTES_MAX + FRAMING_FACTOR * body_bytes_max
+            protocol.set_response_params(
+                read_until_eof=True, auto_decompress=False, skip_payload=bodiless
             )
+            answer = await self._transfer(protocol, request, request_id, id_header)
+            if len(answer.body) > body_bytes_max:
+                raise ResponseTooLargeError(f"body exceeds {body_bytes_max} bytes")
         except ExchangeError:
             connection.close()
             raise
+        except ResponseTooLargeError as error:
+            connection.close()
+            raise ExchangeError(str(error), written=True, too_large=True) from error
         except (ClientError, HttpProcessingError, OSError, ValueError) as error:
             connection.close()
             raise ExchangeError(describe_error(error), written=True) from error
@@ -154,26 +166,18 @@
             connection.close()
             raise
         self._apply_idle_limit(answer)
+        protocol.end_response()
         connection.release()
         return answer
 
     async def _transfer(
         self,
-        connection: Connection,
+        protocol: BoundedResponseHandler,
         request: bytes,
         request_id: str,
         id_header: str,
-        *,
-        bodiless: bool,
     ) -> LeafAnswer:
-        protocol = connection.protocol
-        if protocol is None or protocol.transport is None:
-            raise ExchangeError(
-                "connection was closed before the request was sent", written=False
-            )
-        protocol.set_response_params(
-            read_until_eof=True, auto_decompress=False, skip_payload=bodiless
-        )
+        assert protocol.transport is not None
         protocol.transport.write(request)
         for _ in range(FOREIGN_ANSWERS_MAX):
             answer = await _read_answer(protocol)
@@ -192,9 +196,22 @@
                 self._connector.idle_max_s = max(0.0, int(value) - IDLE_MARGIN_S)
 
 
-async def _read_answer(protocol: ResponseHandler) -> LeafAnswer:
+def _open_protocol(connection: Connection) -> BoundedResponseHandler:
+    """Return the protocol of an open connection.
+
+    Raises ExchangeError if the connection was closed before it was used.
+    """
+    protocol = connection.protocol
+    if not isinstance(protocol, BoundedResponseHandler) or protocol.transport is None:
+        raise ExchangeError(
+            "connection was closed before the request was sent", written=False
+        )
+    return protocol
+
+
+async def _read_answer(protocol: BoundedResponseHandler) -> LeafAnswer:
     message, body = await read_response(protocol)
-    if _ends_with_connection(message) and getattr(protocol, "lost_by_error", True):
+    if _ends_with_connection(message) and protocol.lost_by_error:
         raise ServerDisconnectedError(
             "connection was reset within a response without a length"
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -223,6 +223,7 @@
             median_latency_s=self._context.latencies.median_s(
                 self._route.name, latency_objective_s=self._route.latency_objective_s
             ),
+            answer_bytes_max=self._route.answer_bytes_max,
         )
         if isinstance(result, LeafReply):
             self._context.latencies.add(self._route.name, result.latency_s)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
@@ -7,7 +7,8 @@
 
 from aiohttp import ClientSession
 from aiohttp import DummyCookieJar
-from aiohttp import TCPConnector
+
+from gypsumvane_daemon.bounded_response import BoundedConnector
 
 if TYPE_CHECKING:
     from aiohttp.connector import AddrInfoType
@@ -20,6 +21,11 @@
 KEEPALIVE_PROBES = 2
 # Time after which a connection with unacknowledged data is closed.
 USER_TIMEOUT_MS = 3000
+# Largest answer of the store or a peer. A page of the store has about 1 MB at most; a
+# peer answers with all objects of a kind.
+ANSWER_BYTES_MAX = 8 * 2**20
+# Idle time after which a connection is closed.
+IDLE_TIMEOUT_S = 15.0
 
 
 def keepalive_socket(address: AddrInfoType) -> socket.socket:
@@ -38,7 +44,11 @@
 def keepalive_session(*, skip_auto_headers: tuple[str, ...] = ()) -> ClientSession:
     """Create an HTTP session on keepalive sockets, for calls to the store or peers."""
     return ClientSession(
-        connector=TCPConnector(limit=0, socket_factory=keepalive_socket),
+        connector=BoundedConnector(
+            bytes_max=ANSWER_BYTES_MAX,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            socket_factory=keepalive_socket,
+        ),
         cookie_jar=DummyCookieJar(),
         skip_auto_headers=skip_auto_headers,
     )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
@@ -22,6 +22,7 @@
 from yarl import URL
 
 from gypsumvane_daemon.backoff import Backoff
+from gypsumvane_daemon.bounded_response import BoundedConnector
 from gypsumvane_daemon.store_objects import Conflict
 from gypsumvane_daemon.store_objects import ObjectChange
 from gypsumvane_daemon.store_objects import ObjectChanges
@@ -44,6 +45,10 @@
     from gypsumvane_daemon.settings import PlatformSettings
 
 RATE_LIMIT_RETRIES_MAX = 2
+# Largest answer of the store; a list has one page.
+ANSWER_BYTES_MAX = 8 * 2**20
+# Idle time after which a connection is closed.
+IDLE_TIMEOUT_S = 15.0
 RATE_LIMIT_PAUSE_FIRST_S = 0.05
 RATE_LIMIT_PAUSE_MAX_S = 1.0
 # By the store's contract, a write answered with one of these was not applied.
@@ -94,7 +99,12 @@
 
     async def open(self) -> None:
         """Open the connection pool."""
-        self._session = ClientSession(middlewares=(_prevent_write_retry,))
+        self._session = ClientSession(
+            connector=BoundedConnector(
+                bytes_max=ANSWER_BYTES_MAX, keepalive_timeout=IDLE_TIMEOUT_S
+            ),
+            middlewares=(_prevent_write_retry,),
+        )
 
     async def close(self) -> None:
         """Close the connection pool."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -28,6 +28,8 @@
 
 NO_TIMEOUT = ClientTimeout(total=None, sock_connect=None)
 STATUS_TIMEOUT_S = 1.0
+# Largest response of an upstream. A search answer takes about 100 bytes a hit.
+RESPONSE_BYTES_MAX = 2**20
 JSON = "application/json"
 
 
@@ -109,7 +111,7 @@
     """
 
     def __init__(self, address: str, *, connections: int) -> None:
-        self._connector = LeafConnector(connections)
+        self._connector = LeafConnector(connections, bytes_max=RESPONSE_BYTES_MAX)
         self._session = ClientSession(
             connector=self._connector,
             cookie_jar=DummyCookieJar(),
--- /dev/null
+++ b/packages/gypsumvane-daemon/tests/endless_server.py
@@ -0,0 +1,89 @@
+"""Server whose responses never end, for tests of readers of outside bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+BLOCK = b"x" * 65_536
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\n"
+# Start of the response and the bytes that are repeated after it, by name.
+ENDLESS_RESPONSES = {
+    "head line": (b"HTTP/1.1 200 ", BLOCK),
+    "header value": (HEAD + b"Filler: ", BLOCK),
+    "headers": (HEAD, b"Filler: x\r\n" * 1000),
+    "informational responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1000),
+    "body until close": (HEAD + b"\r\n", BLOCK),
+    "body with a large length": (
+        HEAD + b"Content-Length: 1000000000000\r\n\r\n",
+        BLOCK,
+    ),
+    "chunks": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + BLOCK + b"\r\n",
+    ),
+    "chunk extension": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;a=", BLOCK),
+    "trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+        b"Filler: x\r\n" * 1000,
+    ),
+    "responses to other requests": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n" * 1000,
+    ),
+}
+
+
+class EndlessServer:
+    """Answer each request with a response that ends only with the connection."""
+
+    def __init__(self, start: bytes, repeated: bytes, *, first: bytes = b"") -> None:
+        self._start = start
+        self._repeated = repeated
+        # A whole response to the first request, which the endless bytes follow.
+        self._first = first
+        self.bytes_written = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        assert self._server is not None
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @property
+    def connected(self) -> bool:
+        """Return whether a client is still connected."""
+        return bool(self._tasks)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._first + self._start)
+            while True:
+                writer.write(self._repeated)
+                self.bytes_written += len(self._repeated)
+                await writer.drain()
+                # A drain without back-pressure does not yield to the event loop.
+                await asyncio.sleep(0)
+        except (OSError, EOFError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_machine.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_machine.py
@@ -19,6 +19,8 @@
 from waiting import WAIT_TIMEOUT_S
 
 ID_HEADER = "Request-Id"
+# Bound of a body; all scripted bodies but the endless ones are shorter.
+BODY_BYTES_MAX = 4096
 # SO_LINGER value with which closing a socket resets its connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 # Time after which an exchange with a silent leaf is cancelled.
@@ -51,6 +53,8 @@
     repeated: bool = False
     late: bool = False
     silent: bool = False
+    # Whether the body continues until the connection is closed.
+    endless: bool = False
 
 
 @dataclass(slots=True)
@@ -97,6 +101,9 @@
         script = self.script
         if script.silent:
             return True
+        if script.endless:
+            await write_endless_answer(writer, request_id, script.framing)
+            return False
         answer = encode_answer(request_id, script)
         sent = answer if script.cut is None else answer[: int(script.cut * len(answer))]
         self._record_if_complete(request_id, script, answer, sent)
@@ -132,6 +139,25 @@
             self.complete_answers[request_id] = (script.status, body)
 
 
+async def write_endless_answer(
+    writer: asyncio.StreamWriter, request_id: str, framing: str
+) -> None:
+    """Write a body without end; raises ConnectionError when the client closes."""
+    head = f"HTTP/1.1 200 Text\r\n{ID_HEADER}: {request_id}\r\n"
+    block = b"x" * BODY_BYTES_MAX
+    if framing == LENGTH:
+        head += f"Content-Length: {2**40}\r\n"
+    elif framing == CHUNKED:
+        head += "Transfer-Encoding: chunked\r\n"
+        block = b"%x\r\n%b\r\n" % (len(block), block)
+    writer.write(f"{head}\r\n".encode())
+    while not writer.is_closing():
+        writer.write(block)
+        await writer.drain()
+        # A drain without back-pressure does not yield to the event loop.
+        await asyncio.sleep(0)
+
+
 def encode_answer(request_id: str, script: ScriptedAnswer) -> bytes:
     """Return the bytes of one answer."""
     lines = [f"HTTP/1.1 {script.status} Text", f"{ID_HEADER}: {request_id}"]
@@ -189,7 +215,10 @@
                 SILENT_TIMEOUT_S if script.silent else WAIT_TIMEOUT_S
             ):
                 return await self.channel.exchange(
-                    request, request_id=request_id, id_header=ID_HEADER
+                    request,
+                    request_id=request_id,
+                    id_header=ID_HEADER,
+                    body_bytes_max=BODY_BYTES_MAX,
                 )
         except (ExchangeError, TimeoutError):
             return None
@@ -244,6 +273,12 @@
             ScriptedAnswer(body=body, after=after, repeated=repeated, late=late)
         )
 
+    @rule(framing=FRAMINGS)
+    def answer_has_no_end(self, framing: str) -> None:
+        """Give up an answer that exceeds its bound."""
+        self.clean_exchanges = 0
+        self.exchange(ScriptedAnswer(framing=framing, endless=True))
+
     @rule()
     def leaf_is_silent(self) -> None:
         """Cancel; a missing answer must not be matched to a later request."""
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_service_call.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_service_call.py
@@ -49,7 +49,7 @@
     leaf_ids: list[str] = field(default_factory=list)
 
     async def send(
-        self, entry: LeafEntry, *_: Any, median_latency_s: float
+        self, entry: LeafEntry, *_: Any, median_latency_s: float, answer_bytes_max: int
     ) -> LeafReply:
         """Record the leaf and answer unless this is the first send."""
         self.leaf_ids.append(entry.leaf_id)
