Bound the calls of followers to a store that their hubs have lost

Cause: a daemon whose hubs answered without a confirmed copy went to the store at once and again every 0.2 to 0.8 s.

Now hubs of other failure domains, which hub reports name, are asked next, and StoreAccess lets a daemon that is no hub call the store only every 2 to 4 s while relays say that they have lost it. Hubs go on as before, relays that are silent or gone still lead to the store at once, and so does the first list of a daemon. A hub without a confirmed copy is asked again after 0.8 s in place of 3 s.

Ruled out: longer pauses for all. A daemon that alone reaches the store has to learn of a change within the users' bound of 5 to 6 s.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -179,6 +179,19 @@
         ranked = self._ranked(self._own.failure_domain, now_s)
         return ranked[: ranked.index(self._own)][:HUBS_PER_DOMAIN]
 
+    def remote_hubs(self, now_s: float) -> list[DaemonRecord]:
+        """Return the first hub of each other failure domain, as far as it is known.
+
+        A daemon that is no hub knows the serving daemons of other failure domains
+        from the reports of its hubs.
+        """
+        first: dict[str, DaemonRecord] = {}
+        serving = (entry.record for entry in self.serving(now_s))
+        for record in rank_by_capacity(serving):
+            if record.failure_domain != self._own.failure_domain:
+                first.setdefault(record.failure_domain, record)
+        return list(first.values())
+
     def present(self, now_s: float) -> list[DaemonRecord]:
         """Return the peers that appear to run, serving ones first."""
         peers = [peer for peer in self._peers.values() if peer.present(now_s)]
--- a/packages/gypsumvane-core/tests/test_core_routing_peers.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_peers.py
@@ -78,6 +78,18 @@
         """Return the names of the daemons that are pinged."""
         return {record.name for record in self.table.ping_targets(now_s)}
 
+    def test_remote_hubs_are_known_by_reports_of_hubs(self) -> None:
+        """Guard against a daemon that knows no source outside its failure domain."""
+        hub = daemon("h", capacity_cores=4.0)
+        self.record_ping(hub, 0.0)
+        reported = [daemon("b1", "b", 2.0), daemon("b2", "b", 4.0), daemon("c1", "c")]
+        self.table.record_hub_report(
+            "h", [ServingDaemon(record, 0.5) for record in (*reported, hub)], 0.0
+        )
+        names = {record.name for record in self.table.remote_hubs(1.0)}
+        self.assertEqual(names, {"b2", "c1"})
+        self.assertEqual(self.table.remote_hubs(HUB_REPORT_VALID_S), [])
+
     def test_only_peers_that_pinged_and_serve_are_listed(self) -> None:
         self.table.add_reported(daemon("stored"), 0.0)
         self.record_ping(daemon("b"), 0.0)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -1,4 +1,4 @@
-"""Source of objects that reads from a hub of the failure domain or the store."""
+"""Source of objects that reads from hubs or from the store."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import TypeVar
 
+from gypsumvane_core.routing.store_access import StoreAccess
 from gypsumvane_daemon.routing.peer_client import PeerError
 from gypsumvane_daemon.routing.ports import HistoryLostError
 from gypsumvane_daemon.routing.ports import RecordChanges
@@ -15,10 +16,13 @@
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 from gypsumvane_daemon.routing.relay_handler import GONE
 from gypsumvane_daemon.routing.relay_handler import RELAY_PATH
+from gypsumvane_daemon.routing.relay_handler import UNCONFIRMED
 from gypsumvane_daemon.routing.relay_handler import UNCONFIRMED_QUERY
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
+    from random import Random
 
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.routing.daemon_record import DaemonRecord
@@ -35,29 +39,46 @@
 RELAY_MARGIN_S = 0.4
 # Time for which a hub is not used after it failed.
 FAILED_RELAY_AVOID_S = 3.0
+# Time for which a hub is not used after it answered that its copy is not confirmed.
+UNCONFIRMED_RELAY_AVOID_S = 0.8
+# Hubs of other failure domains that are asked when those of the own one have lost the
+# store.
+REMOTE_RELAYS_MAX = 2
 # Peers that a daemon without any objects asks before it tries the store again.
 PEERS_TRIED_MAX = 4
 
 
 class RelayedSource(RecordSource[Value]):
-    """Read from the hubs of the failure domain first, then from the store."""
+    """Read from the hubs of the failure domain first, then from the store.
+
+    If these hubs have lost the store, hubs of other failure domains are asked. A
+    daemon that is no hub itself then calls the store only as StoreAccess allows.
+    """
 
     def __init__(
         self,
         store: RecordSource[Value],
         *,
         relays: Callable[[], list[DaemonRecord]],
+        remote_relays: Callable[[], list[DaemonRecord]],
+        is_hub: Callable[[], bool],
         peers: Callable[[], list[DaemonRecord]],
         client: PeerClient,
         clock: Clock,
+        rng: Random,
     ) -> None:
         self.label = store.label
         self._store = store
         self._relays = relays
+        self._remote_relays = remote_relays
+        self._is_hub = is_hub
         self._peers = peers
         self._client = client
         self._clock = clock
+        self._rng = rng
+        self._access = StoreAccess(rng)
         self._avoid_until_s: dict[str, float] = {}
+        self._unconfirmed_until_s: dict[str, float] = {}
         # Revision of the latest state read; a hub with an older list is not used.
         self._seen_revision = 0
 
@@ -66,17 +87,32 @@
 
         Raises StoreUnavailableError.
         """
-        for relay in self._usable_relays():
+        for relay in self._relays_to_ask():
             try:
-                return await self._list_from(relay, {})
+                listing = await self._list_from(relay, {})
             except (PeerError, KeyError, TypeError, ValueError) as error:
                 self._avoid(relay, error)
+            else:
+                self._access.record_confirmed()
+                return listing
+        if not self._seen_revision:
+            return await self._list_first()
+        self._require_store_access()
+        return await self._list_from_store()
+
+    async def _list_first(self) -> RecordList[Value]:
+        """Return the first list of this daemon, which serves nothing before it.
+
+        Raises StoreUnavailableError.
+        """
         try:
-            listing = await self._store.list_all()
+            return await self._list_from_store()
         except StoreUnavailableError:
-            if self._seen_revision:
-                raise
             return await self._list_from_any_peer()
+
+    async def _list_from_store(self) -> RecordList[Value]:
+        listing = await self._store.list_all()
+        self._access.record_confirmed()
         self._seen_revision = max(self._seen_revision, listing.revision)
         return listing
 
@@ -86,7 +122,7 @@
         Raises StoreUnavailableError, and HistoryLostError if that source no longer
         has the changes.
         """
-        for relay in self._usable_relays():
+        for relay in self._relays_to_ask():
             query = {"since": str(revision), "wait_s": f"{WATCH_WAIT_S:g}"}
             try:
                 answer = await self._call(relay, query, WATCH_WAIT_S + RELAY_MARGIN_S)
@@ -94,7 +130,7 @@
                     (name, None if payload is None else self.decode(name, payload))
                     for name, payload in answer["objects"]
                 )
-                return RecordChanges(
+                watched = RecordChanges(
                     changes, int(answer["revision"]), float(answer["age_s"])
                 )
             except PeerError as error:
@@ -103,7 +139,12 @@
                 self._avoid(relay, error)
             except (KeyError, TypeError, ValueError) as error:
                 self._avoid(relay, error)
+            else:
+                self._access.record_confirmed()
+                return watched
+        self._require_store_access()
         watched = await self._store.watch(revision, wait_s)
+        self._access.record_confirmed()
         self._seen_revision = max(self._seen_revision, watched.revision)
         return watched
 
@@ -159,18 +200,47 @@
             timeout_s=timeout_s,
         )
 
-    def _usable_relays(self) -> list[DaemonRecord]:
+    def _relays_to_ask(self) -> Iterator[DaemonRecord]:
+        """Yield the hubs to ask in order; the later ones if the earlier ones fail.
+
+        Hubs of other failure domains follow if a hub has no confirmed copy. The first
+        hub of a failure domain has nobody to ask and goes to the store.
+        """
+        unconfirmed = False
+        for relay in self._relays():
+            if self._usable(relay):
+                yield relay
+            unconfirmed = unconfirmed or self._is_unconfirmed(relay)
+        if not unconfirmed:
+            return
+        remote = [relay for relay in self._remote_relays() if self._usable(relay)]
+        count = min(REMOTE_RELAYS_MAX, len(remote))
+        yield from self._rng.sample(remote, count)
+
+    def _usable(self, relay: DaemonRecord) -> bool:
+        now_s = self._clock.monotonic_s()
+        return self._avoid_until_s.get(relay.name, 0.0) <= now_s
+
+    def _is_unconfirmed(self, relay: DaemonRecord) -> bool:
+        """Return whether a hub has just answered that its copy is not confirmed."""
         now_s = self._clock.monotonic_s()
-        return [
-            relay
-            for relay in self._relays()
-            if self._avoid_until_s.get(relay.name, 0.0) <= now_s
-        ]
+        return self._unconfirmed_until_s.get(relay.name, 0.0) > now_s
+
+    def _require_store_access(self) -> None:
+        """Raise StoreUnavailableError if this daemon must not call the store now."""
+        if self._is_hub():
+            return
+        if not self._access.take_call(self._clock.monotonic_s()):
+            raise StoreUnavailableError("relays have lost the store, waiting for them")
 
     def _avoid(self, relay: DaemonRecord, error: Exception) -> None:
-        self._avoid_until_s[relay.name] = (
-            self._clock.monotonic_s() + FAILED_RELAY_AVOID_S
-        )
+        now_s = self._clock.monotonic_s()
+        avoid_s = FAILED_RELAY_AVOID_S
+        if isinstance(error, PeerError) and error.status == UNCONFIRMED:
+            avoid_s = UNCONFIRMED_RELAY_AVOID_S
+            self._unconfirmed_until_s[relay.name] = now_s + avoid_s
+            self._access.record_unconfirmed(now_s)
+        self._avoid_until_s[relay.name] = now_s + avoid_s
         logger.info(
             "relay failed, using other sources",
             extra={"relay": relay.name, "kind": self.label, "error": str(error)},
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -94,9 +94,12 @@
         relayed = RelayedSource(
             source,
             relays=partial(self._select_now, self._peers.relays),
+            remote_relays=partial(self._select_now, self._peers.remote_hubs),
+            is_hub=self._is_hub,
             peers=partial(self._select_now, self._peers.present),
             client=self._client,
             clock=self._clock,
+            rng=self._rng,
         )
         return StoreFeed(
             relayed,
@@ -107,6 +110,9 @@
             rng=self._rng,
         )
 
+    def _is_hub(self) -> bool:
+        return self._peers.is_hub(self._clock.monotonic_s())
+
     def _select_now(
         self, select: Callable[[float], list[DaemonRecord]]
     ) -> list[DaemonRecord]:
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -263,12 +263,17 @@
         self.store = FakeSource()
         self.store.listing = RecordList((record("s"),), 30)
         self.clock = ManualClock()
+        self.remote_hubs: list[DaemonRecord] = []
+        self.is_hub = True
         self.source = RelayedSource(
             self.store,
             relays=self.hubs(),
+            remote_relays=lambda: self.remote_hubs,
+            is_hub=lambda: self.is_hub,
             peers=self.hubs(),
             client=self.client,
             clock=self.clock,
+            rng=random.Random(1),
         )
 
     async def asyncTearDown(self) -> None:
@@ -305,6 +310,47 @@
         self.store.answers.put_nowait(RecordChanges((), 31))
         self.assertEqual((await self.source.watch(30, 5.0)).revision, 31)
 
+    async def start_remote_hub(self) -> FeedMirror[Any]:
+        """Start a hub of another failure domain with a confirmed copy."""
+        mirror: FeedMirror[Any] = FeedMirror(RecordingListener())
+        mirror.on_list(RecordList((record("r"),), 20), after_outage=False)
+        address = free_address()
+        handler = RelayHandler({"things": mirror}, lambda: 0.1)
+        listener = HttpListener("remote relay", address, handler.handle)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        self.remote_hubs = [DaemonRecord("remote", "b", "none:1", address)]
+        return mirror
+
+    async def test_hub_of_another_domain_stands_in(self) -> None:
+        """Guard against a call to the store by each daemon whose hubs are cut off."""
+        self.is_hub = False
+        mirror = await self.start_remote_hub()
+        self.assertEqual(await self.names(), ["a"])
+        self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
+        mirror.on_changes(RecordChanges((("c", record("c")),), 22))
+        watched = await self.source.watch(20, 5.0)
+        self.assertEqual([name for name, _ in watched.changes], ["c"])
+        self.assertEqual(await self.names(), ["r", "c"])
+        self.assertEqual((self.store.lists, self.store.watches), (0, []))
+
+    async def test_outage_of_the_store_costs_few_calls(self) -> None:
+        """Guard against a fleet that retries a failing store in every daemon."""
+        await self.names()
+        self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
+        self.store.list_error = StoreUnavailableError("down")
+        for is_hub, calls_max in ((False, 3), (True, 10)):
+            self.is_hub = is_hub
+            lists = self.store.lists
+            for _ in range(10):
+                with self.assertRaises(StoreUnavailableError):
+                    await self.source.list_all()
+                self.clock.advance(0.5)
+            self.assertLessEqual(self.store.lists - lists, calls_max)
+        self.age_s = 0.0
+        self.clock.advance(1.0)
+        self.assertEqual(await self.names(), ["a"])
+
     async def test_start_during_a_store_outage(self) -> None:
         """Guard against a daemon that cannot route until the store is back."""
         self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
