Spend at most 0.1 s on the connection to a hub for the first list

A hub that runs accepts a connection within some milliseconds, so that the first lists, before which a daemon serves nothing, wait 0.1 s. Ruled out: going to the store first, which would cost four calls of every daemon at each start.

The new test failed before (0.5 s).

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -46,6 +46,7 @@
         query: dict[str, str] | None = None,
         body: Any = None,
         timeout_s: float,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> Any:
         """Send a request and return the decoded JSON body of the answer.
 
@@ -62,7 +63,7 @@
                 f"http://{address}{path}",
                 params=query,
                 data=None if body is None else json.dumps(body).encode(),
-                timeout=ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S),
+                timeout=ClientTimeout(total=timeout_s, sock_connect=connect_timeout_s),
             ) as response:
                 content = await response.read()
                 if response.status != OK:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 from gypsumvane_core.routing.store_access import StoreAccess
+from gypsumvane_daemon.routing.peer_client import CONNECT_TIMEOUT_S
 from gypsumvane_daemon.routing.peer_client import PeerError
 from gypsumvane_daemon.routing.ports import HistoryLostError
 from gypsumvane_daemon.routing.ports import RecordChanges
@@ -37,6 +38,10 @@
 # a hub that has stopped silently is noticed.
 WATCH_WAIT_S = 1.0
 RELAY_MARGIN_S = 0.4
+# Time to connect to a hub for the first list, before which a daemon serves nothing.
+# When all daemons start together, a hub may still be down, and a hub that runs accepts
+# a connection within some milliseconds.
+FIRST_CONNECT_TIMEOUT_S = 0.1
 # Time for which a hub is not used after it failed.
 FAILED_RELAY_AVOID_S = 3.0
 # Time for which a hub is not used after it answered that its copy is not confirmed.
@@ -95,7 +100,7 @@
             else:
                 self._access.record_confirmed()
                 return listing
-        if not self._seen_revision:
+        if not self._has_read:
             return await self._list_first()
         self._require_store_access()
         return await self._list_from_store()
@@ -198,6 +203,9 @@
             f"{RELAY_PATH}{self.label}",
             query=query,
             timeout_s=timeout_s,
+            connect_timeout_s=(
+                CONNECT_TIMEOUT_S if self._has_read else FIRST_CONNECT_TIMEOUT_S
+            ),
         )
 
     def _relays_to_ask(self) -> Iterator[DaemonRecord]:
@@ -217,6 +225,11 @@
         count = min(REMOTE_RELAYS_MAX, len(remote))
         yield from self._rng.sample(remote, count)
 
+    @property
+    def _has_read(self) -> bool:
+        """Return whether a list was read since the start."""
+        return self._seen_revision > 0
+
     def _usable(self, relay: DaemonRecord) -> bool:
         now_s = self._clock.monotonic_s()
         return self._avoid_until_s.get(relay.name, 0.0) <= now_s
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -14,6 +14,7 @@
 from gypsumvane_daemon.routing.feed_mirror import FeedMirror
 from gypsumvane_daemon.routing.listener import HttpListener
 from gypsumvane_daemon.routing.peer_client import PeerClient
+from gypsumvane_daemon.routing.peer_client import PeerError
 from gypsumvane_daemon.routing.ports import HistoryLostError
 from gypsumvane_daemon.routing.ports import Record
 from gypsumvane_daemon.routing.ports import RecordChanges
@@ -246,6 +247,19 @@
             await waiting
 
 
+class RecordingPeerClient(PeerClient):
+    """Client whose connections fail and which records the time that they may take."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.connect_timeouts_s: list[float] = []
+
+    async def call(self, *_: Any, connect_timeout_s: float = 0.5, **__: Any) -> Any:
+        """Record the time to connect and fail."""
+        self.connect_timeouts_s.append(connect_timeout_s)
+        raise PeerError("no connection")
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     """Check a source that reads from a hub before the store."""
 
@@ -351,6 +365,29 @@
         self.clock.advance(1.0)
         self.assertEqual(await self.names(), ["a"])
 
+    async def test_first_list_does_not_wait_for_a_hub_that_is_down(self) -> None:
+        """Guard against half a second of refusals at a start of all daemons.
+
+        The hub did not accept connections yet, and the time to connect was 0.5 s.
+        """
+        client = RecordingPeerClient()
+        self.source = RelayedSource(
+            self.store,
+            relays=self.hubs(),
+            remote_relays=list,
+            is_hub=lambda: False,
+            peers=list,
+            client=client,
+            clock=self.clock,
+            rng=random.Random(1),
+        )
+        self.assertEqual(await self.names(), ["s"])
+        self.clock.advance(60.0)
+        self.assertEqual(await self.names(), ["s"])
+        first_s, later_s = client.connect_timeouts_s
+        self.assertLessEqual(first_s, 0.1)
+        self.assertGreater(later_s, first_s)
+
     async def test_start_during_a_store_outage(self) -> None:
         """Guard against a daemon that cannot route until the store is back."""
         self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
