End hopeless requests at once and say when to come back

Cause: a gathered request was sent to all leaves although too few services had one, and waited for the rest, up to its deadline, although too many services had failed.

- GatherCall chooses the leaves of all services first.
If too few services have one, nothing is sent and the caller is told so (503, not run).
Once too many have failed, the request ends (502), and sends in progress get the grace of losing attempts.
- RetryAfterPolicy: the expected time until the request can be served, spread over half of it more, urgent ranks first, at most a third of the time left.
A start that lasts long is expected to last as long again.
- The rank of a route is decoded and used for this.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
@@ -54,6 +54,8 @@
     attempts_max: int = 1
     services: tuple[WeightedService, ...] = ()
     gather: GatherPlan | None = None
+    # Urgency among the routes; 0 is the most urgent.
+    rank: int = 0
     # Regions whose leaves may serve the route; empty allows every region.
     regions: frozenset[str] = frozenset()
 
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/coverage.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/coverage.py
@@ -26,6 +26,14 @@
         # The tolerance is for rounding errors in the product.
         return parts > 0 and parts >= self.min_share * self.services - 1e-9
 
+    def reachable(self, parts: int, *, pending: int) -> bool:
+        """Return whether the request can still succeed with the pending services.
+
+        Load: all leaves of several services are gone, or fail at once. Waiting for
+        the other services would only hold the caller until its deadline.
+        """
+        return self.sufficient(parts + pending)
+
     @property
     def partial_after_s(self) -> float | None:
         """Return the request age from which a partial answer is acceptable."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -8,6 +8,7 @@
 from aiohttp.web import Response
 from multidict import CIMultiDict
 
+from gypsumvane_core.routing.retry_after import RetryAfterPolicy
 from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.routing.forwarded_request import FRAMING_HEADERS
 from gypsumvane_daemon.routing.forwarded_request import ForwardedRequest
@@ -21,6 +22,8 @@
 from gypsumvane_daemon.routing.service_call import ServiceCall
 
 if TYPE_CHECKING:
+    from random import Random
+
     from aiohttp.web import BaseRequest
 
     from gypsumvane_core.clock import Clock
@@ -36,12 +39,13 @@
 
 # Time before the caller's deadline at which the answer is sent.
 ANSWER_MARGIN_S = 0.01
-# Retry-After of a refusal. It is short because most retries succeed at another
-# daemon or leaf at once; callers wait at most a third of their remaining time.
-RETRY_AFTER_S = 0.1
-# Retry-After while the daemon cannot route yet; it reads its configuration and the
-# leaves within about this time after the start.
-STARTING_RETRY_AFTER_S = 0.3
+# Expected time until a daemon that has just started can route.
+STARTING_WAIT_S = 0.3
+# Expected time until a service that has no leaf has one again. Entries of leaves are
+# back within 2 s after an outage of the store, and replaced leaves start ahead.
+LEAF_RETURN_S = 0.5
+# Deadline of a caller that states none.
+DEADLINE_DEFAULT_S = 1.0
 
 
 class BadRequestError(Exception):
@@ -64,6 +68,7 @@
         split: TrafficSplit,
         metrics: RoutingMetrics,
         clock: Clock,
+        rng: Random,
     ) -> None:
         self._names = names
         self._state = state
@@ -71,6 +76,8 @@
         self._split = split
         self._metrics = metrics
         self._clock = clock
+        self._started_s = clock.monotonic_s()
+        self._retry_after = RetryAfterPolicy(rng)
         self.in_progress = 0
         # Set late in a planned stop, when the remaining grace is too short for new
         # requests.
@@ -99,7 +106,7 @@
                 version=self._state.version,
                 leaves_known=self._state.leaves_known,
             )
-            return self._refusal(STARTING_RETRY_AFTER_S)
+            return self._early_refusal(request, arrived_s)
         path = request.raw_path.partition("?")[0]
         route = table.find(request.headers.get("Host", ""), path)
         if route is None:
@@ -122,6 +129,19 @@
             return text_response(error.status, f"{error}\n")
         return await self._answer(forwarded, route, table.config)
 
+    def _early_refusal(self, request: BaseRequest, arrived_s: float) -> Response:
+        """Refuse a request that is not routed, without reading it."""
+        text = request.headers.get(self._names.deadline_ms, "")
+        left_s = int(text) / 1000 if text.isdigit() else DEADLINE_DEFAULT_S
+        expected_s = 0.0
+        if not self.refusing:
+            # A start that lasts longer than usual waits for the store, whose outage
+            # is expected to last as long again.
+            expected_s = max(STARTING_WAIT_S, arrived_s - self._started_s)
+        return self._refusal(
+            self._retry_after.wait_s(expected_s, left_s=left_s, rank=None)
+        )
+
     async def _read(
         self,
         request: BaseRequest,
@@ -235,7 +255,7 @@
             reasons=result.reasons,
         )
         if result.verdict is Verdict.NOT_RUN:
-            return self._refusal(RETRY_AFTER_S), "refused"
+            return self._refuse_routed(request, route, LEAF_RETURN_S), "refused"
         if result.deadline_passed:
             return text_response(504, "too few parts in time\n"), "late"
         return text_response(502, "too few parts\n"), "failed"
@@ -256,10 +276,14 @@
             return text_response(504, "no answer in time\n"), "late"
         if isinstance(result, LeafReply):
             return self._relay_reply(result), "complete"
-        return self._failure_response(request, service, result)
+        return self._failure_response(request, route, service, result)
 
     def _failure_response(
-        self, request: ForwardedRequest, service: str, failure: LeafFailure
+        self,
+        request: ForwardedRequest,
+        route: Route,
+        service: str,
+        failure: LeafFailure,
     ) -> tuple[Response, str]:
         self._context.log.decision(
             "send_failed",
@@ -273,12 +297,27 @@
         if failure.reply is not None:
             return self._relay_reply(failure.reply), "upstream_error"
         if failure.verdict is Verdict.NOT_RUN:
-            return self._refusal(RETRY_AFTER_S), "refused"
+            expected_s = LEAF_RETURN_S
+            if failure.reached_leaf:
+                # A leaf has room again when it has finished a request, half of which
+                # is done on average.
+                expected_s = 0.5 * self._context.latencies.median_s(
+                    route.name, latency_objective_s=route.latency_objective_s
+                )
+            return self._refuse_routed(request, route, expected_s), "refused"
         return text_response(502, f"{failure.reason}\n"), "failed"
 
+    def _refuse_routed(
+        self, request: ForwardedRequest, route: Route, expected_s: float
+    ) -> Response:
+        left_s = request.deadline_s - self._clock.monotonic_s()
+        return self._refusal(
+            self._retry_after.wait_s(expected_s, left_s=left_s, rank=route.rank)
+        )
+
     def _refusal(self, retry_after_s: float) -> Response:
         response = text_response(503, "not run, try again\n")
-        response.headers[self._names.retry_after] = f"{retry_after_s:g}"
+        response.headers[self._names.retry_after] = f"{retry_after_s:.3f}"
         return response
 
     def _relay_reply(self, reply: LeafReply) -> Response:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
@@ -80,8 +80,13 @@
     async def run(self, until_s: float) -> GatheredAnswer | GatherFailure:
         """Return the merged answer or a failure.
 
-        until_s is the latest time of the return, by the monotonic clock.
+        until_s is the latest time of the return, by the monotonic clock. Nothing is
+        sent if too few services have a leaf, and the rest is not awaited once too
+        many services have failed.
         """
+        servable = sum(call.choose_first() for call in self._calls.values())
+        if not self._policy.sufficient(servable):
+            return self._too_few_leaves(servable)
         tasks: set[asyncio.Task[LeafResult]] = {
             asyncio.create_task(call.run()) for call in self._calls.values()
         }
@@ -98,6 +103,8 @@
                 parts = len(self._parts)
                 if self._policy.should_answer(parts, pending=len(pending), age_s=age_s):
                     break
+                if not self._policy.reachable(parts, pending=len(pending)):
+                    break
                 if self._context.clock.monotonic_s() >= until_s:
                     break
             # Late sends may finish for a while, which keeps their connections open.
@@ -108,6 +115,15 @@
                 task.cancel()
         return self._result(until_s)
 
+    def _too_few_leaves(self, servable: int) -> GatherFailure:
+        return GatherFailure(
+            parts=0,
+            services=len(self._plan.services),
+            verdict=Verdict.NOT_RUN,
+            deadline_passed=False,
+            reasons=f"{Reason.UPSTREAM_UNAVAILABLE} ({servable} services have a leaf)",
+        )
+
     def _timeout_s(self, until_s: float) -> float:
         """Return the time until a partial answer is due, or until the deadline."""
         now_s = self._context.clock.monotonic_s()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -97,6 +97,7 @@
             split=self._split,
             metrics=self.metrics,
             clock=self.clock,
+            rng=self._rng,
         )
         self._configs = ConfigListener(self.state)
         self._peer_client = PeerClient()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -90,6 +90,8 @@
         self._failures: list[LeafFailure] = []
         # Hedges that were due but not sent for lack of a leaf or of budget.
         self._hedges_missed = 0
+        # Leaf of the first send, if it was chosen ahead.
+        self._first_leaf: LeafEntry | None = None
         self._detached = False
         # Drawn once, so that all sends of the request go to one version.
         self._version_draw = context.rng.random()
@@ -101,6 +103,11 @@
         """Return whether a send is in progress."""
         return bool(self._running)
 
+    def choose_first(self) -> bool:
+        """Choose the leaf of the first send and return whether there is one."""
+        self._first_leaf = self._choose(self._context.clock.monotonic_s())
+        return self._first_leaf is not None
+
     def detach_attempts(self) -> None:
         """Let sends in progress finish if the call is cancelled from now on."""
         self._detached = True
@@ -186,7 +193,8 @@
         limit = self._route.attempts_max + REFUSED_SENDS_MAX
         if self._counted_sends >= self._route.attempts_max or self._sends >= limit:
             return False
-        entry = self._choose(now_s)
+        entry = self._first_leaf or self._choose(now_s)
+        self._first_leaf = None
         if entry is None:
             return False
         # A send is no extra work for the service if no earlier one reached a leaf.
