Count the time that a request waits unread while the process is paused

Cause: a request's time was counted from its first read.

PauseDetector notices a gap of 0.3 s or more in the ticks of the event loop. Requests that are read then, or within 0.1 s, may have waited through it: the event loop first gets 10 ms to notice which callers have left, the pause is taken off the deadline, and a request whose deadline has passed is refused as not run.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -8,6 +8,9 @@
 from aiohttp.web import Response
 from multidict import CIMultiDict
 
+from gypsumvane_core.routing.pause_detector import TICK_INTERVAL_S
+from gypsumvane_core.routing.pause_detector import PauseDetector
+from gypsumvane_core.routing.retry_after import WAIT_MIN_S
 from gypsumvane_core.routing.retry_after import RetryAfterPolicy
 from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.routing.forwarded_request import FRAMING_HEADERS
@@ -44,6 +47,8 @@
 # Expected time until a service that has no leaf has one again. Entries of leaves are
 # back within 2 s after an outage of the store, and replaced leaves start ahead.
 LEAF_RETURN_S = 0.5
+# Time that the event loop gets after a pause to notice which callers have left.
+AFTER_PAUSE_S = 0.01
 # Deadline of a caller that states none.
 DEADLINE_DEFAULT_S = 1.0
 
@@ -78,6 +83,7 @@
         self._clock = clock
         self._started_s = clock.monotonic_s()
         self._retry_after = RetryAfterPolicy(rng)
+        self._pauses = PauseDetector(self._started_s)
         self.in_progress = 0
         # Set late in a planned stop, when the remaining grace is too short for new
         # requests.
@@ -94,8 +100,23 @@
             response.force_close()
         return response
 
+    async def watch_pauses(self) -> None:
+        """Record that the process runs, until cancelled."""
+        while True:
+            self._pauses.tick(self._clock.monotonic_s())
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+    async def _arrival_s(self) -> float:
+        """Return the earliest time at which a request that is read now arrived."""
+        now_s = self._clock.monotonic_s()
+        waited_s = self._pauses.waited_s(now_s)
+        if waited_s:
+            # The handler is cancelled if its caller has left.
+            await asyncio.sleep(AFTER_PAUSE_S)
+        return now_s - waited_s
+
     async def _respond(self, request: BaseRequest) -> Response:
-        arrived_s = self._clock.monotonic_s()
+        arrived_s = await self._arrival_s()
         table = self._state.table
         request_id = request.headers.get(self._names.request_id, "")
         if table is None or not self._state.can_route or self.refusing:
@@ -127,6 +148,14 @@
                 reason=str(error),
             )
             return text_response(error.status, f"{error}\n")
+        if forwarded.deadline_s <= self._clock.monotonic_s():
+            self._context.log.line(
+                "refused",
+                request_id=request_id,
+                reason="deadline_passed_unread",
+                waited_ms=round((self._clock.monotonic_s() - arrived_s) * 1000),
+            )
+            return self._refusal(WAIT_MIN_S)
         return await self._answer(forwarded, route, table.config)
 
     def _early_refusal(self, request: BaseRequest, arrived_s: float) -> Response:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -220,6 +220,7 @@
             partial(self.peers.run, first_start=self.settings.first_start),
             self._recorder.run,
             self._maintain,
+            self.entry.watch_pauses,
         )
 
     async def _follow(self, feed: StoreFeed[Any]) -> None:
