Check a request again right before it is written to a leaf

Cause: the deadline for the leaf was worked out, and the leaf chosen, before the wait for a connection of up to 0.5 s. A process paused there, or a slow connect, sent a request to a leaf whose time to get requests had run out, with more time than its caller had left.

LeafChannel now takes a function that returns the request when the connection is open. The sender withdraws the send, as not run, if the deadline has passed or the leaf has left, and the deadline that the leaf gets is of that moment.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -132,6 +132,15 @@
                 self._drop(leaf_id)
         return ready or leaving
 
+    def may_send(self, entry: LeafEntry, now_s: float) -> bool:
+        """Return whether a leaf that was chosen before may still get a request."""
+        leaf = self._leaves.get(entry.leaf_id)
+        if leaf is None or leaf.entry.incarnation != entry.incarnation:
+            return False
+        if leaf.entry.failure_domain in self._domains_out:
+            return False
+        return leaf.grace_until_s is None or now_s < leaf.grace_until_s
+
     def is_cold(self, entry: LeafEntry, now_s: float) -> bool:
         """Return whether a leaf is in cold start."""
         leaf = self._leaves.get(entry.leaf_id)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
 from gypsumvane_daemon.routing.leaf_channel import ExchangeError
+from gypsumvane_daemon.routing.leaf_channel import SendWithdrawnError
 
 if TYPE_CHECKING:
     from gypsumvane_core.clock import Clock
@@ -86,16 +88,14 @@
         call = load.begin(sent_s)
         try:
             answer = await self.pool.channel(entry, service).exchange(
-                request.encode(
-                    self.names,
-                    leaf_id=entry.leaf_id,
-                    now_s=sent_s,
-                ),
+                partial(self._encode, entry, request),
                 request_id=request.request_id,
                 id_header=self.names.request_id,
                 body_bytes_max=answer_bytes_max,
                 bodiless=request.method == "HEAD",
             )
+        except SendWithdrawnError as error:
+            return LeafFailure(entry, error.reason, Verdict.NOT_RUN, str(error))
         except ExchangeError as error:
             return self._exchange_failed(entry, error)
         finally:
@@ -106,6 +106,26 @@
             entry, answer, now_s - sent_s, median_latency_s=median_latency_s
         )
 
+    def _encode(self, entry: LeafEntry, request: ForwardedRequest) -> bytes:
+        """Return the bytes to write, if the request may still be sent to the leaf.
+
+        The wait for a connection, or a pause of the process, may have outlasted the
+        deadline or the time for which the leaf gets requests. Raises
+        SendWithdrawnError.
+        """
+        now_s = self.clock.monotonic_s()
+        if now_s >= request.deadline_s:
+            raise SendWithdrawnError(
+                "the deadline passed before the request was sent",
+                reason=Reason.DEADLINE,
+            )
+        if not self.registry.may_send(entry, now_s):
+            raise SendWithdrawnError(
+                "the leaf left before the request was sent",
+                reason=Reason.UPSTREAM_LEAVING,
+            )
+        return request.encode(self.names, leaf_id=entry.leaf_id, now_s=now_s)
+
     def _exchange_failed(self, entry: LeafEntry, error: ExchangeError) -> LeafFailure:
         load = self.pool.load(entry)
         now_s = self.clock.monotonic_s()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -23,12 +23,16 @@
 from gypsumvane_daemon.routing.sockets import keepalive_socket
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
     from aiohttp.http_parser import RawResponseMessage
     from aiohttp.tracing import Trace
     from multidict import CIMultiDictProxy
 
+    from gypsumvane_core.reason import Reason
+
 # Leaves are about 1 ms away. A connection that takes longer lost a packet or goes to
 # a VM that is down.
 CONNECT_TIMEOUT_S = 0.5
@@ -82,6 +86,14 @@
         self.too_large = too_large
 
 
+class SendWithdrawnError(Exception):
+    """Report a request that must not be sent any more; nothing was written."""
+
+    def __init__(self, message: str, *, reason: Reason) -> None:
+        super().__init__(message)
+        self.reason = reason
+
+
 class _Connector(LeafConnector):
     """Connector that closes idle connections before the leaf does."""
 
@@ -120,7 +132,7 @@
 
     async def exchange(
         self,
-        request: bytes,
+        encode: Callable[[], bytes],
         *,
         request_id: str,
         id_header: str,
@@ -129,8 +141,10 @@
     ) -> LeafAnswer:
         """Send a request once and return the response with its request id.
 
-        Cancellation closes the connection. Raises ExchangeError if no complete
-        response of at most body_bytes_max arrives.
+        encode returns the request when the connection is open, right before it is
+        written. Cancellation closes the connection. Raises ExchangeError if no
+        complete response of at most body_bytes_max arrives, and passes on a
+        SendWithdrawnError of encode.
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S) as connecting:
@@ -146,6 +160,7 @@
             raise ExchangeError(describe_error(error), written=False) from error
         try:
             protocol = _open_protocol(connection)
+            request = encode()
             protocol.bytes_max = HEADS_BYTES_MAX + FRAMING_FACTOR * body_bytes_max
             protocol.set_response_params(
                 read_until_eof=True, auto_decompress=False, skip_payload=bodiless
@@ -153,6 +168,9 @@
             answer = await self._transfer(protocol, request, request_id, id_header)
             if len(answer.body) > body_bytes_max:
                 raise ResponseTooLargeError(f"body exceeds {body_bytes_max} bytes")
+        except SendWithdrawnError:
+            connection.release()
+            raise
         except ExchangeError:
             connection.close()
             raise
--- a/packages/gypsumvane-daemon/tests/test_daemon_endless_answers.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_endless_answers.py
@@ -60,7 +60,7 @@
             try:
                 with self.assertRaises(ExchangeError) as caught:
                     await channel.exchange(
-                        b"GET / HTTP/1.1\r\n\r\n",
+                        lambda: b"GET / HTTP/1.1\r\n\r\n",
                         request_id="request-1",
                         id_header="Request-Id",
                         body_bytes_max=BODY_BYTES_MAX,
@@ -119,7 +119,7 @@
                     # which case the exchange fails; they never change the answer.
                     try:
                         answer = await channel.exchange(
-                            b"GET / HTTP/1.1\r\n\r\n",
+                            lambda: b"GET / HTTP/1.1\r\n\r\n",
                             request_id="request-1",
                             id_header="Request-Id",
                             body_bytes_max=BODY_BYTES_MAX,
@@ -153,7 +153,7 @@
             port = server.sockets[0].getsockname()[1]
             channel = LeafChannel(f"127.0.0.1:{port}", connections=1)
             reply = await channel.exchange(
-                b"GET / HTTP/1.1\r\n\r\n",
+                lambda: b"GET / HTTP/1.1\r\n\r\n",
                 request_id="request-1",
                 id_header="Request-Id",
                 body_bytes_max=BODY_BYTES_MAX,
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_machine.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_machine.py
@@ -215,7 +215,7 @@
                 SILENT_TIMEOUT_S if script.silent else WAIT_TIMEOUT_S
             ):
                 return await self.channel.exchange(
-                    request,
+                    lambda: request,
                     request_id=request_id,
                     id_header=ID_HEADER,
                     body_bytes_max=BODY_BYTES_MAX,
