List the daemons rarely while the store fails

Peers report new daemons, so that a daemon that knows peers now waits 4 to 12 s; one without peers still asks each second.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -18,6 +18,8 @@
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 
 if TYPE_CHECKING:
+    from random import Random
+
     from aiohttp.web import BaseRequest
     from aiohttp.web import Response
 
@@ -36,6 +38,10 @@
 # which costs a tenth of a current one; in between, peers report new daemons.
 LIST_INTERVAL_S = 20.0
 REGISTER_RETRY_S = 1.0
+# Bounds of the pause after a list of daemons that failed, for a daemon that knows
+# peers. They report new daemons, and the whole fleet asks the same store.
+LIST_RETRY_MIN_S = 4.0
+LIST_RETRY_MAX_S = 12.0
 # Wait before the first list when the whole system starts for the first time, so that
 # all daemons have registered and the list names the hubs.
 FIRST_START_WAIT_S = 1.5
@@ -57,6 +63,7 @@
         client: PeerClient,
         seeds: tuple[str, ...],
         clock: Clock,
+        rng: Random,
     ) -> None:
         self._own = own
         self._table = table
@@ -67,6 +74,7 @@
         # Peer addresses that may be stale and include this daemon's own.
         self.seeds = seeds
         self._clock = clock
+        self._rng = rng
         self._pings: set[asyncio.Task[None]] = set()
         # Set after the first attempt to list the daemons, which names the hubs.
         self.listed = asyncio.Event()
@@ -134,7 +142,7 @@
                     "daemons could not be listed, retrying", extra={"error": str(error)}
                 )
                 self.listed.set()
-                await asyncio.sleep(REGISTER_RETRY_S)
+                await asyncio.sleep(self._list_retry_s())
                 continue
             now_s = self._clock.monotonic_s()
             for record in records:
@@ -143,6 +151,15 @@
             self.ping_now()
             await asyncio.sleep(LIST_INTERVAL_S)
 
+    def _list_retry_s(self) -> float:
+        """Return the pause after a list of daemons that failed.
+
+        Load: the store fails, and hundreds of daemons would ask it each second.
+        """
+        if self._table.present(self._clock.monotonic_s()):
+            return self._rng.uniform(LIST_RETRY_MIN_S, LIST_RETRY_MAX_S)
+        return REGISTER_RETRY_S
+
     async def _ping_all(self) -> None:
         while True:
             self.ping_now()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -110,6 +110,7 @@
             client=self._peer_client,
             seeds=settings.seed_addresses,
             clock=self.clock,
+            rng=self._rng,
         )
         self._entry_listener = HttpListener(
             "callers", settings.entry_address, self.entry.handle
