Count the delay of a hedge from the start of its send

Cause: the delay was counted from the creation of the task that sends.

The delay starts with the send now, and a timer that was set before is set again. Ruled out: a second wait after a late timer. Sockets are read before timers run in either event loop, so that an answer that is there is never hedged; the test for it passed on the old code.

The new test failed before (2 sends).

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -141,15 +141,7 @@
 
     async def _next_result(self) -> LeafResult | None:
         """Return the next result, None if a hedge is due first."""
-        timeout_s = None
-        if self._may_hedge():
-            # Back off after missed hedges, while the budget refills.
-            hedge_s = self._hedge_after_s() * 2**self._hedges_missed
-            begun_s = max(self._last_send_s, self._request.arrived_s)
-            timeout_s = max(0.0, begun_s + hedge_s - self._context.clock.monotonic_s())
-        done, _ = await asyncio.wait(
-            self._running, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-        )
+        done = await self._wait_for_result()
         if not done:
             return None
         results = []
@@ -163,6 +155,28 @@
         self._failures += [r for r in results[:-1] if isinstance(r, LeafFailure)]
         return results[-1]
 
+    async def _wait_for_result(self) -> set[asyncio.Task[LeafResult]]:
+        """Return the sends that have ended, none if a hedge is due first."""
+        may_hedge = self._may_hedge()
+        while True:
+            timeout_s = None
+            if may_hedge:
+                timeout_s = self._hedge_due_s() - self._context.clock.monotonic_s()
+            done, _ = await asyncio.wait(
+                self._running,
+                timeout=None if timeout_s is None else max(0.0, timeout_s),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            # The send may have begun later than its task was created.
+            if done or self._hedge_due_s() <= self._context.clock.monotonic_s():
+                return done
+
+    def _hedge_due_s(self) -> float:
+        """Return when a hedge is due."""
+        # Back off after missed hedges, while the budget refills.
+        hedge_s = self._hedge_after_s() * 2**self._hedges_missed
+        return max(self._last_send_s, self._request.arrived_s) + hedge_s
+
     def _may_hedge(self) -> bool:
         """Return whether the route allows a second send beside the running one."""
         return (
@@ -224,6 +238,8 @@
         return True
 
     async def _send(self, entry: LeafEntry) -> LeafResult:
+        # A busy daemon begins its sends late, which is no delay of the leaf.
+        self._last_send_s = self._context.clock.monotonic_s()
         result = await self._context.sender.send(
             entry,
             self._config,
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_service_call.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_service_call.py
@@ -1,9 +1,10 @@
-"""Tests of hedges with a scripted sender."""
+"""Hedges with a scripted sender."""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import time
 import unittest
 from dataclasses import dataclass
 from dataclasses import field
@@ -74,6 +75,56 @@
         return self.refusals < 0
 
 
+@dataclass(slots=True)
+class PromptSender:
+    """Sender that answers a moment after its send has begun."""
+
+    registry: LeafRegistry
+    pool: LeafPool = field(default_factory=LeafPool)
+    leaf_ids: list[str] = field(default_factory=list)
+
+    async def send(
+        self, entry: LeafEntry, *_: Any, median_latency_s: float, answer_bytes_max: int
+    ) -> LeafReply:
+        """Record the leaf and answer."""
+        self.leaf_ids.append(entry.leaf_id)
+        await asyncio.sleep(0.005)
+        answer = LeafAnswer(200, (), b"", _fields={})  # type: ignore[arg-type]
+        return LeafReply(entry, answer, "signature", median_latency_s)
+
+
+def two_leaves() -> LeafRegistry:
+    """Return a registry with two leaves of the service."""
+    registry = LeafRegistry()
+    for leaf_id in ("a", "b"):
+        registry.put(LeafEntry(leaf_id, SERVICE, "127.0.0.1:1", "fd-a", slots=2), 0.0)
+    return registry
+
+
+def service_call(sender: Any, *, refusals: int) -> ServiceCall:
+    """Return a call whose budget refuses a number of extra sends."""
+    clock = SystemClock()
+    context = CallContext(
+        sender=sender,
+        chooser=LeafChooser("fd-a", random.Random(1)),
+        budget=ScriptedBudget(refusals=refusals),  # type: ignore[arg-type]
+        latencies=LatencyTracker(),
+        moves=MoveRegistry(canary_share=0.1),
+        clock=clock,
+        log=RequestLog(clock, RoutingMetrics()),
+    )
+    now_s = clock.monotonic_s()
+    request = ForwardedRequest(
+        method="GET",
+        request_id="1",
+        head=b"",
+        body=b"",
+        arrived_s=now_s,
+        deadline_s=now_s + WAIT_TIMEOUT_S,
+    )
+    return ServiceCall(context, ROUTE, SERVICE, None, request)
+
+
 class HedgeTest(unittest.IsolatedAsyncioTestCase):
     """Check when a hedge is sent."""
 
@@ -83,43 +134,23 @@
         The budget was empty when the hedge was due and had refilled a moment later,
         but the hedge was not retried. The answer came after 2.2 s.
         """
-        registry = LeafRegistry()
-        for leaf_id in ("a", "b"):
-            registry.put(
-                LeafEntry(
-                    leaf_id=leaf_id,
-                    service=SERVICE,
-                    address="127.0.0.1:1",
-                    failure_domain="fd-a",
-                    version="v1",
-                    slots=2,
-                    draining=False,
-                    started_unix_ms=1,
-                ),
-                0.0,
-            )
-        sender = FirstSendUnanswered(registry)
-        clock = SystemClock()
-        context = CallContext(
-            sender=sender,  # type: ignore[arg-type]
-            chooser=LeafChooser("fd-a", random.Random(1)),
-            budget=ScriptedBudget(refusals=2),  # type: ignore[arg-type]
-            latencies=LatencyTracker(),
-            moves=MoveRegistry(canary_share=0.1),
-            clock=clock,
-            log=RequestLog(clock, RoutingMetrics()),
-        )
-        now_s = clock.monotonic_s()
-        request = ForwardedRequest(
-            method="GET",
-            request_id="1",
-            head=b"",
-            body=b"",
-            arrived_s=now_s,
-            deadline_s=now_s + WAIT_TIMEOUT_S,
-        )
-        call = ServiceCall(context, ROUTE, SERVICE, None, request)
+        sender = FirstSendUnanswered(two_leaves())
+        call = service_call(sender, refusals=2)
         async with asyncio.timeout(WAIT_TIMEOUT_S):
             result = await call.run()
         self.assertIsInstance(result, LeafReply)
         self.assertEqual(sorted(sender.leaf_ids), ["a", "b"])
+
+    async def test_busy_daemon_sends_no_hedge(self) -> None:
+        """Guard against a second send because this daemon began the first one late.
+
+        A daemon with little processor time sent hedges for nearly every part of a
+        gathered request, which made it later still.
+        """
+        sender = PromptSender(two_leaves())
+        call = service_call(sender, refusals=0)
+        running = asyncio.create_task(call.run())
+        # Runs between the first step of the call and that of its send.
+        asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+        self.assertIsInstance(await running, LeafReply)
+        self.assertEqual(len(sender.leaf_ids), 1)
