Close idle connections to the store and peers that received bytes

Cause: aiohttp reuses an idle connection that has received bytes and takes them for the response to the next request. Leaf connections were guarded against it, the sessions to the store, to peers and to the live list were not: a late second copy of an answer became the answer to the next call, for instance a list of one kind for that of another. Their answers name no request.

The check moves from LeafConnector to BoundedConnector, which all clients of the daemon use. A copy that arrives after the next request was written still cannot be told apart there.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/bounded_response.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/bounded_response.py
@@ -12,7 +12,10 @@
 from aiohttp.client_proto import ResponseHandler
 
 if TYPE_CHECKING:
+    from aiohttp.client_reqrep import ConnectionKey
+    from aiohttp.connector import Connection
     from aiohttp.connector import SocketFactoryType
+    from aiohttp.tracing import Trace
 
 
 class ResponseTooLargeError(ClientPayloadError):
@@ -73,7 +76,7 @@
 
 
 class BoundedConnector(TCPConnector):
-    """Open connections whose responses are bounded."""
+    """Open connections whose responses are bounded and belong to their requests."""
 
     def __init__(
         self,
@@ -92,3 +95,11 @@
         self._factory = partial(  # type: ignore[assignment]
             BoundedResponseHandler, asyncio.get_running_loop(), bytes_max=bytes_max
         )
+
+    async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
+        # aiohttp would reuse an idle connection that has received unsolicited bytes
+        # and parse them as the response to the next request.
+        for protocol, _ in self._conns.get(key, ()):
+            if protocol.should_close:
+                protocol.close()
+        return await super()._get(key, traces)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
@@ -8,11 +8,8 @@
 
 if TYPE_CHECKING:
     from aiohttp.client_proto import ResponseHandler
-    from aiohttp.client_reqrep import ConnectionKey
-    from aiohttp.connector import Connection
     from aiohttp.connector import SocketFactoryType
     from aiohttp.http_parser import RawResponseMessage
-    from aiohttp.tracing import Trace
 
 
 async def read_response(protocol: ResponseHandler) -> tuple[RawResponseMessage, bytes]:
@@ -63,14 +60,6 @@
                 protocol.close()
                 excess -= 1
 
-    async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
-        # aiohttp would reuse an idle connection that has received unsolicited bytes
-        # and parse them as the response to the next request.
-        for protocol, _ in self._conns.get(key, ()):
-            if protocol.should_close:
-                protocol.close()
-        return await super()._get(key, traces)
-
     def open_count(self) -> int:
         """Return the number of open connections."""
         idle = sum(
