Leave the first lists to hubs and entries when all daemons start

A daemon that is neither a hub nor, by the capacities in the list of daemons, an entry waits up to 3 s for its hub with its first lists. Ruled out: waiting in every daemon, which would hold back the entries.

The new tests failed before (a list of the store by each).

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.routing.daemon_record import rank_by_capacity
+from gypsumvane_core.routing.entry_selection import select_entries
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -148,6 +149,11 @@
             self._own in self._ranked(self._own.failure_domain, now_s)[:HUBS_PER_DOMAIN]
         )
 
+    def may_be_entry(self, now_s: float) -> bool:
+        """Return whether this daemon would be an entry daemon if all daemons served."""
+        fleet = [peer.record for peer in self._peers.values() if peer.in_fleet(now_s)]
+        return self._own in select_entries([*fleet, self._own])
+
     def ping_targets(self, now_s: float) -> list[DaemonRecord]:
         """Return the peers to ping now.
 
--- a/packages/gypsumvane-core/tests/test_core_routing_peers.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_peers.py
@@ -78,6 +78,14 @@
         """Return the names of the daemons that are pinged."""
         return {record.name for record in self.table.ping_targets(now_s)}
 
+    def test_daemon_without_callers_knows_it_by_capacity(self) -> None:
+        """Guard against small daemons that read all objects before the entries."""
+        self.assertTrue(self.table.may_be_entry(0.0))
+        for number in range(ENTRY_DAEMONS_MIN):
+            self.table.add_reported(daemon(f"l{number}", capacity_cores=4.0), 0.0)
+        self.assertFalse(self.table.may_be_entry(1.0))
+        self.assertTrue(self.table.may_be_entry(PEER_LOST_S))
+
     def test_remote_hubs_are_known_by_reports_of_hubs(self) -> None:
         """Guard against a daemon that knows no source outside its failure domain."""
         hub = daemon("h", capacity_cores=4.0)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -42,6 +42,9 @@
 # When all daemons start together, a hub may still be down, and a hub that runs accepts
 # a connection within some milliseconds.
 FIRST_CONNECT_TIMEOUT_S = 0.1
+# Time after the start for which a daemon that is neither hub nor entry waits for a hub
+# with its first list.
+FIRST_LIST_PATIENCE_S = 3.0
 # Time for which a hub is not used after it failed.
 FAILED_RELAY_AVOID_S = 3.0
 # Time for which a hub is not used after it answered that its copy is not confirmed.
@@ -67,6 +70,7 @@
         relays: Callable[[], list[DaemonRecord]],
         remote_relays: Callable[[], list[DaemonRecord]],
         is_hub: Callable[[], bool],
+        may_be_entry: Callable[[], bool],
         peers: Callable[[], list[DaemonRecord]],
         client: PeerClient,
         clock: Clock,
@@ -77,11 +81,13 @@
         self._relays = relays
         self._remote_relays = remote_relays
         self._is_hub = is_hub
+        self._may_be_entry = may_be_entry
         self._peers = peers
         self._client = client
         self._clock = clock
         self._rng = rng
         self._access = StoreAccess(rng)
+        self._created_s = clock.monotonic_s()
         self._avoid_until_s: dict[str, float] = {}
         self._unconfirmed_until_s: dict[str, float] = {}
         # Revision of the latest state read; a hub with an older list is not used.
@@ -108,8 +114,15 @@
     async def _list_first(self) -> RecordList[Value]:
         """Return the first list of this daemon, which serves nothing before it.
 
-        Raises StoreUnavailableError.
+        Load: all daemons start at once and read all objects. Those that callers are
+        sent to read from the store at once, the others leave it to them for a while
+        and read from their hub. Raises StoreUnavailableError.
         """
+        age_s = self._clock.monotonic_s() - self._created_s
+        if age_s < FIRST_LIST_PATIENCE_S and not (
+            self._is_hub() or self._may_be_entry()
+        ):
+            raise StoreUnavailableError("waiting for the first list of a hub")
         try:
             return await self._list_from_store()
         except StoreUnavailableError:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -96,6 +96,7 @@
             relays=partial(self._select_now, self._peers.relays),
             remote_relays=partial(self._select_now, self._peers.remote_hubs),
             is_hub=self._is_hub,
+            may_be_entry=self._may_be_entry,
             peers=partial(self._select_now, self._peers.present),
             client=self._client,
             clock=self._clock,
@@ -113,6 +114,9 @@
     def _is_hub(self) -> bool:
         return self._peers.is_hub(self._clock.monotonic_s())
 
+    def _may_be_entry(self) -> bool:
+        return self._peers.may_be_entry(self._clock.monotonic_s())
+
     def _select_now(
         self, select: Callable[[float], list[DaemonRecord]]
     ) -> list[DaemonRecord]:
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -23,6 +23,7 @@
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 from gypsumvane_daemon.routing.relay_handler import CONFIRMATION_AGE_MAX_S
 from gypsumvane_daemon.routing.relay_handler import RelayHandler
+from gypsumvane_daemon.routing.relayed_source import FIRST_LIST_PATIENCE_S
 from gypsumvane_daemon.routing.relayed_source import RelayedSource
 from gypsumvane_daemon.routing.store_feed import FeedListener
 from gypsumvane_daemon.routing.store_feed import StoreFeed
@@ -279,11 +280,13 @@
         self.clock = ManualClock()
         self.remote_hubs: list[DaemonRecord] = []
         self.is_hub = True
+        self.may_be_entry = True
         self.source = RelayedSource(
             self.store,
             relays=self.hubs(),
             remote_relays=lambda: self.remote_hubs,
             is_hub=lambda: self.is_hub,
+            may_be_entry=lambda: self.may_be_entry,
             peers=self.hubs(),
             client=self.client,
             clock=self.clock,
@@ -376,6 +379,7 @@
             relays=self.hubs(),
             remote_relays=list,
             is_hub=lambda: False,
+            may_be_entry=lambda: True,
             peers=list,
             client=client,
             clock=self.clock,
@@ -388,6 +392,27 @@
         self.assertLessEqual(first_s, 0.1)
         self.assertGreater(later_s, first_s)
 
+    async def test_first_list_of_a_daemon_without_callers(self) -> None:
+        """Guard against a read of all objects by each daemon of a fleet that starts.
+
+        The hub starts as well and has no confirmed copy yet.
+        """
+        self.is_hub = self.may_be_entry = False
+        self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
+        with self.assertRaises(StoreUnavailableError):
+            await self.names()
+        self.assertEqual(self.store.lists, 0)
+        self.age_s = 0.0
+        self.clock.advance(1.0)
+        self.assertEqual(await self.names(), ["a"])
+
+    async def test_first_list_does_not_wait_for_a_hub_for_long(self) -> None:
+        """Guard against a daemon that stays uninformed without a hub."""
+        self.is_hub = self.may_be_entry = False
+        self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
+        self.clock.advance(FIRST_LIST_PATIENCE_S)
+        self.assertEqual(await self.names(), ["s"])
+
     async def test_start_during_a_store_outage(self) -> None:
         """Guard against a daemon that cannot route until the store is back."""
         self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
