--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
@@ -0,0 +1,159 @@
+"""Tests of a version move at all daemons of a fleet, against the operators' bounds."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from dataclasses import dataclass
+
+from gypsumvane_core.routing.version_move import MoveOrder
+from gypsumvane_core.routing.version_move import MoveState
+from gypsumvane_core.routing.version_move import VersionMove
+
+# The operators' bounds of a move.
+CANARY_SHARE = 0.1
+CANARY_SLACK = 50
+TAKEN_BACK_WITHIN_S = 5.0
+# Interval at which daemons exchange what they know.
+PING_INTERVAL_S = 1.0
+SEEDS = range(5)
+LATENCY_MS = 30.0
+
+
+@dataclass(frozen=True)
+class Load:
+    """Size of a fleet and its requests during a move."""
+
+    daemons: int
+    requests_per_s: float
+    duration_s: float
+
+
+@dataclass(frozen=True)
+class Version:
+    """Answers of a new version."""
+
+    bad_share: float
+    # Share of the duration from which answers are bad.
+    bad_from: float = 0.0
+    # Bad answers are late by this factor instead of failing.
+    slow_factor: float = 0.0
+
+
+LOADS = (Load(8, 45.0, 12.0), Load(8, 45.0, 30.0), Load(8, 11.0, 15.0))
+LARGE_FLEET = Load(30, 22.0, 20.0)
+OLD_VERSION = Version(0.0)
+
+
+class MoveFleet:
+    """Execute one order at several daemons in virtual time."""
+
+    def __init__(self, load: Load, version: Version, seed: int) -> None:
+        self.load = load
+        self.version = version
+        self.rng = random.Random(seed)
+        self.order = MoveOrder("s", "v2", load.duration_s)
+        self.moves = [
+            VersionMove(self.order, 0.0, CANARY_SHARE) for _ in range(load.daemons)
+        ]
+        self.requests = 0
+        self.exposed = 0
+        self.bad_answers = 0
+        self.fiftieth_bad_s: float | None = None
+        self.exposed_late = 0
+
+    def run(self) -> None:
+        """Send requests until the duration of the move has passed."""
+        now_s = 0.0
+        next_ping_s = PING_INTERVAL_S
+        while now_s < self.load.duration_s:
+            now_s += self.rng.expovariate(self.load.requests_per_s)
+            if now_s > next_ping_s:
+                next_ping_s += PING_INTERVAL_S
+                self.exchange(now_s)
+            self.request(self.rng.choice(self.moves), now_s)
+            leader = self.moves[0]
+            if leader.is_due_for_completion(now_s):
+                self.record(MoveState.COMPLETED)
+
+    def exchange(self, now_s: float) -> None:
+        """Pass a version that a daemon took back to all others through the store."""
+        if any(move.state is MoveState.ROLLED_BACK for move in self.moves):
+            self.record(MoveState.ROLLED_BACK)
+
+    def record(self, state: MoveState) -> None:
+        """Record a state of the move in the store."""
+        for move in self.moves:
+            move.update(MoveOrder("s", "v2", self.load.duration_s, state))
+
+    def request(self, move: VersionMove, now_s: float) -> None:
+        """Send one request and record its answer."""
+        self.requests += 1
+        new = self.rng.random() < move.new_version_share(now_s)
+        version = self.version if new else OLD_VERSION
+        bad = (
+            now_s >= version.bad_from * self.load.duration_s
+            and self.rng.random() < version.bad_share
+        )
+        if new:
+            self.exposed += 1
+            self.bad_answers += bad
+            if self.fiftieth_bad_s is None:
+                if self.bad_answers >= CANARY_SLACK:
+                    self.fiftieth_bad_s = now_s
+            elif now_s > self.fiftieth_bad_s + TAKEN_BACK_WITHIN_S:
+                self.exposed_late += 1
+        slow = bad and version.slow_factor > 0
+        latency_ms = LATENCY_MS * self.rng.lognormvariate(0.0, 0.35)
+        move.record_answer(
+            "r",
+            "v2" if new else "v1",
+            failed=bad and not slow,
+            latency_ms=latency_ms * (version.slow_factor if slow else 1.0),
+        )
+
+
+class MoveFleetTest(unittest.TestCase):
+    """Check the bounds of bad versions, and that good ones are completed."""
+
+    def check_exposure(self, version: Version, *loads: Load) -> None:
+        """Check the bounds on the requests of a bad version."""
+        violations = []
+        for load in loads:
+            for seed in SEEDS:
+                fleet = MoveFleet(load, version, seed)
+                fleet.run()
+                allowed = CANARY_SHARE * fleet.requests + CANARY_SLACK
+                if fleet.exposed > allowed or fleet.exposed_late:
+                    counts = (fleet.exposed, allowed, fleet.exposed_late)
+                    violations.append((load, seed, *counts))
+        self.assertEqual(violations, [])
+
+    def test_failing_version(self) -> None:
+        """Guard against too many requests for a version that always fails."""
+        self.check_exposure(Version(1.0), *LOADS, LARGE_FLEET)
+
+    def test_version_that_fails_in_part(self) -> None:
+        """Guard against too many requests for a version that fails in part."""
+        self.check_exposure(Version(0.3), *LOADS, LARGE_FLEET)
+
+    def test_version_that_turns_bad_late(self) -> None:
+        """Guard against a share that rises long before the move has to end."""
+        self.check_exposure(Version(0.6, bad_from=0.5), *LOADS, LARGE_FLEET)
+
+    def test_slow_version(self) -> None:
+        """Guard against too many requests for a slow version."""
+        self.check_exposure(Version(0.6, slow_factor=4.0), *LOADS)
+
+    def test_good_version_is_completed(self) -> None:
+        """Guard against a move that holds a good version back."""
+        for load in (*LOADS, LARGE_FLEET):
+            for seed in SEEDS:
+                with self.subTest(load=load, seed=seed):
+                    fleet = MoveFleet(load, Version(0.0), seed)
+                    fleet.run()
+                    self.assertEqual(fleet.moves[0].state, MoveState.COMPLETED)
+
+
+if __name__ == "__main__":
+    unittest.main()
