List a kind again after a watch without an answer

Callers got 404 for an added route: a watch that the store had dropped silently was repeated from the same revision after its time-out, and each further watch could be dropped the same way. A watch that is refused or reset still continues from its revision, so that a short outage costs no list.

Ruled out: the other kinds were listed again each time, so the interruption was noticed. The new test fails before the change: no list is read within 60 s.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -41,6 +41,10 @@
     """Report a store call that failed; the store may have executed it."""
 
 
+class StoreSilentError(StoreUnavailableError):
+    """Report a store call without an answer; a connection may have gone silent."""
+
+
 class HistoryLostError(Exception):
     """Report that the changes since a revision are no longer available."""
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -14,6 +14,7 @@
 
 from gypsumvane_daemon.backoff import Backoff
 from gypsumvane_daemon.routing.ports import HistoryLostError
+from gypsumvane_daemon.routing.ports import StoreSilentError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 
 if TYPE_CHECKING:
@@ -141,6 +142,9 @@
                 self._revision = None
                 self.on_interruption()
             except StoreUnavailableError as error:
+                if isinstance(error, StoreSilentError):
+                    # The store may have dropped the watch, and may drop the next one.
+                    self._revision = None
                 self._mark_lost(error)
                 await asyncio.sleep(self._backoff.next_s())
             finally:
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -22,6 +22,7 @@
 from gypsumvane_daemon.routing.ports import RecordChanges
 from gypsumvane_daemon.routing.ports import RecordList
 from gypsumvane_daemon.routing.ports import RecordSource
+from gypsumvane_daemon.routing.ports import StoreSilentError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 from gypsumvane_daemon.routing.relay_handler import CONFIRMATION_AGE_MAX_S
 from gypsumvane_daemon.routing.relay_handler import RelayHandler
@@ -134,6 +135,15 @@
         await wait_until(lambda: not self.feed.lost)
         self.assertEqual(self.source.lists, 1)
 
+    async def test_silent_watch_is_followed_by_a_list(self) -> None:
+        """Guard against watches that are dropped one after the other (CONFIG)."""
+        self.run_feed(self.feed)
+        await wait_until(lambda: self.source.watches == [1])
+        self.source.listing = RecordList((record("a"),), 2)
+        self.source.answers.put_nowait(StoreSilentError("no answer"))
+        await wait_until(lambda: self.source.watches == [1, 2])
+        self.assertEqual(self.listener.lists[-1], (["a"], True))
+
     async def test_list_after_an_outage_is_marked(self) -> None:
         """Guard against dropping leaves whose entries expired in the outage."""
         self.run_feed(self.feed)
