List a kind whose watch lags behind the revision of the store

Callers got 404 for an added route, and requests reached a version that was recorded as bad: only the watch of the leaves is answered every 1.5 s, and a silent watch of another kind was noticed after 5 to 10 s.

Each change raises the store's revision by one, and the answer to the watch of the leaves carries it. If the changes of the leaves account for all revisions, the other kinds are confirmed by the same answer; otherwise they are listed, unless their own watches return the change within 0.15 s. Shorter waits for all kinds were ruled out: they cost every hub about one store call a second.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -80,6 +80,8 @@
     # Time since the store confirmed this state to the relaying peer; 0 if read from
     # the store.
     age_s: float = 0.0
+    # Whether a peer served the changes.
+    relayed: bool = False
 
 
 class RecordSource(ABC, Generic[Value]):
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -149,7 +149,10 @@
                     for name, payload in answer["objects"]
                 )
                 watched = RecordChanges(
-                    changes, int(answer["revision"]), float(answer["age_s"])
+                    changes,
+                    int(answer["revision"]),
+                    float(answer["age_s"]),
+                    relayed=True,
                 )
             except PeerError as error:
                 if error.status == GONE:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -38,6 +38,9 @@
 SLOW_WATCH_S = 5.0
 # For kinds that rarely change and are restarted together with the others.
 RARE_WATCH_S = 10.0
+# Time in which the watch of a kind returns a change that the watch of another kind has
+# shown to exist.
+CHANGE_PATIENCE_S = 0.15
 # Bounds of the pause between retries. A VM that reaches the store again counts as
 # healthy after 4 s.
 RETRY_FIRST_S = 0.2
@@ -90,6 +93,14 @@
         self._regained_s = -REREGISTRATION_S
         self._step_task: asyncio.Task[None] | None = None
         self._restarting = False
+        # All changes of this kind up to this revision are known.
+        self._covered_revision = 0
+        # Whether a peer served the latest answer.
+        self._relayed = False
+        # Called with each answer of the store to a watch, and its first revision.
+        self.on_watched: Callable[[int, RecordChanges[Value]], None] = (
+            lambda since, changes: None
+        )
         # Called at the start of an outage and when the store has lost the history.
         self.on_interruption: Callable[[], None] = lambda: None
         # This feed makes no calls while the leader has an outage.
@@ -115,6 +126,38 @@
         """Call the store only while it is reachable for another feed."""
         self._leader = leader
 
+    def note_watch(self, since: int, changes: RecordChanges[Any]) -> None:
+        """Draw on the answer to a watch of another kind.
+
+        Each change raises the revision of the store by one. If that kind accounts for
+        all of them, this kind has not changed; otherwise it is listed, unless its own
+        watch returns the change first.
+        """
+        if self._revision is None or self._relayed or self.lost:
+            return
+        if self._covered_revision >= changes.revision:
+            return
+        others = changes.revision - since - len(changes.changes)
+        if not others and self._covered_revision >= since:
+            self._covered_revision = changes.revision
+            self._confirmed_s = self._clock.monotonic_s()
+            return
+        asyncio.get_running_loop().call_later(
+            CHANGE_PATIENCE_S, self._list_unless_covered, changes.revision
+        )
+
+    def _list_unless_covered(self, revision: int) -> None:
+        if self._covered_revision < revision and self._revision is not None:
+            logger.info(
+                "watch lags behind the store, listing all objects again",
+                extra={
+                    "kind": self._source.label,
+                    "revision": revision,
+                    "covered_revision": self._covered_revision,
+                },
+            )
+            self.restart()
+
     def restart(self) -> None:
         """List all objects again, because a waiting watch may have been dropped."""
         self._revision = None
@@ -156,16 +199,19 @@
             await self._leader.wait_until_reached()
         if self._revision is None:
             listing = await self._source.list_all()
-            self._mark_answered(listing.age_s)
+            self._mark_answered(listing)
             self._revision = listing.revision
             since_regained_s = self._clock.monotonic_s() - self._regained_s
             # The list of a hub may stem from an outage that is not visible here.
             after_outage = since_regained_s < REREGISTRATION_S or listing.relayed
             self._listener.on_list(listing, after_outage=after_outage)
             return
-        changes = await self._source.watch(self._revision, self._watch_s)
-        self._mark_answered(changes.age_s)
+        since = self._revision
+        changes = await self._source.watch(since, self._watch_s)
+        self._mark_answered(changes)
         self._revision = changes.revision
+        if not changes.relayed:
+            self.on_watched(since, changes)
         if changes.changes:
             logger.info(
                 "changes received",
@@ -189,10 +235,12 @@
             )
             self.on_interruption()
 
-    def _mark_answered(self, age_s: float) -> None:
+    def _mark_answered(self, answer: RecordList[Value] | RecordChanges[Value]) -> None:
         self._backoff.reset()
         now_s = self._clock.monotonic_s()
-        self._confirmed_s = now_s - age_s
+        self._confirmed_s = now_s - answer.age_s
+        self._covered_revision = answer.revision
+        self._relayed = answer.relayed
         if self._lost_s is not None:
             logger.info(
                 "store reachable again",
@@ -206,16 +254,25 @@
 def link_feeds(leader: StoreFeed[Any], *followers: StoreFeed[Any]) -> None:
     """Restart all other feeds on an interruption of one.
 
-    The followers make no calls while the leader has an outage.
+    The followers make no calls while the leader has an outage, and are confirmed or
+    listed by what its watches return.
     """
     feeds = (leader, *followers)
     for follower in followers:
         follower.follow(leader)
+    leader.on_watched = partial(_note_watch, followers)
     for feed in feeds:
         others = [other for other in feeds if other is not feed]
         feed.on_interruption = partial(_restart_all, others)
 
 
+def _note_watch(
+    feeds: Sequence[StoreFeed[Any]], since: int, changes: RecordChanges[Any]
+) -> None:
+    for feed in feeds:
+        feed.note_watch(since, changes)
+
+
 def _restart_all(feeds: Sequence[StoreFeed[Any]]) -> None:
     for feed in feeds:
         feed.restart()
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -175,6 +175,33 @@
         self.source.list_error = None
         await wait_until(lambda: source.lists == 1)
 
+    async def link_running_feeds(self) -> tuple[StoreFeed[Any], FakeSource]:
+        """Run a leader and a follower until both watch, and return the follower."""
+        other, source, _ = self.make()
+        link_feeds(self.feed, other)
+        self.run_feed(self.feed)
+        self.run_feed(other)
+        await wait_until(lambda: self.source.watches and source.watches)
+        self.clock.advance(1.0)
+        return other, source
+
+    async def test_change_of_another_kind_is_listed(self) -> None:
+        """Guard against a silent watch behind one that is answered (CONFIG)."""
+        _, source = await self.link_running_feeds()
+        source.listing = RecordList((record("a"),), 2)
+        self.source.answers.put_nowait(RecordChanges((), 2))
+        await wait_until(lambda: source.watches == [1, 2])
+
+    async def test_changes_of_the_leader_confirm_the_other_kinds(self) -> None:
+        """Guard against a list of all kinds for each change of a leaf."""
+        other, source = await self.link_running_feeds()
+        self.assertEqual(other.confirmed_age_s(), 1.0)
+        changes = RecordChanges((("a", record("a")), ("b", None)), 3)
+        self.source.answers.put_nowait(changes)
+        await wait_until(lambda: self.source.watches == [1, 3])
+        self.assertEqual(other.confirmed_age_s(), 0.0)
+        self.assertEqual(source.lists, 1)
+
     async def test_cancellation_during_a_restart(self) -> None:
         """Guard against a planned stop that waits for a feed (soak seed 44).
 
