Give peers the age of each kind instead of that of the leaves

Callers of daemons that read from a hub got 404 for an added route: a hub served its copy of every kind while its leaves were confirmed, and stated their age for all. Each kind now has its own age, and a copy that is not confirmed is refused, so that the peer reads elsewhere.

An answer to the watch of the leaves without a change now also confirms kinds that were listed at the same revision. The new test fails without the change.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import Any
@@ -14,6 +15,8 @@
 from gypsumvane_daemon.routing.store_feed import FeedListener
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gypsumvane_daemon.routing.ports import RecordChanges
     from gypsumvane_daemon.routing.ports import RecordList
 
@@ -36,6 +39,8 @@
         # The history lacks changes up to this revision.
         self._history_start = 0
         self.revision = 0
+        # Returns the time since the store last confirmed this kind.
+        self.confirmed_age_s: Callable[[], float] = lambda: math.inf
         self._changed = asyncio.Event()
 
     def on_list(self, listing: RecordList[Value], *, after_outage: bool) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -10,7 +10,6 @@
 from gypsumvane_daemon.routing.ports import HistoryLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Mapping
 
     from aiohttp.web import BaseRequest
@@ -34,25 +33,20 @@
 class RelayHandler:
     """Answer peers that read from this daemon in place of the store."""
 
-    def __init__(
-        self,
-        mirrors: Mapping[str, FeedMirror[Any]],
-        confirmed_age_s: Callable[[], float],
-    ) -> None:
+    def __init__(self, mirrors: Mapping[str, FeedMirror[Any]]) -> None:
         self._mirrors = mirrors
-        self._confirmed_age_s = confirmed_age_s
 
     async def handle(self, request: BaseRequest) -> Response:
         """Answer a request to list objects or to watch for changes."""
         mirror = self._mirrors.get(request.path.removeprefix(RELAY_PATH))
         if mirror is None:
             return text_response(404, "unknown kind\n")
-        confirmed = self._confirmed_age_s() <= CONFIRMATION_AGE_MAX_S
+        confirmed = mirror.confirmed_age_s() <= CONFIRMATION_AGE_MAX_S
         if not mirror.revision or not (confirmed or UNCONFIRMED_QUERY in request.query):
             return text_response(UNCONFIRMED, "the copy is not confirmed\n")
         since = request.query.get("since")
         if since is None:
-            return self._reply(mirror.objects(), mirror.revision)
+            return _reply(mirror, mirror.objects(), mirror.revision)
         try:
             wait_s = min(float(request.query.get("wait_s", "0")), WAIT_MAX_S)
             changes, revision = await mirror.changes(int(since), wait_s)
@@ -60,13 +54,14 @@
             return text_response(400, f"{error}\n")
         except HistoryLostError:
             return text_response(GONE, "these changes are not known\n")
-        return self._reply(changes, revision)
+        return _reply(mirror, changes, revision)
 
-    def _reply(self, objects: list[Any], revision: int) -> Response:
-        return json_response(
-            {
-                "objects": objects,
-                "revision": revision,
-                "age_s": self._confirmed_age_s(),
-            }
-        )
+
+def _reply(mirror: FeedMirror[Any], objects: list[Any], revision: int) -> Response:
+    return json_response(
+        {
+            "objects": objects,
+            "revision": revision,
+            "age_s": mirror.confirmed_age_s(),
+        }
+    )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -81,7 +81,7 @@
         state.leaves_age_s = self._leaves.confirmed_age_s
         state.config_age_s = config_feed.confirmed_age_s
         state.orders_age_s = order_feed.confirmed_age_s
-        self.relay = RelayHandler(self._mirrors, self._leaves.confirmed_age_s)
+        self.relay = RelayHandler(self._mirrors)
 
     def all(self) -> tuple[StoreFeed[Any], ...]:
         """Return the feeds of all kinds."""
@@ -107,7 +107,7 @@
             clock=self._clock,
             rng=self._rng,
         )
-        return StoreFeed(
+        feed = StoreFeed(
             relayed,
             mirror,
             watch_s=watch_s,
@@ -115,6 +115,8 @@
             clock=self._clock,
             rng=self._rng,
         )
+        mirror.confirmed_age_s = feed.confirmed_age_s
+        return feed
 
     def _is_hub(self) -> bool:
         return self._peers.is_hub(self._clock.monotonic_s())
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -135,11 +135,10 @@
         """
         if self._revision is None or self._relayed or self.lost:
             return
-        if self._covered_revision >= changes.revision:
-            return
         others = changes.revision - since - len(changes.changes)
         if not others and self._covered_revision >= since:
-            self._covered_revision = changes.revision
+            self._covered_revision = max(self._covered_revision, changes.revision)
+        if self._covered_revision >= changes.revision:
             self._confirmed_s = self._clock.monotonic_s()
             return
         asyncio.get_running_loop().call_later(
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -200,6 +200,10 @@
         self.source.answers.put_nowait(changes)
         await wait_until(lambda: self.source.watches == [1, 3])
         self.assertEqual(other.confirmed_age_s(), 0.0)
+        self.clock.advance(1.0)
+        self.source.answers.put_nowait(RecordChanges((), 3))
+        await wait_until(lambda: self.source.watches == [1, 3, 3])
+        self.assertEqual(other.confirmed_age_s(), 0.0)
         self.assertEqual(source.lists, 1)
 
     async def test_cancellation_during_a_restart(self) -> None:
@@ -343,7 +347,11 @@
         self.mirror.on_list(
             RecordList((record("a"), record("b", "odd")), 10), after_outage=False
         )
-        handler = RelayHandler({"things": self.mirror}, lambda: self.age_s)
+        self.mirror.confirmed_age_s = lambda: self.age_s
+        self.leaves: FeedMirror[Any] = FeedMirror(RecordingListener())
+        self.leaves.confirmed_age_s = lambda: 0.0
+        mirrors = {"things": self.mirror, "leaves": self.leaves}
+        handler = RelayHandler(mirrors)
         self.address = free_address()
         self.listener = HttpListener("relay", self.address, handler.handle)
         await self.listener.start()
@@ -405,13 +413,21 @@
         mirror: FeedMirror[Any] = FeedMirror(RecordingListener())
         mirror.on_list(RecordList((record("r"),), 20), after_outage=False)
         address = free_address()
-        handler = RelayHandler({"things": mirror}, lambda: 0.1)
+        mirror.confirmed_age_s = lambda: 0.1
+        handler = RelayHandler({"things": mirror})
         listener = HttpListener("remote relay", address, handler.handle)
         await listener.start()
         self.addAsyncCleanup(listener.stop)
         self.remote_hubs = [DaemonRecord("remote", "b", "none:1", address)]
         return mirror
 
+    async def test_age_of_a_kind_is_its_own(self) -> None:
+        """Guard against a copy that passes for as recent as the leaves (CONFIG)."""
+        self.leaves.on_list(RecordList((), 10), after_outage=False)
+        self.assertGreaterEqual((await self.source.list_all()).age_s, 0.3)
+        self.age_s = CONFIRMATION_AGE_MAX_S + 1
+        self.assertEqual(await self.names(), ["s"])
+
     async def test_hub_of_another_domain_stands_in(self) -> None:
         """Guard against a call to the store by each daemon whose hubs are cut off."""
         self.is_hub = False
