Read the orders of version moves before serving

A bad version got its full share of the requests of a daemon that had started: a daemon was ready with configuration, leaves and evacuated domains, and treated the versions of a service alike until it had read the order.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -126,6 +126,7 @@
                 reason="stopping" if self.refusing else "not_informed",
                 version=self._state.version,
                 leaves_known=self._state.leaves_known,
+                orders_known=self._state.orders_known,
             )
             return self._early_refusal(request, arrived_s)
         path = request.raw_path.partition("?")[0]
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -20,6 +20,7 @@
     from gypsumvane_daemon.routing.ports import Platform
     from gypsumvane_daemon.routing.ports import RecordChanges
     from gypsumvane_daemon.routing.ports import RecordList
+    from gypsumvane_daemon.routing.routing_state import RoutingState
 
 logger = logging.getLogger(__name__)
 
@@ -35,11 +36,13 @@
     def __init__(
         self,
         registry: MoveRegistry,
+        state: RoutingState,
         platform: Platform,
         is_leader: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._registry = registry
+        self._state = state
         self._platform = platform
         # Only the leader records progress; any daemon records that it took a version
         # back.
@@ -54,6 +57,7 @@
                 self._registry.remove(move.order.service)
         for record in listing.records:
             self._apply(record.value)
+        self._state.orders_known = True
 
     def on_changes(self, changes: RecordChanges[MoveOrder]) -> None:
         """Apply changed orders and remove moves whose order was deleted."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -121,7 +121,9 @@
             HttpListener("metrics", settings.metrics_address, self._render_metrics),
         )
         self.state.on_config(self._config_applied)
-        self._recorder = MoveRecorder(self.moves, platform, self._is_leader, self.clock)
+        self._recorder = MoveRecorder(
+            self.moves, self.state, platform, self._is_leader, self.clock
+        )
         self._feeds = RoutingFeeds(
             platform,
             self.state,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
@@ -20,9 +20,11 @@
     def __init__(self) -> None:
         self.table: RouteTable | None = None
         self.registry = LeafRegistry()
-        # Whether the leaves and the evacuated failure domains were read once.
+        # Whether the leaves, the evacuated failure domains and the orders of version
+        # moves were read once.
         self.leaves_known = False
         self.domains_known = False
+        self.orders_known = False
         # Set by a planned stop, which lets open requests end.
         self.stopping = False
         # Return the time since the store last confirmed the objects of a kind.
@@ -39,7 +41,12 @@
     @property
     def can_route(self) -> bool:
         """Return whether the daemon has read all it needs to route requests."""
-        return self.table is not None and self.leaves_known and self.domains_known
+        return (
+            self.table is not None
+            and self.leaves_known
+            and self.domains_known
+            and self.orders_known
+        )
 
     @property
     def serving(self) -> bool:
