Judge a new version by the answers of all daemons

A bad version got up to three times the requests that operators allow: each daemon judged it by its own answers, of which a fleet of tens has too few, and told others only through the store, which may be down; a restart forgot it.

Pings now carry each daemon's counts of good and bad answers by route and whether it has taken the version back. Hubs forward the reports of the daemons that ping them and thus know the whole fleet's. A verdict is spread at once and comes back to a daemon that starts again. Peers' counts replace each other by start of a daemon, so that no answer counts twice.

Ruled out: writing counts to the store, which costs a call for each daemon and second and fails with the store.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -7,23 +7,19 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
-from dataclasses import field
 from enum import StrEnum
 from math import log
 from typing import TYPE_CHECKING
 
-from gypsumvane_core.move_comparison import FAILURE_MARGIN
-from gypsumvane_core.move_comparison import RATE_FACTOR
-from gypsumvane_core.move_comparison import Stratum
-from gypsumvane_core.move_comparison import log_p_value
-from gypsumvane_core.slow_threshold import SlowThreshold
+from gypsumvane_core.routing.move_evidence import MoveEvidence
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from gypsumvane_core.routing.leaf_registry import LeafEntry
+    from gypsumvane_core.routing.move_evidence import RouteCounts
 
 # Share of the operators' bound on the canary share that is used. Each daemon draws the
 # version of a request at random, so the share of the fleet varies around its mean.
@@ -42,9 +38,6 @@
 # Natural logarithm of the probability of taking back a version that is not worse. A
 # move makes about a thousand comparisons at each daemon.
 LOG_SIGNIFICANCE = log(1e-5)
-# Number of latest answers of each version that are compared. Older ones would hide
-# a version that turns bad late.
-ANSWER_WINDOW = 100
 
 
 class MoveState(StrEnum):
@@ -69,28 +62,17 @@
     revision: int = 0
 
 
-def _new_window() -> deque[bool]:
-    return deque(maxlen=ANSWER_WINDOW)
-
-
-@dataclass(slots=True)
-class _RouteEvidence:
-    """Hold which of the latest answers on a route were bad, by version."""
-
-    old: deque[bool] = field(default_factory=_new_window)
-    new: deque[bool] = field(default_factory=_new_window)
-    slow: SlowThreshold = field(default_factory=SlowThreshold)
+@dataclass(frozen=True, slots=True)
+class MoveReport:
+    """Tell peers what one daemon knows of a move."""
 
-    def new_is_worse(self) -> bool:
-        """Return whether the new version is significantly worse than the old one."""
-        if not self.new or not self.old:
-            return False
-        stratum = Stratum(len(self.old), sum(self.old), len(self.new), sum(self.new))
-        old_rate = stratum.old_bad / stratum.old_answers
-        new_rate = stratum.new_bad / stratum.new_answers
-        if new_rate < RATE_FACTOR * old_rate + FAILURE_MARGIN:
-            return False
-        return log_p_value([stratum]) < LOG_SIGNIFICANCE
+    # Names one start of a daemon, whose counts begin anew.
+    reporter: str
+    service: str
+    target_version: str
+    taken_back: bool
+    good_answers: int
+    routes: dict[str, RouteCounts]
 
 
 class VersionMove:
@@ -100,8 +82,7 @@
         self.order = order
         self._started_s = started_s
         self._canary_share = canary_share * CANARY_BOUND_USED
-        self._routes: dict[str, _RouteEvidence] = {}
-        self._good_answers = 0
+        self._evidence = MoveEvidence()
         self.state = order.state or MoveState.RUNNING
 
     def update(self, order: MoveOrder) -> None:
@@ -116,7 +97,8 @@
             return 1.0 if self.state is MoveState.COMPLETED else 0.0
         elapsed = self._elapsed_share(now_s)
         proven = (
-            self._good_answers >= GOOD_ANSWERS_MIN or elapsed >= GOOD_ANSWERS_WAIVED_AT
+            self._evidence.fleet_good_answers >= GOOD_ANSWERS_MIN
+            or elapsed >= GOOD_ANSWERS_WAIVED_AT
         )
         if elapsed < CANARY_END or not proven:
             return self._canary_share
@@ -131,19 +113,41 @@
         failed tells that the request was or may have been executed without a good
         answer; latency_ms then has no effect.
         """
-        evidence = self._routes.setdefault(route, _RouteEvidence())
-        bad = failed or evidence.slow.is_slow(latency_ms)
-        if version != self.order.target_version:
-            evidence.old.append(bad)
-            if not failed:
-                evidence.slow.add_baseline(latency_ms)
-            return False
-        evidence.new.append(bad)
-        self._good_answers += not bad
-        if self.state is MoveState.RUNNING and bad and evidence.new_is_worse():
+        new = version == self.order.target_version
+        bad = self._evidence.add_answer(
+            route, new=new, failed=failed, latency_ms=latency_ms
+        )
+        return new and bad and self._take_back_if_worse()
+
+    def report(self, reporter: str) -> MoveReport:
+        """Return what this daemon knows of the move."""
+        return MoveReport(
+            reporter,
+            service=self.order.service,
+            target_version=self.order.target_version,
+            taken_back=self.state is MoveState.ROLLED_BACK,
+            good_answers=self._evidence.good_answers,
+            routes=self._evidence.counts(),
+        )
+
+    def add_reports(self, reports: Sequence[MoveReport]) -> bool:
+        """Adopt peers' reports and return whether they take the version back here."""
+        for report in reports:
+            self._evidence.add_peer(report.reporter, report.routes, report.good_answers)
+        if self.state is MoveState.RUNNING and any(
+            report.taken_back for report in reports
+        ):
             self.state = MoveState.ROLLED_BACK
             return True
-        return False
+        return self._take_back_if_worse()
+
+    def _take_back_if_worse(self) -> bool:
+        if self.state is not MoveState.RUNNING:
+            return False
+        if not self._evidence.new_is_worse(LOG_SIGNIFICANCE):
+            return False
+        self.state = MoveState.ROLLED_BACK
+        return True
 
     def is_due_for_completion(self, now_s: float) -> bool:
         """Return whether the move is to be recorded as complete."""
@@ -201,6 +205,27 @@
         """Return the move of a service, None if there is none."""
         return self._moves.get(service)
 
+    def reports(self, reporter: str) -> list[MoveReport]:
+        """Return what this daemon knows of all moves that peers may still execute."""
+        return [
+            move.report(reporter)
+            for move in self._moves.values()
+            if move.state is not MoveState.COMPLETED
+        ]
+
+    def add_reports(self, reports: Iterable[MoveReport]) -> list[VersionMove]:
+        """Adopt peers' reports and return the moves that they take back here."""
+        by_service: dict[str, list[MoveReport]] = {}
+        for report in reports:
+            move = self._moves.get(report.service)
+            if move is not None and move.order.target_version == report.target_version:
+                by_service.setdefault(report.service, []).append(report)
+        return [
+            self._moves[service]
+            for service, known in by_service.items()
+            if self._moves[service].add_reports(known)
+        ]
+
     def all(self) -> list[VersionMove]:
         """Return all moves."""
         return list(self._moves.values())
--- a/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
@@ -77,9 +77,10 @@
                 self.record(MoveState.COMPLETED)
 
     def exchange(self, now_s: float) -> None:
-        """Pass a version that a daemon took back to all others through the store."""
-        if any(move.state is MoveState.ROLLED_BACK for move in self.moves):
-            self.record(MoveState.ROLLED_BACK)
+        """Pass the reports of all daemons to all others."""
+        reports = [move.report(str(at)) for at, move in enumerate(self.moves)]
+        for at, move in enumerate(self.moves):
+            move.add_reports([entry for entry in reports if entry.reporter != str(at)])
 
     def record(self, state: MoveState) -> None:
         """Record a state of the move in the store."""
--- /dev/null
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
@@ -0,0 +1,126 @@
+"""Exchange of what daemons know of version moves, as a part of their pings."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+from typing import Any
+
+from gypsumvane_core.move_comparison import Stratum
+from gypsumvane_core.routing.move_evidence import RouteCounts
+from gypsumvane_core.routing.version_move import MoveReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gypsumvane_core.clock import Clock
+    from gypsumvane_core.routing.version_move import MoveRegistry
+
+logger = logging.getLogger(__name__)
+
+# Time for which a hub forwards the reports of a daemon that no longer pings it.
+REPORT_VALID_S = 5.0
+
+
+class MoveExchange:
+    """Encode the reports for a ping and adopt those of a peer.
+
+    A hub forwards the reports of the daemons that ping it, so that hubs know the
+    answers of the whole fleet.
+    """
+
+    def __init__(self, reporter: str, moves: MoveRegistry, clock: Clock) -> None:
+        self._reporter = reporter
+        self._moves = moves
+        self._clock = clock
+        # Reports received from the daemon itself, and when, by reporter.
+        self._direct: dict[str, tuple[list[MoveReport], float]] = {}
+        # Called when the reports of peers show that a version is bad.
+        self.on_taken_back: Callable[[], None] = lambda: None
+
+    def outgoing(self, *, forward: bool) -> dict[str, Any]:
+        """Return the content for a ping, with the reports of others on request."""
+        expired_s = self._clock.monotonic_s() - REPORT_VALID_S
+        self._direct = {
+            reporter: entry
+            for reporter, entry in self._direct.items()
+            if entry[1] > expired_s
+        }
+        forwarded = [
+            _encode(report)
+            for reports, _ in self._direct.values()
+            for report in reports
+        ]
+        return {
+            "own": [_encode(report) for report in self._moves.reports(self._reporter)],
+            "forwarded": forwarded if forward else [],
+        }
+
+    def receive(self, content: Any) -> None:
+        """Adopt the reports in a ping.
+
+        Raises KeyError, TypeError or ValueError if they are malformed.
+        """
+        own = [_decode(entry) for entry in content["own"]]
+        forwarded = [_decode(entry) for entry in content["forwarded"]]
+        if own:
+            self._direct[own[0].reporter] = (own, self._clock.monotonic_s())
+        taken_back = self._moves.add_reports(
+            report for report in (*own, *forwarded) if report.reporter != self._reporter
+        )
+        for move in taken_back:
+            logger.warning(
+                "version taken back by the answers of all daemons",
+                extra={
+                    "service": move.order.service,
+                    "target_version": move.order.target_version,
+                },
+            )
+        if taken_back:
+            self.on_taken_back()
+
+
+def _encode(report: MoveReport) -> dict[str, Any]:
+    return {
+        "reporter": report.reporter,
+        "service": report.service,
+        "target_version": report.target_version,
+        "taken_back": report.taken_back,
+        "good_answers": report.good_answers,
+        "routes": {
+            route: [
+                counts.window.old_answers,
+                counts.window.old_bad,
+                counts.window.new_answers,
+                counts.window.new_bad,
+                counts.recent.new_answers,
+                counts.recent.new_bad,
+            ]
+            for route, counts in report.routes.items()
+        },
+    }
+
+
+def _decode(entry: Any) -> MoveReport:
+    return MoveReport(
+        reporter=str(entry["reporter"]),
+        service=str(entry["service"]),
+        target_version=str(entry["target_version"]),
+        taken_back=bool(entry["taken_back"]),
+        good_answers=int(entry["good_answers"]),
+        routes={
+            str(route): _decode_counts(*map(int, numbers))
+            for route, numbers in dict(entry["routes"]).items()
+        },
+    )
+
+
+def _decode_counts(
+    old: int, old_bad: int, new: int, new_bad: int, recent: int, recent_bad: int
+) -> RouteCounts:
+    valid = 0 <= old_bad <= old and 0 <= new_bad <= new and 0 <= recent_bad <= recent
+    if not valid:
+        raise ValueError("more bad answers than answers")
+    return RouteCounts(
+        Stratum(old, old_bad, new, new_bad), Stratum(old, old_bad, recent, recent_bad)
+    )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -25,6 +25,7 @@
 
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.routing.peer_table import PeerTable
+    from gypsumvane_daemon.routing.move_exchange import MoveExchange
     from gypsumvane_daemon.routing.peer_client import PeerClient
     from gypsumvane_daemon.routing.ports import Platform
     from gypsumvane_daemon.routing.routing_state import RoutingState
@@ -59,6 +60,7 @@
         table: PeerTable,
         state: RoutingState,
         configs: ConfigListener,
+        moves: MoveExchange,
         platform: Platform,
         client: PeerClient,
         seeds: tuple[str, ...],
@@ -69,6 +71,7 @@
         self._table = table
         self._state = state
         self._configs = configs
+        self._moves = moves
         self._platform = platform
         self._client = client
         # Peer addresses that may be stale and include this daemon's own.
@@ -209,7 +212,8 @@
         """
         now_s = self._clock.monotonic_s()
         reported: list[ServingDaemon] = []
-        if self._table.is_hub(now_s):
+        is_hub = self._table.is_hub(now_s)
+        if is_hub:
             direct = self._table.serving_by_ping(now_s)
             chosen = {
                 record.name
@@ -221,6 +225,7 @@
             "serving": self._state.serving,
             "version": self._state.version,
             "told": [asdict(entry) for entry in reported],
+            "moves": self._moves.outgoing(forward=is_hub),
         }
 
     def _record_status(self, status: Any) -> None:
@@ -232,3 +237,4 @@
             for entry in status["told"]
         ]
         self._table.record_hub_report(record.name, reported, now_s)
+        self._moves.receive(status["moves"])
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -30,6 +30,7 @@
 from gypsumvane_daemon.routing.listener import HttpListener
 from gypsumvane_daemon.routing.listener import ListenError
 from gypsumvane_daemon.routing.listener import text_response
+from gypsumvane_daemon.routing.move_exchange import MoveExchange
 from gypsumvane_daemon.routing.move_recorder import MoveRecorder
 from gypsumvane_daemon.routing.peer_client import PeerClient
 from gypsumvane_daemon.routing.peer_exchange import CONFIG_PATH
@@ -101,17 +102,24 @@
         )
         self._configs = ConfigListener(self.state)
         self._peer_client = PeerClient()
+        # Names this start of the daemon.
+        reporter = f"{self.own.name}#{self._rng.getrandbits(64):016x}"
+        move_exchange = MoveExchange(reporter, self.moves, self.clock)
         self.peers = PeerExchange(
             self.own,
             table=self.peer_table,
             state=self.state,
             configs=self._configs,
+            moves=move_exchange,
             platform=platform,
             client=self._peer_client,
             seeds=settings.seed_addresses,
             clock=self.clock,
             rng=self._rng,
         )
+        # Peers have to stop sending to a bad version, too.
+        move_exchange.on_taken_back = self.peers.ping_now
+        self._context.on_taken_back = self.peers.ping_now
         self._entry_listener = HttpListener(
             "callers", settings.entry_address, self.entry.handle
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -18,6 +18,8 @@
 from gypsumvane_daemon.routing.leaf_attempt import LeafReply
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.routing.config import Route
     from gypsumvane_core.routing.config import ServiceConfig
@@ -53,6 +55,8 @@
     region_of_domain: dict[str, str] = field(default_factory=dict)
     cold_bound: ColdStartBound = field(default_factory=ColdStartBound)
     rng: Random = field(default_factory=Random)
+    # Called when an answer shows that a version is bad.
+    on_taken_back: Callable[[], None] = lambda: None
     _losing_attempts: set[asyncio.Task[LeafResult]] = field(default_factory=set)
 
     def finish_losing_attempt(self, task: asyncio.Task[LeafResult]) -> None:
@@ -292,6 +296,7 @@
                 service=self._service,
                 version=entry.version,
             )
+            self._context.on_taken_back()
 
     def _choose(self, now_s: float) -> LeafEntry | None:
         """Return the best leaf that was not tried yet and may get the request."""
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_peer_exchange.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_peer_exchange.py
@@ -45,6 +45,7 @@
             table=table,
             state=mock.Mock(),
             configs=mock.Mock(),
+            moves=mock.Mock(),
             platform=platform,  # type: ignore[arg-type]
             client=mock.Mock(),
             seeds=(),
