Raise the share of a new version by evidence, late in its move

A version that turned bad late, or failed in part at a service with few requests, got more requests than operators allow: the share rose from 0.3 of the duration on, after half of it without a good answer, and completion was recorded by time alone.

The share now rises between 0.65 and 0.82 of the duration, only with good answers, and returns to that of the canary while the new version is probably worse. A quarter of the operators' slack is spent at the start, which gives services with few requests answers to judge. A version without a good answer, or one that is probably worse at the end, is taken back; completion needs a leaf of the new version, because the old ones are stopped with it.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
@@ -70,8 +70,8 @@
 
     def add_answer(
         self, route: str, *, new: bool, failed: bool, latency_ms: float
-    ) -> bool:
-        """Count an answer and return whether it was bad."""
+    ) -> None:
+        """Count an answer."""
         answers = self._routes.setdefault(route, RouteAnswers())
         bad = failed or answers.slow.is_slow(latency_ms)
         if new:
@@ -81,7 +81,6 @@
             answers.old.append(bad)
             if not failed:
                 answers.slow.add_baseline(latency_ms)
-        return bad
 
     def add_peer(
         self, reporter: str, routes: Mapping[str, RouteCounts], good_answers: int
@@ -99,6 +98,11 @@
         """Return the number of good answers of the new version at all daemons."""
         return self.good_answers + sum(self._peers_good.values())
 
+    @property
+    def any_answers(self) -> bool:
+        """Return whether any daemon has an answer of either version."""
+        return bool(self._routes) or any(self._peers.values())
+
     def new_is_worse(self, log_significance: float) -> bool:
         """Return whether the new version is significantly worse on any route."""
         sources = (self.counts(), *self._peers.values())
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -24,20 +24,42 @@
 # Share of the operators' bound on the canary share that is used. Each daemon draws the
 # version of a request at random, so the share of the fleet varies around its mean.
 CANARY_BOUND_USED = 0.5
+# Share of the operators' slack that is used at the start, with EARLY_SHARE of the
+# requests, so that services with few requests yield answers to judge.
+SLACK_BOUND_USED = 0.25
+EARLY_SHARE = 0.25
 # Points in time as shares of the move's duration. The share of the new version starts
 # to rise at CANARY_END and is 1 from FULL_SHARE_AT; from COMPLETE_AT completion is
-# recorded, which leaves time to write it to the store.
-CANARY_END = 0.3
-FULL_SHARE_AT = 0.75
+# recorded, which leaves time to write it to the store. A version that turns bad
+# after the share has risen exceeds the operators' bound, so it rises late.
+CANARY_END = 0.65
+FULL_SHARE_AT = 0.82
 COMPLETE_AT = 0.85
-# Good answers of the new version that this daemon needs before it raises the share.
+# Point at which a version that is still suspect or unproven is taken back.
+DECIDE_AT = 0.97
+# Good answers of the new version at all daemons that are needed before its share
+# rises.
 GOOD_ANSWERS_MIN = 10
-# Share of the duration after which fewer good answers suffice, for services with
-# few requests.
-GOOD_ANSWERS_WAIVED_AT = 0.5
+# Share of the duration after which one good answer suffices, for services with few
+# requests.
+GOOD_ANSWERS_WAIVED_AT = 0.75
 # Natural logarithm of the probability of taking back a version that is not worse. A
 # move makes about a thousand comparisons at each daemon.
 LOG_SIGNIFICANCE = log(1e-5)
+# The same for holding the share at that of the canary, and for the decision at the
+# end of the move.
+LOG_SUSPICION = log(0.05)
+LOG_FINAL_SIGNIFICANCE = log(0.01)
+
+
+@dataclass(frozen=True, slots=True)
+class CanaryBound:
+    """Bound the requests of all daemons to a version that turns out to be bad."""
+
+    # Share of all requests of the service.
+    share: float
+    # Number of requests on top.
+    slack: float = 0.0
 
 
 class MoveState(StrEnum):
@@ -78,11 +100,22 @@
 class VersionMove:
     """Execute one order at one daemon."""
 
-    def __init__(self, order: MoveOrder, started_s: float, canary_share: float) -> None:
+    def __init__(
+        self,
+        order: MoveOrder,
+        started_s: float,
+        bound: CanaryBound,
+        *,
+        fleet_share: float = 1.0,
+    ) -> None:
         self.order = order
         self._started_s = started_s
-        self._canary_share = canary_share * CANARY_BOUND_USED
+        self._canary_share = bound.share * CANARY_BOUND_USED
+        # Requests of this daemon to the new version that may draw on the slack.
+        self._early_sends_left = bound.slack * SLACK_BOUND_USED * fleet_share
         self._evidence = MoveEvidence()
+        # Whether the new version is probably worse.
+        self._suspect = False
         self.state = order.state or MoveState.RUNNING
 
     def update(self, order: MoveOrder) -> None:
@@ -96,15 +129,19 @@
         if self.state is not MoveState.RUNNING:
             return 1.0 if self.state is MoveState.COMPLETED else 0.0
         elapsed = self._elapsed_share(now_s)
-        proven = (
-            self._evidence.fleet_good_answers >= GOOD_ANSWERS_MIN
-            or elapsed >= GOOD_ANSWERS_WAIVED_AT
-        )
-        if elapsed < CANARY_END or not proven:
-            return self._canary_share
+        if elapsed < CANARY_END or self._suspect or not self._proven(now_s):
+            early = self._early_sends_left >= 1
+            return max(self._canary_share, EARLY_SHARE if early else 0.0)
         risen = min(1.0, (elapsed - CANARY_END) / (FULL_SHARE_AT - CANARY_END))
         return self._canary_share + (1 - self._canary_share) * risen
 
+    def _proven(self, now_s: float) -> bool:
+        """Return whether enough good answers were seen for more than a canary."""
+        good = self._evidence.fleet_good_answers
+        if self._elapsed_share(now_s) >= GOOD_ANSWERS_WAIVED_AT:
+            return good > 0 or not self._evidence.any_answers
+        return good >= GOOD_ANSWERS_MIN
+
     def record_answer(
         self, route: str, version: str, *, failed: bool, latency_ms: float
     ) -> bool:
@@ -114,10 +151,8 @@
         answer; latency_ms then has no effect.
         """
         new = version == self.order.target_version
-        bad = self._evidence.add_answer(
-            route, new=new, failed=failed, latency_ms=latency_ms
-        )
-        return new and bad and self._take_back_if_worse()
+        self._evidence.add_answer(route, new=new, failed=failed, latency_ms=latency_ms)
+        return new and self._take_back_if_worse()
 
     def report(self, reporter: str) -> MoveReport:
         """Return what this daemon knows of the move."""
@@ -144,17 +179,28 @@
     def _take_back_if_worse(self) -> bool:
         if self.state is not MoveState.RUNNING:
             return False
+        self._suspect = self._evidence.new_is_worse(LOG_SUSPICION)
         if not self._evidence.new_is_worse(LOG_SIGNIFICANCE):
             return False
         self.state = MoveState.ROLLED_BACK
         return True
 
-    def is_due_for_completion(self, now_s: float) -> bool:
-        """Return whether the move is to be recorded as complete."""
-        return (
-            self.state is MoveState.RUNNING
-            and self._elapsed_share(now_s) >= COMPLETE_AT
-        )
+    def due_state(self, now_s: float) -> MoveState | None:
+        """Return the final state that is due now, None if the move goes on."""
+        if self.state is not MoveState.RUNNING:
+            return None
+        elapsed = self._elapsed_share(now_s)
+        if elapsed < COMPLETE_AT:
+            return None
+        if self._evidence.new_is_worse(LOG_FINAL_SIGNIFICANCE):
+            return MoveState.ROLLED_BACK
+        if self._proven(now_s) and not self._suspect:
+            return MoveState.COMPLETED
+        return MoveState.ROLLED_BACK if elapsed >= DECIDE_AT else None
+
+    def take_back(self) -> None:
+        """Send no more requests to the new version."""
+        self.state = MoveState.ROLLED_BACK
 
     def select_leaves(
         self, entries: Sequence[LeafEntry], draw: float, now_s: float
@@ -171,6 +217,7 @@
         if self.state is MoveState.ROLLED_BACK:
             return old
         if draw < self.new_version_share(now_s):
+            self._early_sends_left -= bool(new)
             return new or old
         return old or (new if self.state is MoveState.COMPLETED else [])
 
@@ -181,15 +228,17 @@
 class MoveRegistry:
     """Hold the latest move of each service."""
 
-    def __init__(self, canary_share: float) -> None:
-        self._canary_share = canary_share
+    def __init__(self, bound: CanaryBound) -> None:
+        self._bound = bound
+        # This daemon's share of limits that hold for the fleet.
+        self.share = 1.0
         self._moves: dict[str, VersionMove] = {}
 
     def put(self, order: MoveOrder, now_s: float) -> VersionMove:
         """Add an order or update the recorded state of a known one."""
         move = self._moves.get(order.service)
         if move is None or move.order.target_version != order.target_version:
-            move = VersionMove(order, now_s, self._canary_share)
+            move = VersionMove(order, now_s, self._bound, fleet_share=self.share)
             self._moves[order.service] = move
         else:
             move.update(order)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -85,10 +85,28 @@
             return MoveState.ROLLED_BACK
         if not self._is_leader():
             return None
-        if move.is_due_for_completion(self._clock.monotonic_s()):
-            return MoveState.COMPLETED
+        now_s = self._clock.monotonic_s()
+        due = move.due_state(now_s)
+        if due is MoveState.ROLLED_BACK:
+            logger.warning(
+                "version taken back at the end of its move",
+                extra={
+                    "service": move.order.service,
+                    "target_version": move.order.target_version,
+                },
+            )
+            move.take_back()
+            return due
+        if due is MoveState.COMPLETED and self._has_target_leaf(move, now_s):
+            return due
         return MoveState.RUNNING if recorded is None else None
 
+    def _has_target_leaf(self, move: VersionMove, now_s: float) -> bool:
+        """Return whether a leaf can serve when the old ones have been stopped."""
+        target = move.order.target_version
+        leaves = self._state.registry.eligible(move.order.service, now_s)
+        return any(entry.version == target for entry in leaves)
+
     async def _record(self, move: VersionMove, state: MoveState) -> None:
         try:
             order = await self._platform.record_move(move.order, state)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -74,7 +74,7 @@
         self.metrics = RoutingMetrics()
         self.pool = LeafPool()
         self.budget = RetryBudget(settings.retry_allowance)
-        self.moves = MoveRegistry(settings.canary_share)
+        self.moves = MoveRegistry(settings.canary_bound)
         self.own = DaemonRecord(
             name=settings.daemon_name,
             failure_domain=settings.failure_domain,
@@ -247,6 +247,7 @@
             share = limit_share(self.own.name, self.directory.entries(), count)
             self.budget.share = share
             self.pool.share = share
+            self.moves.share = share
             self.pool.keep_only(self.state.registry.entries())
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from gypsumvane_core.routing.retry_budget import RetryAllowance
+    from gypsumvane_core.routing.version_move import CanaryBound
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,8 +31,8 @@
     seed_addresses: tuple[str, ...]
     store_address: str
     retry_allowance: RetryAllowance
-    # Greatest share of a service's requests that a bad version may get.
-    canary_share: float
+    # Bound of the requests that a bad version may get.
+    canary_bound: CanaryBound
     # Time between SIGTERM and SIGKILL.
     stop_grace_s: float
     # CPU capacity of the VM in cores.
