Never let the knowledge of a version move go back

A stale read with an older target version replaced the newer order, and a stale list removed it, so that requests were spread over all versions again; a daemon that started again began the move anew, with the schedule of a new order; a daemon that had taken a version back kept sending to old leaves that a recorded completion had stopped.

Orders and removals older than the known order change nothing, pings carry the time since a daemon learned of an order, and a completion in the store is followed. The three new tests fail without the change: the older order is in effect, the restarted move is not due, the state stays taken back.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -92,6 +92,8 @@
     reporter: str
     service: str
     target_version: str
+    # Time since the daemon learned of the order.
+    elapsed_s: float
     taken_back: bool
     good_answers: int
     routes: dict[str, RouteCounts]
@@ -119,9 +121,16 @@
         self.state = order.state or MoveState.RUNNING
 
     def update(self, order: MoveOrder) -> None:
-        """Adopt the recorded state of the order; a final state stays."""
+        """Adopt the recorded state of the order; a recorded final state stays."""
+        recorded = self.order.state
         self.order = order
-        if self.state is MoveState.RUNNING and order.state is not None:
+        if order.state is None:
+            return
+        decided_here = recorded in (None, MoveState.RUNNING)
+        # The old leaves are stopped once a completion is recorded.
+        if self.state is MoveState.RUNNING or (
+            decided_here and order.state is MoveState.COMPLETED
+        ):
             self.state = order.state
 
     def new_version_share(self, now_s: float) -> float:
@@ -154,20 +163,23 @@
         self._evidence.add_answer(route, new=new, failed=failed, latency_ms=latency_ms)
         return new and self._take_back_if_worse()
 
-    def report(self, reporter: str) -> MoveReport:
+    def report(self, reporter: str, now_s: float) -> MoveReport:
         """Return what this daemon knows of the move."""
         return MoveReport(
             reporter,
             service=self.order.service,
             target_version=self.order.target_version,
+            elapsed_s=now_s - self._started_s,
             taken_back=self.state is MoveState.ROLLED_BACK,
             good_answers=self._evidence.good_answers,
             routes=self._evidence.counts(),
         )
 
-    def add_reports(self, reports: Sequence[MoveReport]) -> bool:
+    def add_reports(self, reports: Sequence[MoveReport], now_s: float) -> bool:
         """Adopt peers' reports and return whether they take the version back here."""
         for report in reports:
+            # A daemon that has started again does not begin the move anew.
+            self._started_s = min(self._started_s, now_s - report.elapsed_s)
             self._evidence.add_peer(report.reporter, report.routes, report.good_answers)
         if self.state is MoveState.RUNNING and any(
             report.taken_back for report in reports
@@ -235,8 +247,13 @@
         self._moves: dict[str, VersionMove] = {}
 
     def put(self, order: MoveOrder, now_s: float) -> VersionMove:
-        """Add an order or update the recorded state of a known one."""
+        """Add an order or update the recorded state of a known one.
+
+        An order that is older than the known one changes nothing.
+        """
         move = self._moves.get(order.service)
+        if move is not None and order.revision < move.order.revision:
+            return move
         if move is None or move.order.target_version != order.target_version:
             move = VersionMove(order, now_s, self._bound, fleet_share=self.share)
             self._moves[order.service] = move
@@ -244,25 +261,33 @@
             move.update(order)
         return move
 
-    def remove(self, service: str) -> None:
-        """Remove a move unless its version was taken back and must get no requests."""
+    def remove(self, service: str, revision: int) -> None:
+        """Remove a move whose order is gone at a revision of the store.
+
+        A move whose version was taken back stays, because it must get no requests,
+        and so does one whose order is newer.
+        """
         move = self._moves.get(service)
-        if move is not None and move.state is not MoveState.ROLLED_BACK:
+        if move is None or move.state is MoveState.ROLLED_BACK:
+            return
+        if revision >= move.order.revision:
             del self._moves[service]
 
     def find(self, service: str) -> VersionMove | None:
         """Return the move of a service, None if there is none."""
         return self._moves.get(service)
 
-    def reports(self, reporter: str) -> list[MoveReport]:
+    def reports(self, reporter: str, now_s: float) -> list[MoveReport]:
         """Return what this daemon knows of all moves that peers may still execute."""
         return [
-            move.report(reporter)
+            move.report(reporter, now_s)
             for move in self._moves.values()
             if move.state is not MoveState.COMPLETED
         ]
 
-    def add_reports(self, reports: Iterable[MoveReport]) -> list[VersionMove]:
+    def add_reports(
+        self, reports: Iterable[MoveReport], now_s: float
+    ) -> list[VersionMove]:
         """Adopt peers' reports and return the moves that they take back here."""
         by_service: dict[str, list[MoveReport]] = {}
         for report in reports:
@@ -272,7 +297,7 @@
         return [
             self._moves[service]
             for service, known in by_service.items()
-            if self._moves[service].add_reports(known)
+            if self._moves[service].add_reports(known, now_s)
         ]
 
     def all(self) -> list[VersionMove]:
--- a/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
@@ -85,9 +85,10 @@
 
     def exchange(self, now_s: float) -> None:
         """Pass the reports of all daemons to all others."""
-        reports = [move.report(str(at)) for at, move in enumerate(self.moves)]
+        reports = [move.report(str(at), now_s) for at, move in enumerate(self.moves)]
         for at, move in enumerate(self.moves):
-            move.add_reports([entry for entry in reports if entry.reporter != str(at)])
+            others = [entry for entry in reports if entry.reporter != str(at)]
+            move.add_reports(others, now_s)
 
     def record(self, state: MoveState) -> None:
         """Record a state of the move in the store."""
--- a/packages/gypsumvane-core/tests/test_core_routing_moves.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_moves.py
@@ -102,6 +102,19 @@
         self.move.update(MoveOrder("s", "v2", DURATION_S, MoveState.RUNNING, 6))
         self.assertEqual(self.move.state, MoveState.ROLLED_BACK)
 
+    def test_recorded_completion_is_followed(self) -> None:
+        """Guard against sends to old leaves, which a completion stops."""
+        self.move.take_back()
+        self.move.update(MoveOrder("s", "v2", DURATION_S, MoveState.COMPLETED, 5))
+        self.assertEqual(self.move.state, MoveState.COMPLETED)
+
+    def test_restart_does_not_begin_the_move_anew(self) -> None:
+        """Guard against a good version that misses its time for a restart."""
+        self.answers("v2", 20)
+        restarted = VersionMove(ORDER, 11.0, CanaryBound(CANARY_SHARE))
+        restarted.add_reports([self.move.report("d1", 11.0)], 11.0)
+        self.assertEqual(restarted.due_state(11.0), MoveState.COMPLETED)
+
     def test_choice_of_leaves(self) -> None:
         old, new = leaf("1", "v1"), leaf("2", "v2")
         both = [old, new]
@@ -126,12 +139,24 @@
         self.assertIsNot(second, first)
         self.assertIs(registry.find("s"), second)
 
+    def test_older_order_changes_nothing(self) -> None:
+        """Guard against a stale read that replaces a newer order (EXPOSURE)."""
+        registry = MoveRegistry(CanaryBound(CANARY_SHARE))
+        move = registry.put(MoveOrder("s", "v3", DURATION_S, revision=7), 0.0)
+        registry.put(MoveOrder("s", "v2", DURATION_S, revision=5), 1.0)
+        registry.put(
+            MoveOrder("s", "v3", DURATION_S, MoveState.ROLLED_BACK, revision=6), 1.0
+        )
+        registry.remove("s", 6)
+        self.assertIs(registry.find("s"), move)
+        self.assertEqual(move.state, MoveState.RUNNING)
+
     def test_removed_order(self) -> None:
         """Guard against a bad version that returns when its order is deleted."""
         registry = MoveRegistry(CanaryBound(CANARY_SHARE))
         registry.put(ORDER, 0.0)
-        registry.remove("s")
+        registry.remove("s", 1)
         self.assertIsNone(registry.find("s"))
         registry.put(MoveOrder("s", "v2", DURATION_S, MoveState.ROLLED_BACK), 0.0)
-        registry.remove("s")
+        registry.remove("s", 1)
         self.assertEqual([move.state for move in registry.all()], ["rolled_back"])
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -40,7 +41,8 @@
 
     def outgoing(self, *, forward: bool) -> dict[str, Any]:
         """Return the content for a ping, with the reports of others on request."""
-        expired_s = self._clock.monotonic_s() - REPORT_VALID_S
+        now_s = self._clock.monotonic_s()
+        expired_s = now_s - REPORT_VALID_S
         self._direct = {
             reporter: entry
             for reporter, entry in self._direct.items()
@@ -52,7 +54,9 @@
             for report in reports
         ]
         return {
-            "own": [_encode(report) for report in self._moves.reports(self._reporter)],
+            "own": [
+                _encode(report) for report in self._moves.reports(self._reporter, now_s)
+            ],
             "forwarded": forwarded if forward else [],
         }
 
@@ -63,11 +67,11 @@
         """
         own = [_decode(entry) for entry in content["own"]]
         forwarded = [_decode(entry) for entry in content["forwarded"]]
+        now_s = self._clock.monotonic_s()
         if own:
-            self._direct[own[0].reporter] = (own, self._clock.monotonic_s())
-        taken_back = self._moves.add_reports(
-            report for report in (*own, *forwarded) if report.reporter != self._reporter
-        )
+            self._direct[own[0].reporter] = (own, now_s)
+        known = [entry for entry in forwarded if entry.reporter != self._reporter]
+        taken_back = self._moves.add_reports([*own, *known], now_s)
         for move in taken_back:
             logger.warning(
                 "version taken back by the answers of all daemons",
@@ -85,6 +89,7 @@
         "reporter": report.reporter,
         "service": report.service,
         "target_version": report.target_version,
+        "elapsed_s": report.elapsed_s,
         "taken_back": report.taken_back,
         "good_answers": report.good_answers,
         "routes": {
@@ -106,6 +111,7 @@
         reporter=str(entry["reporter"]),
         service=str(entry["service"]),
         target_version=str(entry["target_version"]),
+        elapsed_s=_elapsed_s(entry),
         taken_back=bool(entry["taken_back"]),
         good_answers=int(entry["good_answers"]),
         routes={
@@ -115,6 +121,13 @@
     )
 
 
+def _elapsed_s(entry: Any) -> float:
+    elapsed_s = float(entry["elapsed_s"])
+    if not 0 <= elapsed_s < math.inf:
+        raise ValueError(f"elapsed_s is {elapsed_s}")
+    return elapsed_s
+
+
 def _decode_counts(
     old: int, old_bad: int, new: int, new_bad: int, recent: int, recent_bad: int
 ) -> RouteCounts:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -54,7 +54,7 @@
         named = {record.value.service for record in listing.records}
         for move in self._registry.all():
             if move.order.service not in named:
-                self._registry.remove(move.order.service)
+                self._registry.remove(move.order.service, listing.revision)
         for record in listing.records:
             self._apply(record.value)
         self._state.orders_known = True
@@ -63,7 +63,7 @@
         """Apply changed orders and remove moves whose order was deleted."""
         for name, record in changes.changes:
             if record is None:
-                self._registry.remove(name)
+                self._registry.remove(name, changes.revision)
             else:
                 self._apply(record.value)
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_move_exchange.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_move_exchange.py
@@ -114,6 +114,8 @@
             {"routes": {"r": ["x"] * 6}},
             {"routes": [1]},
             {"good_answers": None},
+            {"elapsed_s": float("nan")},
+            {"elapsed_s": -1},
         ):
             with self.subTest(change), self.assertRaises((TypeError, ValueError)):
                 self.hubs[0].exchange.receive(
