Hold a new version back until orders are known to be newer

A bad version got requests before its order was read: leaves are watched for 1.5 s and orders for 10 s, so that the leaves of a version could be known before the order that it belongs to, and without an order all versions are alike.

An order is written before its leaves start. A version that appears beside others now gets requests once the orders were confirmed after it appeared, at once in the usual case and with the next answer of a hub elsewhere. A service with no other version is not affected.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -51,6 +51,8 @@
         self._leaves: dict[str, _Leaf] = {}
         self._services: dict[str, dict[str, _Leaf]] = {}
         self._domains_out: frozenset[str] = frozenset()
+        # When the first leaf of each version of a service was seen.
+        self._version_seen_s: dict[tuple[str, str], float] = {}
 
     def put(self, entry: LeafEntry, now_s: float, *, grace: bool = True) -> None:
         """Add or update a leaf, unless a newer incarnation is known.
@@ -71,6 +73,7 @@
             self._services[known.entry.service].pop(entry.leaf_id, None)
         self._leaves[entry.leaf_id] = leaf
         self._services.setdefault(entry.service, {})[entry.leaf_id] = leaf
+        self._version_seen_s.setdefault((entry.service, entry.version), now_s)
 
     def remove(self, leaf_id: str, now_s: float, *, grace: bool = True) -> None:
         """Remove a leaf whose entry is gone, at once or at the end of its grace."""
@@ -132,6 +135,22 @@
                 self._drop(leaf_id)
         return ready or leaving
 
+    def without_new_versions(
+        self, entries: list[LeafEntry], orders_confirmed_s: float
+    ) -> list[LeafEntry]:
+        """Return the leaves of versions whose order would be known.
+
+        An order to move a service is written before leaves of the new version start.
+        A version that appeared after the orders were last confirmed may have an order
+        that is not known yet. All leaves are returned if no other version is there.
+        """
+        known = [
+            entry
+            for entry in entries
+            if self._version_seen_s[entry.service, entry.version] <= orders_confirmed_s
+        ]
+        return known or entries
+
     def may_send(self, entry: LeafEntry, now_s: float) -> bool:
         """Return whether a leaf that was chosen before may still get a request."""
         leaf = self._leaves.get(entry.leaf_id)
@@ -151,5 +170,8 @@
         return [leaf.entry for leaf in self._leaves.values()]
 
     def _drop(self, leaf_id: str) -> None:
-        leaf = self._leaves.pop(leaf_id)
-        self._services[leaf.entry.service].pop(leaf_id, None)
+        entry = self._leaves.pop(leaf_id).entry
+        others = self._services[entry.service]
+        others.pop(leaf_id, None)
+        if all(other.entry.version != entry.version for other in others.values()):
+            self._version_seen_s.pop((entry.service, entry.version), None)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -119,6 +119,7 @@
         )
         # Peers have to stop sending to a bad version, too.
         move_exchange.on_taken_back = self.peers.ping_now
+        self._context.orders_age_s = lambda: self.state.orders_age_s()
         self._context.on_taken_back = self.peers.ping_now
         self._entry_listener = HttpListener(
             "callers", settings.entry_address, self.entry.handle
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -55,6 +55,8 @@
     region_of_domain: dict[str, str] = field(default_factory=dict)
     cold_bound: ColdStartBound = field(default_factory=ColdStartBound)
     rng: Random = field(default_factory=Random)
+    # Returns the time since the orders of version moves were confirmed.
+    orders_age_s: Callable[[], float] = lambda: 0.0
     # Called when an answer shows that a version is bad.
     on_taken_back: Callable[[], None] = lambda: None
     _losing_attempts: set[asyncio.Task[LeafResult]] = field(default_factory=set)
@@ -301,7 +303,10 @@
     def _choose(self, now_s: float) -> LeafEntry | None:
         """Return the best leaf that was not tried yet and may get the request."""
         context = self._context
-        entries = context.sender.registry.eligible(self._service, now_s)
+        registry = context.sender.registry
+        entries = registry.without_new_versions(
+            registry.eligible(self._service, now_s), now_s - context.orders_age_s()
+        )
         move = context.moves.find(self._service)
         if move is not None:
             entries = move.select_leaves(entries, self._version_draw, now_s)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -209,8 +209,6 @@
         changes = await self._source.watch(since, self._watch_s)
         self._mark_answered(changes)
         self._revision = changes.revision
-        if not changes.relayed:
-            self.on_watched(since, changes)
         if changes.changes:
             logger.info(
                 "changes received",
@@ -222,6 +220,9 @@
                 },
             )
             self._listener.on_changes(changes)
+        if not changes.relayed:
+            self.on_watched(since, changes)
+        if changes.changes:
             await asyncio.sleep(self._pause_s)
 
     def _mark_lost(self, error: StoreUnavailableError) -> None:
