--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
@@ -27,6 +28,15 @@
 FIRST_FAILURE_STATUS = 500
 
 
+def parse_limit(text: str) -> float | None:
+    """Return the requests per second in a header, None without a usable number."""
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    return limit_per_s if 0 <= limit_per_s < math.inf else None
+
+
 @dataclass(frozen=True, slots=True)
 class LeafReply:
     """Carry the answer of a leaf that executed the request."""
@@ -197,6 +207,11 @@
         return reply
 
     def _record_load(self, entry: LeafEntry, answer: LeafAnswer, now_s: float) -> None:
+        if answer.status == MISDIRECTED:
+            # The answer is that of another leaf.
+            return
+        text = answer.header(self.names.leaf_limit)
+        self.pool.record_limit(entry, parse_limit(text))
         # Running requests, waiting requests and slots.
         report = answer.header(self.names.leaf_load).split(",")
         if len(report) == 3 and report[1].strip().isdigit():
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -14,6 +15,8 @@
     from gypsumvane_core.routing.config import ServiceConfig
     from gypsumvane_core.routing.leaf_registry import LeafEntry
 
+logger = logging.getLogger(__name__)
+
 # Share of a leaf's connection limit that all daemons together use, because a leaf
 # accepts fewer connections while its queue is long.
 CONNECTION_SHARE = 0.8
@@ -31,6 +34,8 @@
     channel: LeafChannel | None = None
     # Connection limit that was last applied to the channel.
     connections: int = 0
+    # Requests per second that the leaf takes from all daemons; None without a limit.
+    limit_per_s: float | None = None
 
 
 class LeafPool:
@@ -53,6 +58,21 @@
         """Return the load of a leaf."""
         return self.state(entry).load
 
+    def record_limit(self, entry: LeafEntry, limit_per_s: float | None) -> None:
+        """Record the limit that a leaf names with an answer, None if it names none."""
+        state = self.state(entry)
+        if limit_per_s == state.limit_per_s:
+            return
+        logger.info(
+            "leaf limit changed",
+            extra={
+                "leaf": entry.leaf_id,
+                "limit_per_s": limit_per_s,
+                "limit_per_s_before": state.limit_per_s,
+            },
+        )
+        state.limit_per_s = limit_per_s
+
     def channel(self, entry: LeafEntry, service: ServiceConfig | None) -> LeafChannel:
         """Return the channel to a leaf, with its connection limit up to date."""
         state = self.state(entry)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -31,6 +31,7 @@
     answer_signature: str
     expected_leaf: str
     leaf_load: str
+    leaf_limit: str
     not_run: str
     retry_after: str
     part_signatures: str
