Keep the limits that leaves name

A leaf in need got far more requests than it takes: no part of the daemon read Server-Limit, and by its latency alone the leaf still got 25 requests a second where it took 6.8.

Each daemon that callers are sent to may hold a part of the limit. The parts are few, so that none is a fraction of a request which many daemons save up and send at once; the other daemons ask rarely, each at its own time, whether the limit still holds. Every send counts, hedges, retries and parts of gathered requests too. What no leaf takes is refused at once, and what the more urgent kinds ask for is kept free for them. The limit ends with the answer that names none.

Ruled out: equal parts for all daemons. 30 of them send 30 requests at once where a leaf that takes 2 a second allows 17 in 4 s.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -211,7 +211,7 @@
             # The answer is that of another leaf.
             return
         text = answer.header(self.names.leaf_limit)
-        self.pool.record_limit(entry, parse_limit(text))
+        self.pool.record_limit(entry, parse_limit(text), now_s)
         # Running requests, waiting requests and slots.
         report = answer.header(self.names.leaf_load).split(",")
         if len(report) == 3 and report[1].strip().isdigit():
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
@@ -8,10 +8,14 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.routing.leaf_limit import LeafLimit
+from gypsumvane_core.routing.leaf_limit import divide_limit
 from gypsumvane_core.routing.leaf_load import LeafLoad
 from gypsumvane_daemon.routing.leaf_channel import LeafChannel
 
 if TYPE_CHECKING:
+    from random import Random
+
     from gypsumvane_core.routing.config import ServiceConfig
     from gypsumvane_core.routing.leaf_registry import LeafEntry
 
@@ -36,12 +40,17 @@
     connections: int = 0
     # Requests per second that the leaf takes from all daemons; None without a limit.
     limit_per_s: float | None = None
+    limit: LeafLimit | None = None
 
 
 class LeafPool:
     """Open channels to leaves on demand and close those of removed leaves."""
 
-    def __init__(self) -> None:
+    def __init__(self, own_name: str, rng: Random) -> None:
+        self._own_name = own_name
+        self._rng = rng
+        # Names of the daemons that divide limits of leaves.
+        self._members: tuple[str, ...] = (own_name,)
         self._states: dict[tuple[str, int, str], LeafState] = {}
         self._closing: set[asyncio.Task[None]] = set()
         # Share of each leaf's connection limit that this daemon may use.
@@ -58,7 +67,9 @@
         """Return the load of a leaf."""
         return self.state(entry).load
 
-    def record_limit(self, entry: LeafEntry, limit_per_s: float | None) -> None:
+    def record_limit(
+        self, entry: LeafEntry, limit_per_s: float | None, now_s: float
+    ) -> None:
         """Record the limit that a leaf names with an answer, None if it names none."""
         state = self.state(entry)
         if limit_per_s == state.limit_per_s:
@@ -72,6 +83,25 @@
             },
         )
         state.limit_per_s = limit_per_s
+        if limit_per_s is None:
+            state.limit = None
+            return
+        part = divide_limit(limit_per_s, entry.leaf_id, self._own_name, self._members)
+        if state.limit is None:
+            state.limit = LeafLimit(part, now_s, self._rng.random())
+        else:
+            state.limit.part = part
+
+    def set_members(self, names: tuple[str, ...]) -> None:
+        """Divide all limits among the daemons that callers are sent to."""
+        if names == self._members:
+            return
+        self._members = names
+        for (leaf_id, *_), state in self._states.items():
+            if state.limit is not None and state.limit_per_s is not None:
+                state.limit.part = divide_limit(
+                    state.limit_per_s, leaf_id, self._own_name, names
+                )
 
     def channel(self, entry: LeafEntry, service: ServiceConfig | None) -> LeafChannel:
         """Return the channel to a leaf, with its connection limit up to date."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -72,7 +72,6 @@
         self.clock = SystemClock()
         self.state = RoutingState()
         self.metrics = RoutingMetrics()
-        self.pool = LeafPool()
         self.budget = RetryBudget(settings.retry_allowance)
         self.moves = MoveRegistry(settings.canary_bound)
         self.own = DaemonRecord(
@@ -87,6 +86,7 @@
             self.own, self.peer_table, self.state, self.clock
         )
         self._rng = random.Random()
+        self.pool = LeafPool(settings.daemon_name, self._rng)
         self._stop = asyncio.Event()
         self._split = TrafficSplit()
         self._latencies = LatencyTracker()
@@ -246,7 +246,9 @@
         """Keep this daemon's shares of limits and the open channels up to date."""
         while True:
             count = self.peer_table.fleet_size(self.clock.monotonic_s())
-            share = limit_share(self.own.name, self.directory.entries(), count)
+            entries = self.directory.entries()
+            share = limit_share(self.own.name, entries, count)
+            self.pool.set_members(tuple(sorted(entry.name for entry in entries)))
             self.budget.share = share
             self.pool.share = share
             self.moves.share = share
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -213,7 +213,9 @@
         limit = self._route.attempts_max + REFUSED_SENDS_MAX
         if self._counted_sends >= self._route.attempts_max or self._sends >= limit:
             return False
-        entry = self._first_leaf or self._choose(now_s)
+        entry = self._first_leaf
+        if entry is None or not self._within_limit(entry, now_s):
+            entry = self._choose(now_s)
         self._first_leaf = None
         if entry is None:
             return False
@@ -235,6 +237,9 @@
             )
         if self._rate_limited(entry, now_s):
             context.sender.pool.load(entry).record_cold_request(now_s)
+        leaf_limit = context.sender.pool.state(entry).limit
+        if leaf_limit is not None:
+            leaf_limit.take(self._route.rank, now_s)
         self._log_move_send(entry, now_s)
         self._tried.add(entry.incarnation)
         self._sends += 1
@@ -315,6 +320,12 @@
             for entry in entries
             if self._in_region(entry) and self._accepts_request(entry, now_s)
         ]
+        if not self._sends:
+            self._note_demand(entries, now_s)
+        allowed = [entry for entry in entries if self._within_limit(entry, now_s)]
+        if entries and not allowed:
+            context.log.decision("limit_reached", self._request, service=self._service)
+        entries = allowed
         unused = [entry for entry in entries if entry.incarnation not in self._tried]
         return context.chooser.choose(
             unused,
@@ -339,6 +350,18 @@
         per_s = context.cold_bound.daemon_rate_per_s(self._config.warmup_per_s, share)
         return context.sender.pool.load(entry).accepts_cold_request(per_s, now_s)
 
+    def _within_limit(self, entry: LeafEntry, now_s: float) -> bool:
+        """Return whether a leaf takes the request within the limit that it names."""
+        limit = self._context.sender.pool.state(entry).limit
+        return limit is None or limit.accepts(self._route.rank, now_s)
+
+    def _note_demand(self, entries: list[LeafEntry], now_s: float) -> None:
+        """Count the request at the leaves that name a limit."""
+        for entry in entries:
+            limit = self._context.sender.pool.state(entry).limit
+            if limit is not None:
+                limit.note_demand(self._route.rank, now_s)
+
     def _rate_limited(self, entry: LeafEntry, now_s: float) -> bool:
         """Return whether a leaf is cold and its service limits requests to it."""
         # Services without a configured rate do not limit requests to cold leaves.
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_gather_call.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_gather_call.py
@@ -56,7 +56,7 @@
     registry: LeafRegistry
     failing: frozenset[str] = frozenset()
     silent: frozenset[str] = frozenset()
-    pool: LeafPool = field(default_factory=LeafPool)
+    pool: LeafPool = field(default_factory=lambda: LeafPool("d", random.Random(1)))
     sent: list[str] = field(default_factory=list)
 
     async def send(self, entry: LeafEntry, *_: Any, **__: Any) -> Any:
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_attempt.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_leaf_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 from dataclasses import fields
 from typing import TYPE_CHECKING
@@ -39,7 +40,7 @@
         self.registry = LeafRegistry()
         self.entry = LeafEntry("leaf", "s", f"127.0.0.1:{port}", "a")
         self.registry.put(self.entry, self.clock.monotonic_s())
-        self.pool = LeafPool()
+        self.pool = LeafPool("d1", random.Random(1))
         self.addAsyncCleanup(self.pool.close)
         self.addCleanup(self.server.close)
 
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_service_call.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_service_call.py
@@ -47,7 +47,7 @@
     """Sender that leaves the first send unanswered and answers later ones."""
 
     registry: LeafRegistry
-    pool: LeafPool = field(default_factory=LeafPool)
+    pool: LeafPool = field(default_factory=lambda: LeafPool("d", random.Random(1)))
     leaf_ids: list[str] = field(default_factory=list)
 
     async def send(
@@ -81,7 +81,7 @@
     """Sender that answers a moment after its send has begun."""
 
     registry: LeafRegistry
-    pool: LeafPool = field(default_factory=LeafPool)
+    pool: LeafPool = field(default_factory=lambda: LeafPool("d", random.Random(1)))
     leaf_ids: list[str] = field(default_factory=list)
 
     async def send(
