Read a list of the store whatever one of its entries holds

A daemon ended again and again, or never served, after another writer had left one odd entry among those of the leaves: 100,000 nested lists or maps raised RecursionError, a number of 6,000 digits ValueError, for the whole list and for each watch that returned the entry.

The same cause was found in peers' and pings' bodies, in status reports of upstreams and in what the product stores in its own store: all are read with one function that raises ValueError, which their readers expect.

--- a/packages/gypsumvane-core/src/gypsumvane_core/claim.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/claim.py
@@ -11,6 +11,8 @@
 
 from xxhash import xxh64_intdigest
 
+from gypsumvane_core.bounded_json import decode_json
+
 BUCKET_COUNT = 8
 RESULT_BYTES_MAX = 4096
 
@@ -70,7 +72,7 @@
 
         Raises ValueError when the line is not a claim.
         """
-        fields = json.loads(line)
+        fields = decode_json(line)
         if not isinstance(fields, list) or len(fields) not in (6, 8):
             raise ValueError("invalid claim: expected a JSON array of 6 or 8 fields")
         result = None
--- a/packages/gypsumvane-core/src/gypsumvane_core/claim_bucket.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/claim_bucket.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_core.claim import Claim
 from gypsumvane_core.claim import ClaimState
 from gypsumvane_core.claim import RecordedResult
@@ -148,7 +149,7 @@
         Raises ValueError when the value is not a bucket.
         """
         head, *lines = value.split(b"\n")
-        header = json.loads(head)
+        header = decode_json(head)
         if (
             not isinstance(header, dict)
             or header.get("format") != 1
--- a/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/stored_document.py
@@ -10,6 +10,7 @@
 from pydantic import ConfigDict
 from pydantic import Field
 
+from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_core.messages import Document
 
 # A body must fit into one peer frame (1 MiB) and one store value (1 MB).
@@ -88,7 +89,7 @@
         author=document.author,
         reason=document.reason,
         accepted_unix_ms=document.accepted_unix_ms,
-        body=json.loads(document.body),
+        body=decode_json(document.body),
         recent_changes=[*(earlier or []), own][-RECENT_CHANGES_MAX:],
     )
     return stored.model_dump_json().encode()
--- a/packages/gypsumvane-core/src/gypsumvane_core/view.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/view.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_core.messages import Member
 from gypsumvane_core.messages import ViewUpdate
 
@@ -90,7 +91,7 @@
     Raises ValueError when the value is not a view.
     """
     try:
-        fields = json.loads(value)
+        fields = decode_json(value)
         message = ViewUpdate(**fields)
         message.members = [Member(**entry) for entry in fields["members"]]
         message.former = [Member(**entry) for entry in fields["former"]]
--- /dev/null
+++ b/packages/gypsumvane-core/tests/test_core_bounded_json.py
@@ -0,0 +1,65 @@
+"""Tests of the decoding of JSON from outside."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from gypsumvane_core.bounded_json import DEPTH_MAX
+from gypsumvane_core.bounded_json import cut_deep_values
+from gypsumvane_core.bounded_json import decode_json
+from gypsumvane_core.bounded_json import decode_json_leniently
+from gypsumvane_core.bounded_json import is_nested_too_deeply
+
+DEEP_LIST = b"[" * 100_000 + b"]" * 100_000
+DEEP_MAP = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
+
+
+class BoundedJsonTest(unittest.TestCase):
+    """Decode texts that the standard library rejects."""
+
+    def test_odd_entry_hides_no_other(self) -> None:
+        """Guard against a list that is lost to one of its entries."""
+        for odd in (DEEP_LIST, DEEP_MAP, b"9" * 6000, b"-" + b"9" * 6000):
+            with self.subTest(odd[:5]):
+                text = b'[{"x":' + odd + b'},{"x":"[{\\"]"},{"x":2}]'
+                value = decode_json_leniently(text)
+                self.assertEqual(value[1:], [{"x": '[{"]'}, {"x": 2}])
+                # Only the deep part of the value is replaced.
+                self.assertFalse(is_nested_too_deeply(value[0]["x"]))
+
+    def test_strict_decoding_raises_one_error(self) -> None:
+        """Guard against an error that no caller expects."""
+        for text in (
+            DEEP_LIST,
+            DEEP_MAP,
+            b"9" * 6000,
+            b"1e999",
+            b"NaN",
+            b"{",
+            b"\xff",
+            b"",
+        ):
+            with self.subTest(text[:5]), self.assertRaises(ValueError):
+                decode_json(text)
+
+    def test_malformed_deep_text(self) -> None:
+        """Guard against a malformed text that is taken for a value."""
+        for text in (b"[" * 100_000, DEEP_LIST + b"]", b'["' + DEEP_LIST):
+            with self.subTest(text[:5]), self.assertRaises(ValueError):
+                decode_json_leniently(text)
+
+    def test_text_within_the_bound_is_not_changed(self) -> None:
+        text = json.dumps({"a": [{"b": ['"', "\\", "]"]}, "[" * 100]}).encode()
+        self.assertEqual(cut_deep_values(text), text)
+
+    def test_depth_of_a_value(self) -> None:
+        value: object = 1
+        for _ in range(DEPTH_MAX):
+            value = [value]
+        self.assertFalse(is_nested_too_deeply(value))
+        self.assertTrue(is_nested_too_deeply({"a": value}))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_status.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_status.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.upstream_limiter import StatusReport
 from gypsumvane_core.upstream_state import UpstreamState
@@ -96,7 +96,7 @@
 
     def _apply_report(self, answer: LeafAnswer) -> None:
         try:
-            body = json.loads(answer.body)
+            body = decode_json(answer.body)
             snapshots = sorted(int(number) for number in body.get("snapshots", []))
         except (ValueError, TypeError, AttributeError):
             self._context.count("leaf_status_invalid")
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -10,6 +10,7 @@
 from aiohttp import ClientError
 from aiohttp import ClientTimeout
 
+from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.routing.sockets import keepalive_session
 
@@ -71,7 +72,7 @@
                         f"{address}{path}: status {response.status}",
                         status=response.status,
                     )
-                return json.loads(content)
+                return decode_json(content)
         except ClientConnectorError as error:
             refused = isinstance(error.os_error, ConnectionRefusedError)
             raise PeerError(f"{address}{path}: {error}", refused=refused) from error
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 from typing import Any
 
+from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_core.routing.daemon_record import DaemonRecord
 from gypsumvane_core.routing.entry_selection import select_entries
 from gypsumvane_core.routing.peer_table import ServingDaemon
@@ -110,7 +110,7 @@
     async def handle_ping(self, request: BaseRequest) -> Response:
         """Record the status in a ping and answer with this daemon's own status."""
         try:
-            self._record_status(json.loads(await request.read()))
+            self._record_status(decode_json(await request.read()))
         except (ValueError, KeyError, TypeError) as error:
             return text_response(400, f"ping cannot be read: {error}\n")
         return json_response(self._own_status())
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import json
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
@@ -21,6 +20,7 @@
 from aiohttp import ServerDisconnectedError
 from yarl import URL
 
+from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_daemon.backoff import Backoff
 from gypsumvane_daemon.bounded_response import BoundedConnector
 from gypsumvane_daemon.store_objects import Conflict
@@ -281,7 +281,7 @@
 
 def _parse_changes(reply: _Reply) -> ObjectChanges:
     try:
-        values = json.loads(reply.body)
+        values = decode_json(reply.body)
         return ObjectChanges(
             version=int(values["version"]),
             objects=[_parse_change(item) for item in values["objects"]],
