Ignore numbers in headers that cannot be converted

A leaf that had answered was reported as failed with 500, and a caller got 500 instead of 400: str.isdigit() accepts characters that int() rejects, and int() rejects numbers of thousands of digits. Found in the search for the cause of the odd entries of the store.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -13,6 +13,7 @@
 from gypsumvane_core.routing.retry_after import WAIT_MIN_S
 from gypsumvane_core.routing.retry_after import RetryAfterPolicy
 from gypsumvane_core.verdict import Verdict
+from gypsumvane_core.whole_number import parse_whole_number
 from gypsumvane_daemon.routing.forwarded_request import FRAMING_HEADERS
 from gypsumvane_daemon.routing.forwarded_request import ForwardedRequest
 from gypsumvane_daemon.routing.forwarded_request import encode_head
@@ -179,7 +180,8 @@
     def _early_refusal(self, request: BaseRequest, arrived_s: float) -> Response:
         """Refuse a request that is not routed, without reading it."""
         text = request.headers.get(self._names.deadline_ms, "")
-        left_s = int(text) / 1000 if text.isdigit() else DEADLINE_DEFAULT_S
+        left_ms = parse_whole_number(text)
+        left_s = DEADLINE_DEFAULT_S if left_ms is None else left_ms / 1000
         expected_s = 0.0
         if not self.refusing:
             # A start that lasts longer than usual waits for the store, whose outage
@@ -207,11 +209,12 @@
         timeout_ms = route.timeout_ms
         text = request.headers.get(self._names.deadline_ms)
         if text is not None:
-            if not text.isdigit():
+            caller_ms = parse_whole_number(text)
+            if caller_ms is None:
                 raise BadRequestError(
                     400, f"header {self._names.deadline_ms} is not a whole number of ms"
                 )
-            timeout_ms = min(timeout_ms, int(text))
+            timeout_ms = min(timeout_ms, caller_ms)
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
         if size > limits.header_bytes:
             raise BadRequestError(431, f"headers exceed {limits.header_bytes} bytes")
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -9,6 +9,7 @@
 
 from gypsumvane_core.reason import Reason
 from gypsumvane_core.verdict import Verdict
+from gypsumvane_core.whole_number import parse_whole_number
 from gypsumvane_daemon.routing.leaf_channel import ExchangeError
 from gypsumvane_daemon.routing.leaf_channel import SendWithdrawnError
 
@@ -214,5 +215,6 @@
         self.pool.record_limit(entry, parse_limit(text), now_s)
         # Running requests, waiting requests and slots.
         report = answer.header(self.names.leaf_load).split(",")
-        if len(report) == 3 and report[1].strip().isdigit():
-            self.pool.load(entry).record_queue_length(int(report[1]), now_s)
+        waiting = parse_whole_number(report[1]) if len(report) == 3 else None
+        if waiting is not None:
+            self.pool.load(entry).record_queue_length(waiting, now_s)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -15,6 +15,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
+from gypsumvane_core.whole_number import parse_whole_number
 from gypsumvane_daemon.bounded_response import BoundedResponseHandler
 from gypsumvane_daemon.bounded_response import ResponseTooLargeError
 from gypsumvane_daemon.error_text import describe_error
@@ -210,8 +211,9 @@
         """Take over the idle time-out that the leaf states in Keep-Alive."""
         for part in answer.header("Keep-Alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self._connector.idle_max_s = max(0.0, int(value) - IDLE_MARGIN_S)
+            idle_s = parse_whole_number(value)
+            if name.lower() == "timeout" and idle_s is not None:
+                self._connector.idle_max_s = max(0.0, idle_s - IDLE_MARGIN_S)
 
 
 def _open_protocol(connection: Connection) -> BoundedResponseHandler:
