Reject a body without a length whose connection was reset

The product's own upstream client took an answer without a length as complete when its connection was reset on the way, so that callers could get a short or empty body framed as whole. The check existed for leaves of the platform only; it now stands in the function that both read answers with.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
@@ -4,24 +4,47 @@
 
 from typing import TYPE_CHECKING
 
+from aiohttp import ServerDisconnectedError
+
 from gypsumvane_daemon.bounded_response import BoundedConnector
 
 if TYPE_CHECKING:
-    from aiohttp.client_proto import ResponseHandler
     from aiohttp.connector import SocketFactoryType
     from aiohttp.http_parser import RawResponseMessage
 
+    from gypsumvane_daemon.bounded_response import BoundedResponseHandler
+
+# Statuses whose responses have no body.
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+async def read_response(
+    protocol: BoundedResponseHandler,
+) -> tuple[RawResponseMessage, bytes]:
+    """Read the next response and its body; skip informational (1xx) responses.
 
-async def read_response(protocol: ResponseHandler) -> tuple[RawResponseMessage, bytes]:
-    """Read the next response and its body; skip informational (1xx) responses."""
+    Raises ServerDisconnectedError if the connection is reset within a body that only
+    its end would end.
+    """
     message, payload = await protocol.read()
     while message.code < 200:
         message, payload = await protocol.read()
     # A small body usually arrives together with its headers.
     body = payload.read_nowait() if payload.is_eof() else await payload.read()
+    if _ends_with_connection(message) and protocol.lost_by_error:
+        raise ServerDisconnectedError(
+            "connection was reset within a response without a length"
+        )
     return message, body
 
 
+def _ends_with_connection(message: RawResponseMessage) -> bool:
+    """Return whether only the end of the connection marks the end of the body."""
+    if message.chunked or message.code in BODILESS_STATUSES:
+        return False
+    return "Content-Length" not in message.headers
+
+
 class LeafConnector(BoundedConnector):
     """Keep connections open and allow changing their limit at run time.
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -11,7 +11,6 @@
 from aiohttp import ClientError
 from aiohttp import ClientRequest
 from aiohttp import ClientTimeout
-from aiohttp import ServerDisconnectedError
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
@@ -28,7 +27,6 @@
 
     from aiohttp.client_reqrep import ConnectionKey
     from aiohttp.connector import Connection
-    from aiohttp.http_parser import RawResponseMessage
     from aiohttp.tracing import Trace
     from multidict import CIMultiDictProxy
 
@@ -47,8 +45,6 @@
 HEADS_BYTES_MAX = 65_536
 # Bytes on the connection per byte of a body, for the framing of small chunks.
 FRAMING_FACTOR = 2
-# Statuses whose responses have no body.
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,10 +227,6 @@
 
 async def _read_answer(protocol: BoundedResponseHandler) -> LeafAnswer:
     message, body = await read_response(protocol)
-    if _ends_with_connection(message) and protocol.lost_by_error:
-        raise ServerDisconnectedError(
-            "connection was reset within a response without a length"
-        )
     return LeafAnswer(
         status=message.code,
         headers=tuple(
@@ -244,10 +236,3 @@
         body=body,
         _fields=message.headers,
     )
-
-
-def _ends_with_connection(message: RawResponseMessage) -> bool:
-    """Return whether only the end of the connection marks the end of the body."""
-    if message.chunked or message.code in BODILESS_STATUSES:
-        return False
-    return "Content-Length" not in message.headers
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -17,6 +17,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from yarl import URL
 
+from gypsumvane_daemon.bounded_response import BoundedResponseHandler
 from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.leaf_connector import LeafConnector
 from gypsumvane_daemon.leaf_connector import read_response
@@ -169,7 +170,7 @@
 
     async def _exchange(self, connection: Connection, call: LeafCall) -> LeafAnswer:
         protocol = connection.protocol
-        if protocol is None or protocol.transport is None:
+        if not isinstance(protocol, BoundedResponseHandler) or not protocol.transport:
             raise ServerDisconnectedError
         protocol.set_response_params(read_until_eof=True, auto_decompress=False)
         # From here on the upstream may run the request.
