Drop an entry of the store with a part beyond the bounds

Such parts are now read as infinity and the entry is dropped, also for a number that overflows, which could not be relayed to peers as JSON.

--- a/packages/gypsumvane-core/src/gypsumvane_core/bounded_json.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/bounded_json.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from math import inf
 from math import isfinite
 from typing import Any
 
@@ -28,10 +29,10 @@
 
 
 def decode_json_leniently(content: bytes) -> Any:
-    """Return the value of a JSON text, with null for each part beyond a bound.
+    """Return the value of a JSON text, with infinity for each part beyond a bound.
 
-    For a list of entries of several writers, one of which must not hide the others.
-    Raises ValueError if the text is malformed.
+    For a list of entries of several writers, one of which must not hide the others;
+    is_bounded tells which entries to drop. Raises ValueError if the text is malformed.
     """
     try:
         return json.loads(content, parse_int=_parse_int)
@@ -40,7 +41,7 @@
 
 
 def cut_deep_values(content: bytes) -> bytes:
-    """Replace each array or object that is nested too deeply by null."""
+    """Replace each array or object that is nested too deeply by infinity."""
     kept: list[bytes] = []
     kept_from = 0
     depth = 0
@@ -49,7 +50,7 @@
         if mark in (b"[", b"{"):
             depth += 1
             if depth == DEPTH_MAX + 1:
-                kept += (content[kept_from : token.start()], b"null")
+                kept += (content[kept_from : token.start()], b"Infinity")
         elif mark in (b"]", b"}"):
             if depth == DEPTH_MAX + 1:
                 kept_from = token.end()
@@ -59,10 +60,12 @@
     return b"".join(kept)
 
 
-def is_nested_too_deeply(value: Any) -> bool:
-    """Return whether a decoded value is nested beyond the bound."""
+def is_bounded(value: Any) -> bool:
+    """Return whether a decoded value is within the bounds and encodes as JSON."""
     level = [value]
     for _ in range(DEPTH_MAX + 1):
+        if any(isinstance(entry, float) and not isfinite(entry) for entry in level):
+            return False
         level = [
             part
             for entry in level
@@ -70,8 +73,8 @@
             for part in (entry.values() if isinstance(entry, dict) else entry)
         ]
         if not level:
-            return False
-    return True
+            return True
+    return False
 
 
 def _finite(text: str) -> float:
@@ -81,5 +84,5 @@
     return number
 
 
-def _parse_int(text: str) -> int | None:
-    return int(text) if len(text) <= DIGITS_MAX else None
+def _parse_int(text: str) -> int | float:
+    return int(text) if len(text) <= DIGITS_MAX else inf
--- a/packages/gypsumvane-core/tests/test_core_bounded_json.py
+++ b/packages/gypsumvane-core/tests/test_core_bounded_json.py
@@ -9,7 +9,7 @@
 from gypsumvane_core.bounded_json import cut_deep_values
 from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_core.bounded_json import decode_json_leniently
-from gypsumvane_core.bounded_json import is_nested_too_deeply
+from gypsumvane_core.bounded_json import is_bounded
 
 DEEP_LIST = b"[" * 100_000 + b"]" * 100_000
 DEEP_MAP = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
@@ -25,8 +25,7 @@
                 text = b'[{"x":' + odd + b'},{"x":"[{\\"]"},{"x":2}]'
                 value = decode_json_leniently(text)
                 self.assertEqual(value[1:], [{"x": '[{"]'}, {"x": 2}])
-                # Only the deep part of the value is replaced.
-                self.assertFalse(is_nested_too_deeply(value[0]["x"]))
+                self.assertEqual([is_bounded(x) for x in value], [False, True, True])
 
     def test_strict_decoding_raises_one_error(self) -> None:
         """Guard against an error that no caller expects."""
@@ -57,8 +56,9 @@
         value: object = 1
         for _ in range(DEPTH_MAX):
             value = [value]
-        self.assertFalse(is_nested_too_deeply(value))
-        self.assertTrue(is_nested_too_deeply({"a": value}))
+        self.assertTrue(is_bounded(value))
+        self.assertFalse(is_bounded({"a": value}))
+        self.assertFalse(is_bounded({"a": [float("nan")]}))
 
 
 if __name__ == "__main__":
