Answer each request before the end of a planned stop

Requests that came late in the grace of a planned stop were passed on and cut at its end without an answer, among them ones that may not be repeated: a daemon took requests for 0.6 of the grace whatever they needed, handed leaves the caller's whole deadline, and aborted what was in progress at 0.9 of the grace.

A request is now taken if its usual latency, or three times of it for one that may not be repeated, is left before the end; the others are refused at once with 503. Its deadline ends with the daemon, also at the leaf. What is still in progress then gets 504, which promises nothing, instead of a closed connection.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -87,18 +87,38 @@
         self._started_s = clock.monotonic_s()
         self._retry_after = RetryAfterPolicy(rng)
         self._pauses = PauseDetector(self._started_s)
-        self.in_progress = 0
-        # Set late in a planned stop, when the remaining grace is too short for new
-        # requests.
-        self.refusing = False
+        # Time limits of the requests in progress, which a planned stop sets.
+        self._limits: set[asyncio.Timeout] = set()
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests in progress."""
+        return len(self._limits)
+
+    def end_requests(self) -> None:
+        """Answer all requests in progress now, without a result."""
+        now_s = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(now_s)
 
     async def handle(self, request: BaseRequest) -> Response:
         """Answer one request of a caller."""
-        self.in_progress += 1
+        limit = asyncio.timeout(None)
+        self._limits.add(limit)
         try:
-            response = await self._respond(request)
+            async with limit:
+                response = await self._respond(request)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            response = text_response(504, "the daemon stops, no answer in time\n")
+            self._context.log.line(
+                "ended_by_stop",
+                request_id=request.headers.get(self._names.request_id, ""),
+            )
         finally:
-            self.in_progress -= 1
+            self._limits.discard(limit)
         if self._state.stopping:
             response.force_close()
         return response
@@ -122,11 +142,11 @@
         arrived_s = await self._arrival_s()
         table = self._state.table
         request_id = request.headers.get(self._names.request_id, "")
-        if table is None or not self._state.can_route or self.refusing:
+        if table is None or not self._state.can_route:
             self._context.log.line(
                 "refused",
                 request_id=request_id,
-                reason="stopping" if self.refusing else "not_informed",
+                reason="not_informed",
                 version=self._state.version,
                 leaves_known=self._state.leaves_known,
                 orders_known=self._state.orders_known,
@@ -135,7 +155,10 @@
         path = request.raw_path.partition("?")[0]
         route = table.find(request.headers.get("Host", ""), path)
         if route is None:
-            return self._no_route(request, request_id, path, table.config.version)
+            return self._no_route(request_id, path, table.config.version)
+        if not self._may_take(route):
+            self._context.log.line("refused", request_id=request_id, reason="stopping")
+            return self._refusal(WAIT_MIN_S)
         try:
             forwarded = await self._read(request, route, arrived_s, table.config.limits)
         except BadRequestError as error:
@@ -156,9 +179,18 @@
             return self._refusal(WAIT_MIN_S)
         return await self._answer(forwarded, route, table.config)
 
-    def _no_route(
-        self, request: BaseRequest, request_id: str, path: str, version: int
-    ) -> Response:
+    def _may_take(self, route: Route) -> bool:
+        """Return whether a request can be served before this daemon ends."""
+        schedule = self._state.stop_schedule
+        return schedule is None or schedule.accepts(
+            idempotent=route.idempotent,
+            usual_latency_s=self._context.latencies.median_s(
+                route.name, latency_objective_s=route.latency_objective_s
+            ),
+            now_s=self._clock.monotonic_s(),
+        )
+
+    def _no_route(self, request_id: str, path: str, version: int) -> Response:
         """Answer a request without a route.
 
         Load: a daemon has lost the store or was paused while a route was added. It
@@ -182,11 +214,9 @@
         text = request.headers.get(self._names.deadline_ms, "")
         left_ms = parse_whole_number(text)
         left_s = DEADLINE_DEFAULT_S if left_ms is None else left_ms / 1000
-        expected_s = 0.0
-        if not self.refusing:
-            # A start that lasts longer than usual waits for the store, whose outage
-            # is expected to last as long again.
-            expected_s = max(STARTING_WAIT_S, arrived_s - self._started_s)
+        # A start that lasts longer than usual waits for the store, whose outage is
+        # expected to last as long again.
+        expected_s = max(STARTING_WAIT_S, arrived_s - self._started_s)
         return self._refusal(
             self._retry_after.wait_s(expected_s, left_s=left_s, rank=None)
         )
@@ -223,6 +253,9 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.raw_headers
         ]
+        deadline_s = arrived_s + timeout_ms / 1000
+        if self._state.stop_schedule is not None:
+            deadline_s = min(deadline_s, self._state.stop_schedule.ends_s)
         return ForwardedRequest(
             method=request.method,
             request_id=request_id,
@@ -231,7 +264,7 @@
             ),
             body=body,
             arrived_s=arrived_s,
-            deadline_s=arrived_s + timeout_ms / 1000,
+            deadline_s=deadline_s,
         )
 
     async def _read_body(self, request: BaseRequest, limits: RequestLimits) -> bytes:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -198,6 +198,7 @@
                 self.entry,
                 self.peers,
                 grace_s=self.settings.stop_grace_s,
+                clock=self.clock,
             ).run()
         finally:
             for task in tasks:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from gypsumvane_core.routing.config import RoutingConfig
+    from gypsumvane_core.routing.stop_schedule import StopSchedule
 
 ConfigCallback = Callable[["RoutingConfig"], None]
 
@@ -26,7 +27,7 @@
         self.domains_known = False
         self.orders_known = False
         # Set by a planned stop, which lets open requests end.
-        self.stopping = False
+        self.stop_schedule: StopSchedule | None = None
         # Return the time since the store last confirmed the objects of a kind.
         self.leaves_age_s: Callable[[], float] = lambda: 0.0
         self.config_age_s: Callable[[], float] = lambda: 0.0
@@ -48,6 +49,11 @@
             and self.orders_known
         )
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self.stop_schedule is not None
+
     @property
     def serving(self) -> bool:
         """Return whether callers may be given the address of this daemon."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/stop_sequence.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/stop_sequence.py
@@ -6,19 +6,16 @@
 import logging
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.routing.stop_schedule import StopSchedule
+
 if TYPE_CHECKING:
+    from gypsumvane_core.clock import Clock
     from gypsumvane_daemon.routing.entry_handler import EntryHandler
     from gypsumvane_daemon.routing.peer_exchange import PeerExchange
     from gypsumvane_daemon.routing.routing_state import RoutingState
 
 logger = logging.getLogger(__name__)
 
-# Share of the grace in which new requests are still executed, because callers cache
-# the address of this daemon for some seconds.
-SERVE_SHARE = 0.6
-# Share of the grace after which the daemon ends with requests in progress; the rest is
-# for closing the listeners.
-END_SHARE = 0.9
 POLL_INTERVAL_S = 0.02
 
 
@@ -32,23 +29,23 @@
         peers: PeerExchange,
         *,
         grace_s: float,
+        clock: Clock,
     ) -> None:
         self._state = state
         self._handler = handler
         self._peers = peers
         self._grace_s = grace_s
+        self._clock = clock
 
     async def run(self) -> None:
-        """Stop, and return when no request is in progress or END_SHARE has passed."""
-        loop = asyncio.get_running_loop()
-        begun_s = loop.time()
-        self._state.stopping = True
+        """Stop, and return when no request is in progress."""
+        schedule = StopSchedule(self._clock.monotonic_s(), self._grace_s)
+        self._state.stop_schedule = schedule
         self._peers.ping_now()
         logger.info("stopping", extra={"in_progress": self._handler.in_progress})
-        await asyncio.sleep(SERVE_SHARE * self._grace_s)
-        self._handler.refusing = True
+        await asyncio.sleep(schedule.serves_until_s - schedule.begun_s)
         while self._handler.in_progress:
-            if loop.time() - begun_s > END_SHARE * self._grace_s:
-                break
+            if self._clock.monotonic_s() > schedule.ends_s:
+                self._handler.end_requests()
             await asyncio.sleep(POLL_INTERVAL_S)
         logger.info("stopped", extra={"in_progress": self._handler.in_progress})
