Send nothing to a leaf whose answers say that it leaves

A leaf that leaves says so in its answers, which may come before its registration does, or in its place; no part of the daemon read it. Its incarnation is now treated as draining from the first such answer, and a registration that is older, or changes otherwise, does not make it ready again.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -42,6 +42,8 @@
     # End of eligibility; None while the leaf is ready.
     grace_until_s: float | None = None
     cold_until_s: float = 0.0
+    # Whether the incarnation has said in an answer that it leaves.
+    leaving: bool = False
 
 
 class LeafRegistry:
@@ -64,7 +66,11 @@
         if known and known.entry.started_unix_ms > entry.started_unix_ms:
             return
         leaf = _Leaf(entry, cold_until_s=now_s + entry.warmup_left_ms / 1000)
-        if entry.draining:
+        if known and known.leaving and known.entry.incarnation == entry.incarnation:
+            # The entry in the store may be older than the answer.
+            leaf.leaving = True
+            leaf.grace_until_s = known.grace_until_s
+        elif entry.draining:
             if known and known.entry.draining:
                 leaf.grace_until_s = known.grace_until_s
             else:
@@ -99,6 +105,19 @@
         for entry in listed.values():
             self.put(entry, now_s, grace=False)
 
+    def mark_leaving(self, entry: LeafEntry, now_s: float) -> bool:
+        """Start the grace of a leaf that says that it leaves; return whether it is new.
+
+        Its registration may change later, or be removed without a state that says so.
+        """
+        leaf = self._leaves.get(entry.leaf_id)
+        if leaf is None or leaf.entry.incarnation != entry.incarnation or leaf.leaving:
+            return False
+        leaf.leaving = True
+        if leaf.grace_until_s is None:
+            leaf.grace_until_s = now_s + LEAVING_LEAF_GRACE_S
+        return True
+
     def remove_misdirected(self, entry: LeafEntry) -> None:
         """Remove an incarnation whose address belongs to another leaf now."""
         known = self._leaves.get(entry.leaf_id)
@@ -131,7 +150,7 @@
                 leaving.append(leaf.entry)
         # Draining leaves stay known, or their next entry would start a new grace.
         for leaf_id in expired:
-            if not leaves[leaf_id].entry.draining:
+            if not (leaves[leaf_id].entry.draining or leaves[leaf_id].leaving):
                 self._drop(leaf_id)
         return ready or leaving
 
--- a/packages/gypsumvane-core/tests/test_core_routing_registry.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_registry.py
@@ -32,6 +32,24 @@
         """Return the names of the eligible leaves."""
         return {entry.leaf_id for entry in self.registry.eligible(service, now_s)}
 
+    def test_leaf_that_says_that_it_leaves(self) -> None:
+        """Guard against an older registration that makes a leaving leaf ready (DRAIN).
+
+        A new start of the leaf is another incarnation.
+        """
+        one = next(e for e in self.registry.entries() if e.leaf_id == "1")
+        self.assertTrue(self.registry.mark_leaving(one, 10.0))
+        self.assertFalse(self.registry.mark_leaving(one, 11.0))
+        self.assertEqual(self.eligible(10.0), {"2"})
+        self.registry.put(leaf("1", slots=2), 11.0)
+        self.registry.replace([leaf("1")], 11.0, grace=False)
+        self.assertEqual(self.eligible(12.0), {"1"})
+        self.assertEqual(self.eligible(12.3), set())
+        self.registry.put(leaf("1", slots=3), 13.0)
+        self.assertEqual(self.eligible(13.0), set())
+        self.registry.put(leaf("1", started_unix_ms=5), 14.0)
+        self.assertEqual(self.eligible(14.0), {"1"})
+
     def test_draining_leaf_is_avoided_at_once(self) -> None:
         """Guard against requests to a draining leaf while others are ready."""
         self.registry.put(leaf("1", draining=True), 10.0)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from dataclasses import dataclass
 from functools import partial
@@ -23,6 +24,8 @@
     from gypsumvane_daemon.routing.leaf_pool import LeafPool
     from gypsumvane_daemon.routing.ports import HeaderNames
 
+logger = logging.getLogger(__name__)
+
 # Status of a leaf that is not the one that the request names.
 MISDIRECTED = 421
 # Statuses from here on are failures of a leaf that has executed the request.
@@ -211,6 +214,10 @@
         if answer.status == MISDIRECTED:
             # The answer is that of another leaf.
             return
+        if answer.header(self.names.leaf_leaving) and self.registry.mark_leaving(
+            entry, now_s
+        ):
+            logger.info("leaf says that it leaves", extra={"leaf": entry.leaf_id})
         text = answer.header(self.names.leaf_limit)
         self.pool.record_limit(entry, parse_limit(text), now_s)
         # Running requests, waiting requests and slots.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -32,6 +32,7 @@
     expected_leaf: str
     leaf_load: str
     leaf_limit: str
+    leaf_leaving: str
     not_run: str
     retry_after: str
     part_signatures: str
