Keep the pause that a leaf asks for with a refusal

A leaf that refuses a request with 503 may add Retry-After and wants nothing from this daemon until then; the daemon only liked it less. The leaf is now left out for that time. If all leaves of a service have asked for a pause, the request is refused at once, and its caller is told when the first pause ends.

The test sends one more request to the leaf before the change, and none now.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_load.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_load.py
@@ -16,6 +16,8 @@
 # Time for which the queue length that a leaf reports with an answer is used. It is out
 # of date after about one more answer.
 REPORT_VALID_S = 0.1
+# Longest pause that a leaf may ask for.
+PAUSE_MAX_S = 300.0
 # Time for which a leaf counts as stalled after a call to it was late; pauses
 # of leaves last 0.1 to 0.2 s.
 STALLED_S = 0.15
@@ -33,6 +35,8 @@
     _updated_s: float = 0.0
     _unreachable_until_s: float = 0.0
     _stalled_until_s: float = 0.0
+    # The leaf has asked this daemon for a pause until then.
+    paused_until_s: float = 0.0
     _reported_waiting: int = 0
     _reported_s: float = 0.0
     # Send times of requests within the last second while the leaf is cold.
@@ -65,6 +69,11 @@
         """Record that no connection could be opened."""
         self._unreachable_until_s = now_s + UNREACHABLE_S
 
+    def record_pause(self, pause_s: float, now_s: float) -> None:
+        """Record that the leaf refused a request and wants none for a time."""
+        until_s = now_s + min(pause_s, PAUSE_MAX_S)
+        self.paused_until_s = max(self.paused_until_s, until_s)
+
     def record_late_call(self, now_s: float) -> None:
         """Record that a call was late enough to be hedged."""
         self._stalled_until_s = now_s + STALLED_S
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -359,12 +359,13 @@
             return text_response(504, "no answer in time\n"), "late"
         if isinstance(result, LeafReply):
             return self._relay_reply(result), "complete"
-        return self._failure_response(request, route, service, result)
+        return self._failure_response(request, route, call, service, result)
 
     def _failure_response(
         self,
         request: ForwardedRequest,
         route: Route,
+        call: ServiceCall,
         service: str,
         failure: LeafFailure,
     ) -> tuple[Response, str]:
@@ -381,7 +382,9 @@
             return self._relay_reply(failure.reply), "upstream_error"
         if failure.verdict is Verdict.NOT_RUN:
             expected_s = LEAF_RETURN_S
-            if failure.reached_leaf:
+            if call.pause_left_s is not None:
+                expected_s = call.pause_left_s
+            elif failure.reached_leaf:
                 # A leaf has room again when it has finished a request, half of which
                 # is done on average.
                 expected_s = 0.5 * self._context.latencies.median_s(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -28,17 +28,18 @@
 
 # Status of a leaf that is not the one that the request names.
 MISDIRECTED = 421
+UNAVAILABLE = 503
 # Statuses from here on are failures of a leaf that has executed the request.
 FIRST_FAILURE_STATUS = 500
 
 
-def parse_limit(text: str) -> float | None:
-    """Return the requests per second in a header, None without a usable number."""
+def parse_amount(text: str) -> float | None:
+    """Return the decimal number in a header, None without a usable one."""
     try:
-        limit_per_s = float(text)
+        amount = float(text)
     except ValueError:
         return None
-    return limit_per_s if 0 <= limit_per_s < math.inf else None
+    return amount if 0 <= amount < math.inf else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +139,11 @@
                 "the leaf left before the request was sent",
                 reason=Reason.UPSTREAM_LEAVING,
             )
+        if self.pool.load(entry).paused_until_s > now_s:
+            raise SendWithdrawnError(
+                "the leaf asked for a pause before the request was sent",
+                reason=Reason.UPSTREAM_SHED,
+            )
         return request.encode(self.names, leaf_id=entry.leaf_id, now_s=now_s)
 
     def _exchange_failed(self, entry: LeafEntry, error: ExchangeError) -> LeafFailure:
@@ -179,6 +185,9 @@
             )
         if answer.header(self.names.not_run):
             load.record_failure(now_s)
+            pause_s = parse_amount(answer.header(self.names.retry_after))
+            if answer.status == UNAVAILABLE and pause_s is not None:
+                load.record_pause(pause_s, now_s)
             return LeafFailure(
                 entry,
                 Reason.UPSTREAM_SHED,
@@ -219,7 +228,7 @@
         ):
             logger.info("leaf says that it leaves", extra={"leaf": entry.leaf_id})
         text = answer.header(self.names.leaf_limit)
-        self.pool.record_limit(entry, parse_limit(text), now_s)
+        self.pool.record_limit(entry, parse_amount(text), now_s)
         # Running requests, waiting requests and slots.
         report = answer.header(self.names.leaf_load).split(",")
         waiting = parse_whole_number(report[1]) if len(report) == 3 else None
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -103,6 +103,8 @@
         self._version_draw = context.rng.random()
         # Whether a leaf received the request.
         self.reached_leaf = False
+        # Time until a leaf takes requests again, if all have asked for a pause.
+        self.pause_left_s: float | None = None
 
     @property
     def in_progress(self) -> bool:
@@ -320,6 +322,7 @@
             for entry in entries
             if self._in_region(entry) and self._accepts_request(entry, now_s)
         ]
+        entries = self._without_paused(entries, now_s)
         if not self._sends:
             self._note_demand(entries, now_s)
         allowed = [entry for entry in entries if self._within_limit(entry, now_s)]
@@ -355,6 +358,21 @@
         limit = self._context.sender.pool.state(entry).limit
         return limit is None or limit.accepts(self._route.rank, now_s)
 
+    def _without_paused(
+        self, entries: list[LeafEntry], now_s: float
+    ) -> list[LeafEntry]:
+        """Return the leaves that have not asked this daemon for a pause."""
+        pool = self._context.sender.pool
+        until_s = {entry: pool.load(entry).paused_until_s for entry in entries}
+        ready = [entry for entry in entries if until_s[entry] <= now_s]
+        if entries and not ready:
+            # A caller that is refused comes back when the first pause ends.
+            self.pause_left_s = min(until_s.values()) - now_s
+            self._context.log.decision(
+                "all_paused", self._request, service=self._service
+            )
+        return ready
+
     def _note_demand(self, entries: list[LeafEntry], now_s: float) -> None:
         """Count the request at the leaves that name a limit."""
         for entry in entries:
