--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_limit.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_limit.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from hashlib import blake2b
+from math import log
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -84,7 +85,7 @@
 
     def add(self, now_s: float) -> None:
         # Keeps the average at the rate of evenly spaced requests.
-        self.rate_per_s = self.rate_at(now_s) + 0.693 / DEMAND_HALF_LIFE_S
+        self.rate_per_s = self.rate_at(now_s) + log(2) / DEMAND_HALF_LIFE_S
         self.updated_s = now_s
 
 
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/stop_schedule.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/stop_schedule.py
@@ -10,6 +10,8 @@
 # Share of the grace after which the requests in progress are answered as failed; the
 # rest is for closing the listeners.
 END_SHARE = 0.9
+# Share of the grace after which the daemon waits for no answer any more.
+RETURN_SHARE = 0.95
 # A run that may not be repeated is taken if this many times its usual latency is left.
 RUN_LATENCY_FACTOR = 3.0
 
@@ -37,6 +39,11 @@
         """Return when each request has its final answer."""
         return self.begun_s + END_SHARE * self.grace_s
 
+    @property
+    def returns_s(self) -> float:
+        """Return when the daemon closes its listeners whatever is in progress."""
+        return self.begun_s + RETURN_SHARE * self.grace_s
+
     def accepts(
         self, *, idempotent: bool, usual_latency_s: float, now_s: float
     ) -> bool:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/stop_sequence.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/stop_sequence.py
@@ -38,14 +38,17 @@
         self._clock = clock
 
     async def run(self) -> None:
-        """Stop, and return when no request is in progress."""
+        """Stop, and return when no request is in progress, or at the latest time."""
         schedule = StopSchedule(self._clock.monotonic_s(), self._grace_s)
         self._state.stop_schedule = schedule
         self._peers.ping_now()
         logger.info("stopping", extra={"in_progress": self._handler.in_progress})
         await asyncio.sleep(schedule.serves_until_s - schedule.begun_s)
         while self._handler.in_progress:
-            if self._clock.monotonic_s() > schedule.ends_s:
+            now_s = self._clock.monotonic_s()
+            if now_s > schedule.ends_s:
                 self._handler.end_requests()
+            if now_s > schedule.returns_s:
+                break
             await asyncio.sleep(POLL_INTERVAL_S)
         logger.info("stopped", extra={"in_progress": self._handler.in_progress})
