--- a/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
@@ -152,7 +152,7 @@
 
     def test_slow_version(self) -> None:
         """Guard against too many requests for a slow version."""
-        self.check_exposure(Version(0.6, slow_factor=4.0), *LOADS)
+        self.check_exposure(Version(0.6, slow_factor=4.0), *LOADS, LARGE_FLEET)
 
     def test_good_version_is_completed(self) -> None:
         """Guard against a move that holds a good version back."""
