--- a/packages/gypsumvane-core/tests/test_core_routing_leaf_limit.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_leaf_limit.py
@@ -96,6 +96,35 @@
                 fleet.request(USUAL, now_s)
             self.assertLessEqual(fleet.most, fleet.allowed)
 
+    def test_daemons_that_come_and_go(self) -> None:
+        """Guard against parts of the limit while daemons know different fleets (LIMIT).
+
+        Each daemon learns of a change within 2.5 s, at its own time.
+        """
+        for daemons, limit_per_s, per_s in ((7, 6.8, 45.0), (30, 2.0, 22.0)):
+            for seed in range(5):
+                fleet = LimitFleet(daemons, limit_per_s, seed)
+                names = [f"d{number}" for number in range(daemons)]
+                pending: list[tuple[float, int, list[str]]] = []
+                now_s, next_change_s = 0.0, 3.0
+                while now_s < DURATION_S:
+                    now_s += fleet.rng.expovariate(per_s)
+                    if now_s > next_change_s:
+                        next_change_s += 3.0
+                        away = fleet.rng.sample(names, daemons // 3)
+                        present = [name for name in names if name not in away]
+                        pending += [
+                            (now_s + fleet.rng.uniform(0, 2.5), at, present)
+                            for at in range(daemons)
+                        ]
+                    for due_s, at, present in [p for p in pending if p[0] <= now_s]:
+                        fleet.limits[at].part = divide_limit(
+                            limit_per_s, "leaf", names[at], present
+                        )
+                        pending.remove((due_s, at, present))
+                    fleet.request(USUAL, now_s)
+                self.assertLessEqual(fleet.most, fleet.allowed)
+
     def test_urgent_requests_go_first(self) -> None:
         """Guard against a limit that less urgent requests use up."""
         fleet = LimitFleet(1, 20.0, 1)
