Take no good version back for slow answers by chance

Failures and slow answers are counted apart, and slow ones need the margin of 0.10 that the product's own moves have. A version without any answer is not suspect; completion still needs one of its leaves.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
@@ -5,15 +5,19 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from enum import IntEnum
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.move_comparison import FAILURE_MARGIN
 from gypsumvane_core.move_comparison import RATE_FACTOR
+from gypsumvane_core.move_comparison import SLOW_MARGIN
 from gypsumvane_core.move_comparison import Stratum
 from gypsumvane_core.move_comparison import log_p_value
 from gypsumvane_core.slow_threshold import SlowThreshold
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterator
     from collections.abc import Mapping
 
 # Number of latest answers of each version that a daemon counts. Older ones would hide
@@ -23,36 +27,83 @@
 RECENT_ANSWERS = 30
 
 
+class AnswerKind(IntEnum):
+    """Tell good answers from slow ones and failures."""
+
+    GOOD = 0
+    SLOW = 1
+    FAILED = 2
+
+
 @dataclass(frozen=True, slots=True)
 class RouteCounts:
-    """Count a daemon's latest answers on a route, and the most recent new ones."""
+    """Count a daemon's latest answers on a route, and the most recent new ones.
+
+    The first of each pair counts failures as bad, the second slow answers, too.
+    """
 
-    window: Stratum = field(default_factory=Stratum)
-    recent: Stratum = field(default_factory=Stratum)
+    window_failed: Stratum = field(default_factory=Stratum)
+    window_bad: Stratum = field(default_factory=Stratum)
+    recent_failed: Stratum = field(default_factory=Stratum)
+    recent_bad: Stratum = field(default_factory=Stratum)
 
+    def plus(self, other: RouteCounts) -> RouteCounts:
+        """Return the sum of this and other counts."""
+        return RouteCounts(
+            self.window_failed.plus(other.window_failed),
+            self.window_bad.plus(other.window_bad),
+            self.recent_failed.plus(other.recent_failed),
+            self.recent_bad.plus(other.recent_bad),
+        )
 
-def _new_window() -> deque[bool]:
+    def new_is_worse(self, log_significance: float) -> bool:
+        """Return whether the new version fails or is slow significantly more often."""
+        return any(
+            _is_worse(stratum, margin, log_significance)
+            for stratum, margin in (
+                (self.window_failed, FAILURE_MARGIN),
+                (self.recent_failed, FAILURE_MARGIN),
+                (self.window_bad, SLOW_MARGIN),
+                (self.recent_bad, SLOW_MARGIN),
+            )
+        )
+
+
+def _new_window() -> deque[AnswerKind]:
     return deque(maxlen=ANSWER_WINDOW)
 
 
 @dataclass(slots=True)
 class RouteAnswers:
-    """Hold which of this daemon's latest answers on a route were bad, by version."""
+    """Hold the kinds of this daemon's latest answers on a route, by version."""
 
-    old: deque[bool] = field(default_factory=_new_window)
-    new: deque[bool] = field(default_factory=_new_window)
+    old: deque[AnswerKind] = field(default_factory=_new_window)
+    new: deque[AnswerKind] = field(default_factory=_new_window)
     slow: SlowThreshold = field(default_factory=SlowThreshold)
 
     def counts(self) -> RouteCounts:
-        """Return the numbers of answers and of bad ones."""
-        old, old_bad = len(self.old), sum(self.old)
+        """Return the numbers of answers, of failures and of bad ones."""
         recent = list(self.new)[-RECENT_ANSWERS:]
         return RouteCounts(
-            Stratum(old, old_bad, len(self.new), sum(self.new)),
-            Stratum(old, old_bad, len(recent), sum(recent)),
+            _stratum(self.old, self.new, AnswerKind.FAILED),
+            _stratum(self.old, self.new, AnswerKind.SLOW),
+            _stratum(self.old, recent, AnswerKind.FAILED),
+            _stratum(self.old, recent, AnswerKind.SLOW),
         )
 
 
+def _stratum(
+    old: Collection[AnswerKind], new: Collection[AnswerKind], least: AnswerKind
+) -> Stratum:
+    """Count answers; those of the least kind and worse ones are bad."""
+    return Stratum(
+        len(old),
+        sum(kind >= least for kind in old),
+        len(new),
+        sum(kind >= least for kind in new),
+    )
+
+
 @dataclass(slots=True)
 class MoveEvidence:
     """Compare both versions by the answers that all daemons have counted.
@@ -73,12 +124,16 @@
     ) -> None:
         """Count an answer."""
         answers = self._routes.setdefault(route, RouteAnswers())
-        bad = failed or answers.slow.is_slow(latency_ms)
+        kind = AnswerKind.GOOD
+        if failed:
+            kind = AnswerKind.FAILED
+        elif answers.slow.is_slow(latency_ms):
+            kind = AnswerKind.SLOW
         if new:
-            answers.new.append(bad)
-            self.good_answers += not bad
+            answers.new.append(kind)
+            self.good_answers += kind is AnswerKind.GOOD
         else:
-            answers.old.append(bad)
+            answers.old.append(kind)
             if not failed:
                 answers.slow.add_baseline(latency_ms)
 
@@ -99,30 +154,33 @@
         return self.good_answers + sum(self._peers_good.values())
 
     @property
-    def any_answers(self) -> bool:
-        """Return whether any daemon has an answer of either version."""
-        return bool(self._routes) or any(self._peers.values())
+    def any_new_answers(self) -> bool:
+        """Return whether any daemon has an answer of the new version."""
+        return any(
+            counts.window_bad.new_answers
+            for routes in self._sources()
+            for counts in routes.values()
+        )
 
     def new_is_worse(self, log_significance: float) -> bool:
         """Return whether the new version is significantly worse on any route."""
-        sources = (self.counts(), *self._peers.values())
-        windows: dict[str, Stratum] = {}
-        recents: dict[str, Stratum] = {}
-        for counts in sources:
-            for route, count in counts.items():
-                windows[route] = windows.get(route, Stratum()).plus(count.window)
-                recents[route] = recents.get(route, Stratum()).plus(count.recent)
-        return any(
-            _is_worse(stratum, log_significance)
-            for stratum in (*windows.values(), *recents.values())
-        )
+        total: dict[str, RouteCounts] = {}
+        for routes in self._sources():
+            for route, counts in routes.items():
+                total[route] = total.get(route, RouteCounts()).plus(counts)
+        return any(counts.new_is_worse(log_significance) for counts in total.values())
+
+    def _sources(self) -> Iterator[Mapping[str, RouteCounts]]:
+        """Yield the counts of this daemon and of all others."""
+        yield self.counts()
+        yield from self._peers.values()
 
 
-def _is_worse(stratum: Stratum, log_significance: float) -> bool:
+def _is_worse(stratum: Stratum, margin: float, log_significance: float) -> bool:
     if not stratum.new_answers or not stratum.old_answers:
         return False
     old_rate = stratum.old_bad / stratum.old_answers
     new_rate = stratum.new_bad / stratum.new_answers
-    if new_rate < RATE_FACTOR * old_rate + FAILURE_MARGIN:
+    if new_rate < RATE_FACTOR * old_rate + margin:
         return False
     return log_p_value([stratum]) < log_significance
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -148,7 +148,7 @@
         """Return whether enough good answers were seen for more than a canary."""
         good = self._evidence.fleet_good_answers
         if self._elapsed_share(now_s) >= GOOD_ANSWERS_WAIVED_AT:
-            return good > 0 or not self._evidence.any_answers
+            return good > 0 or not self._evidence.any_new_answers
         return good >= GOOD_ANSWERS_MIN
 
     def record_answer(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
@@ -93,15 +93,7 @@
         "taken_back": report.taken_back,
         "good_answers": report.good_answers,
         "routes": {
-            route: [
-                counts.window.old_answers,
-                counts.window.old_bad,
-                counts.window.new_answers,
-                counts.window.new_bad,
-                counts.recent.new_answers,
-                counts.recent.new_bad,
-            ]
-            for route, counts in report.routes.items()
+            route: _encode_counts(counts) for route, counts in report.routes.items()
         },
     }
 
@@ -115,7 +107,7 @@
         taken_back=bool(entry["taken_back"]),
         good_answers=int(entry["good_answers"]),
         routes={
-            str(route): _decode_counts(*map(int, numbers))
+            str(route): _decode_counts(numbers)
             for route, numbers in dict(entry["routes"]).items()
         },
     )
@@ -128,12 +120,42 @@
     return elapsed_s
 
 
-def _decode_counts(
-    old: int, old_bad: int, new: int, new_bad: int, recent: int, recent_bad: int
-) -> RouteCounts:
-    valid = 0 <= old_bad <= old and 0 <= new_bad <= new and 0 <= recent_bad <= recent
-    if not valid:
+def _encode_counts(counts: RouteCounts) -> list[int]:
+    window, recent = counts.window_bad, counts.recent_bad
+    return [
+        window.old_answers,
+        window.old_bad,
+        counts.window_failed.old_bad,
+        window.new_answers,
+        window.new_bad,
+        counts.window_failed.new_bad,
+        recent.new_answers,
+        recent.new_bad,
+        counts.recent_failed.new_bad,
+    ]
+
+
+def _decode_counts(numbers: Any) -> RouteCounts:
+    (
+        old,
+        old_bad,
+        old_failed,
+        new,
+        new_bad,
+        new_failed,
+        recent,
+        recent_bad,
+        recent_failed,
+    ) = map(int, numbers)
+    if not (
+        0 <= old_failed <= old_bad <= old
+        and 0 <= new_failed <= new_bad <= new
+        and 0 <= recent_failed <= recent_bad <= recent
+    ):
         raise ValueError("more bad answers than answers")
     return RouteCounts(
-        Stratum(old, old_bad, new, new_bad), Stratum(old, old_bad, recent, recent_bad)
+        Stratum(old, old_failed, new, new_failed),
+        Stratum(old, old_bad, new, new_bad),
+        Stratum(old, old_failed, recent, recent_failed),
+        Stratum(old, old_bad, recent, recent_bad),
     )
