Count requests that are given up against a version

A version that never answers counted for nothing: a hedge that wins, a partial answer and the deadline cancel a send, and a cancelled send was no evidence.

A send that is given up counts as slow if an answer would be slow by then, for both versions. Only a move without any request to the new version needs no good answer; daemons report their requests, too.

The new test of a silent version waits for its end in vain before the change; now it is taken back after fewer than 50 requests.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
@@ -112,11 +112,13 @@
     that each daemon alone sees too few answers to judge it.
     """
 
-    # Number of good answers of the new version at this daemon.
+    # Numbers of requests to the new version and of its good answers at this daemon.
+    new_sends: int = 0
     good_answers: int = 0
     _routes: dict[str, RouteAnswers] = field(default_factory=dict)
-    # Counts of other daemons by route, and their numbers of good answers.
+    # Counts of other daemons by route, and their numbers of requests and good answers.
     _peers: dict[str, Mapping[str, RouteCounts]] = field(default_factory=dict)
+    _peers_sends: dict[str, int] = field(default_factory=dict)
     _peers_good: dict[str, int] = field(default_factory=dict)
 
     def add_answer(
@@ -137,11 +139,23 @@
             if not failed:
                 answers.slow.add_baseline(latency_ms)
 
+    def add_unanswered(self, route: str, *, new: bool, waited_ms: float) -> None:
+        """Count a request that was given up, as slow if an answer now would be."""
+        answers = self._routes.setdefault(route, RouteAnswers())
+        if answers.slow.is_slow(waited_ms):
+            (answers.new if new else answers.old).append(AnswerKind.SLOW)
+
     def add_peer(
-        self, reporter: str, routes: Mapping[str, RouteCounts], good_answers: int
+        self,
+        reporter: str,
+        routes: Mapping[str, RouteCounts],
+        *,
+        new_sends: int,
+        good_answers: int,
     ) -> None:
         """Replace the counts that a daemon has reported."""
         self._peers[reporter] = routes
+        self._peers_sends[reporter] = new_sends
         self._peers_good[reporter] = good_answers
 
     def counts(self) -> dict[str, RouteCounts]:
@@ -154,13 +168,9 @@
         return self.good_answers + sum(self._peers_good.values())
 
     @property
-    def any_new_answers(self) -> bool:
-        """Return whether any daemon has an answer of the new version."""
-        return any(
-            counts.window_bad.new_answers
-            for routes in self._sources()
-            for counts in routes.values()
-        )
+    def fleet_new_sends(self) -> int:
+        """Return the number of requests to the new version at all daemons."""
+        return self.new_sends + sum(self._peers_sends.values())
 
     def new_is_worse(self, log_significance: float) -> bool:
         """Return whether the new version is significantly worse on any route."""
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -95,6 +95,7 @@
     # Time since the daemon learned of the order.
     elapsed_s: float
     taken_back: bool
+    new_sends: int
     good_answers: int
     routes: dict[str, RouteCounts]
 
@@ -148,7 +149,7 @@
         """Return whether enough good answers were seen for more than a canary."""
         good = self._evidence.fleet_good_answers
         if self._elapsed_share(now_s) >= GOOD_ANSWERS_WAIVED_AT:
-            return good > 0 or not self._evidence.any_new_answers
+            return good > 0 or not self._evidence.fleet_new_sends
         return good >= GOOD_ANSWERS_MIN
 
     def record_answer(
@@ -163,6 +164,15 @@
         self._evidence.add_answer(route, new=new, failed=failed, latency_ms=latency_ms)
         return new and self._take_back_if_worse()
 
+    def record_unanswered(self, route: str, version: str, waited_ms: float) -> bool:
+        """Record a request that was given up.
+
+        Returns whether it causes the version to be taken back.
+        """
+        new = version == self.order.target_version
+        self._evidence.add_unanswered(route, new=new, waited_ms=waited_ms)
+        return new and self._take_back_if_worse()
+
     def report(self, reporter: str, now_s: float) -> MoveReport:
         """Return what this daemon knows of the move."""
         return MoveReport(
@@ -171,6 +181,7 @@
             target_version=self.order.target_version,
             elapsed_s=now_s - self._started_s,
             taken_back=self.state is MoveState.ROLLED_BACK,
+            new_sends=self._evidence.new_sends,
             good_answers=self._evidence.good_answers,
             routes=self._evidence.counts(),
         )
@@ -180,7 +191,12 @@
         for report in reports:
             # A daemon that has started again does not begin the move anew.
             self._started_s = min(self._started_s, now_s - report.elapsed_s)
-            self._evidence.add_peer(report.reporter, report.routes, report.good_answers)
+            self._evidence.add_peer(
+                report.reporter,
+                report.routes,
+                new_sends=report.new_sends,
+                good_answers=report.good_answers,
+            )
         if self.state is MoveState.RUNNING and any(
             report.taken_back for report in reports
         ):
@@ -230,6 +246,7 @@
             return old
         if draw < self.new_version_share(now_s):
             self._early_sends_left -= bool(new)
+            self._evidence.new_sends += bool(new)
             return new or old
         return old or (new if self.state is MoveState.COMPLETED else [])
 
--- a/packages/gypsumvane-core/tests/test_core_routing_moves.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_moves.py
@@ -51,6 +51,8 @@
 
     def test_version_without_a_good_answer_is_not_completed(self) -> None:
         """Guard against a completion by time alone (EXPOSURE)."""
+        for _ in range(2):
+            self.move.select_leaves([leaf("1", "v1"), leaf("2", "v2")], 0.0, 1.0)
         self.answers("v2", 2, bad_share=1.0)
         self.assertIsNone(self.move.due_state(0.9 * DURATION_S))
         self.assertEqual(self.move.due_state(0.98 * DURATION_S), MoveState.ROLLED_BACK)
@@ -90,6 +92,24 @@
             self.move.record_answer("r", "v2", failed=False, latency_ms=150.0)
         self.assertEqual(self.move.state, MoveState.ROLLED_BACK)
 
+    def test_version_that_never_answers_is_taken_back(self) -> None:
+        """Guard against requests that are given up and count for nothing (EXPOSURE)."""
+        for _ in range(100):
+            self.move.record_answer("r", "v1", failed=False, latency_ms=30.0)
+        for _ in range(20):
+            self.move.record_unanswered("r", "v2", 20.0)
+        self.assertEqual(self.move.state, MoveState.RUNNING)
+        for _ in range(20):
+            self.move.record_unanswered("r", "v2", 300.0)
+        self.assertEqual(self.move.state, MoveState.ROLLED_BACK)
+
+    def test_version_without_any_answer_is_not_completed(self) -> None:
+        """Guard against a share that rises because nothing was answered yet."""
+        both = [leaf("1", "v1"), leaf("2", "v2")]
+        self.assertEqual(self.move.select_leaves(both, 0.0, 1.0), both[1:])
+        self.assertLess(self.move.new_version_share(0.8 * DURATION_S), CANARY_SHARE)
+        self.assertIsNone(self.move.due_state(0.9 * DURATION_S))
+
     def test_good_version_survives_equal_failures_of_both(self) -> None:
         """Guard against taking back a good version by chance."""
         for _ in range(50):
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
@@ -91,6 +91,7 @@
         "target_version": report.target_version,
         "elapsed_s": report.elapsed_s,
         "taken_back": report.taken_back,
+        "new_sends": report.new_sends,
         "good_answers": report.good_answers,
         "routes": {
             route: _encode_counts(counts) for route, counts in report.routes.items()
@@ -105,6 +106,7 @@
         target_version=str(entry["target_version"]),
         elapsed_s=_elapsed_s(entry),
         taken_back=bool(entry["taken_back"]),
+        new_sends=int(entry["new_sends"]),
         good_answers=int(entry["good_answers"]),
         routes={
             str(route): _decode_counts(numbers)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -253,16 +253,21 @@
 
     async def _send(self, entry: LeafEntry) -> LeafResult:
         # A busy daemon begins its sends late, which is no delay of the leaf.
-        self._last_send_s = self._context.clock.monotonic_s()
-        result = await self._context.sender.send(
-            entry,
-            self._config,
-            self._request,
-            median_latency_s=self._context.latencies.median_s(
-                self._route.name, latency_objective_s=self._route.latency_objective_s
-            ),
-            answer_bytes_max=self._route.answer_bytes_max,
-        )
+        sent_s = self._last_send_s = self._context.clock.monotonic_s()
+        try:
+            result = await self._context.sender.send(
+                entry,
+                self._config,
+                self._request,
+                median_latency_s=self._context.latencies.median_s(
+                    self._route.name,
+                    latency_objective_s=self._route.latency_objective_s,
+                ),
+                answer_bytes_max=self._route.answer_bytes_max,
+            )
+        except asyncio.CancelledError:
+            self._record_move_wait(entry, sent_s)
+            raise
         if isinstance(result, LeafReply):
             self._context.latencies.add(self._route.name, result.latency_s)
             self.reached_leaf = True
@@ -285,6 +290,24 @@
                 share=round(move.new_version_share(now_s), 3),
             )
 
+    def _record_move_wait(self, entry: LeafEntry, sent_s: float) -> None:
+        """Record a send that is given up as evidence in a version move."""
+        move = self._context.moves.find(self._service)
+        if move is None:
+            return
+        waited_ms = (self._context.clock.monotonic_s() - sent_s) * 1000
+        if move.record_unanswered(self._route.name, entry.version, waited_ms):
+            self._log_taken_back(entry)
+
+    def _log_taken_back(self, entry: LeafEntry) -> None:
+        self._context.log.decision(
+            "version_taken_back",
+            self._request,
+            service=self._service,
+            version=entry.version,
+        )
+        self._context.on_taken_back()
+
     def _record_move_answer(self, entry: LeafEntry, result: LeafResult) -> None:
         """Record the result as evidence in a version move of the service."""
         move = self._context.moves.find(self._service)
@@ -299,13 +322,7 @@
         if move.record_answer(
             self._route.name, entry.version, failed=failed, latency_ms=latency_ms
         ):
-            self._context.log.decision(
-                "version_taken_back",
-                self._request,
-                service=self._service,
-                version=entry.version,
-            )
-            self._context.on_taken_back()
+            self._log_taken_back(entry)
 
     def _choose(self, now_s: float) -> LeafEntry | None:
         """Return the best leaf that was not tried yet and may get the request."""
