Keep the thresholds of the product's own moves as they were

The early thresholds for slow answers were meant for routing daemons only, but stood in the class that the product's own moves use, too.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
@@ -23,6 +23,9 @@
 # Number of latest answers of each version that a daemon counts. Older ones would hide
 # a version that turns bad late.
 ANSWER_WINDOW = 100
+# Numbers of answers of the first thresholds for slow ones, for services with few
+# requests.
+FIRST_THRESHOLDS = (8, 16)
 # Number of latest answers of the new version that are compared besides.
 RECENT_ANSWERS = 30
 
@@ -79,7 +82,9 @@
 
     old: deque[AnswerKind] = field(default_factory=_new_window)
     new: deque[AnswerKind] = field(default_factory=_new_window)
-    slow: SlowThreshold = field(default_factory=SlowThreshold)
+    slow: SlowThreshold = field(
+        default_factory=lambda: SlowThreshold(first_refreshes=FIRST_THRESHOLDS)
+    )
 
     def counts(self) -> RouteCounts:
         """Return the numbers of answers, of failures and of bad ones."""
--- a/packages/gypsumvane-core/src/gypsumvane_core/slow_threshold.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/slow_threshold.py
@@ -8,8 +8,6 @@
 
 SAMPLES = 256
 REFRESH_AFTER = 32
-# Numbers of answers of the first thresholds, for services with few requests.
-FIRST_REFRESHES = (8, 16)
 QUANTILE = 0.95
 # With nearly constant latencies the quantile alone would be too strict.
 MEDIAN_FACTOR = 2.0
@@ -20,6 +18,8 @@
     """Derive the threshold from the latency of the old version on one route."""
 
     threshold_ms: float = float("inf")
+    # Numbers of answers of earlier, rougher thresholds.
+    first_refreshes: tuple[int, ...] = ()
     _latencies: deque[float] = field(default_factory=lambda: deque(maxlen=SAMPLES))
     _added: int = 0
 
@@ -27,7 +27,7 @@
         """Add the latency of an answer of the old version."""
         self._latencies.append(latency_ms)
         self._added += 1
-        if self._added % REFRESH_AFTER and self._added not in FIRST_REFRESHES:
+        if self._added % REFRESH_AFTER and self._added not in self.first_refreshes:
             return
         ordered = sorted(self._latencies)
         quantile_ms = ordered[int(QUANTILE * (len(ordered) - 1))]
