--- a/review/stand_ins/harness.py
+++ b/review/stand_ins/harness.py
@@ -71,8 +71,7 @@
     """Write what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, folder: Path) -> None:
-        name = "record.txt" if TROUBLE else "record-calm.txt"
-        self._file = (folder / name).open("w", encoding="utf-8")
+        self._file = (folder / "record.txt").open("w", encoding="utf-8")
         self._start = time.monotonic()
 
     def now(self) -> float:
@@ -274,11 +273,23 @@
         super().__init__()
         self.store = store
         self.silent = False
+        self.refusing = False
+
+    def refuse(self) -> None:
+        """Reject all calls from now on and cut the watches that wait."""
+        self.refusing = True
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def serve(self, reader, writer) -> None:
         while (sent := await read_message(reader)) is not None:
             line, _, body = sent
             method, target, _ = line.split(" ")
+            if self.refusing:
+                # Nothing was done.
+                writer.write(message(503, {}))
+                await writer.drain()
+                continue
             status, answer = await self.store.call(method, target, body)
             if self.silent:
                 # A connection on which an answer is lost returns nothing further.
@@ -556,9 +567,15 @@
 
     async def main() -> int:
         record = Record(Path(folder).resolve().parent)
+        record.line(f"TROUBLE={int(TROUBLE)}")
         fleet = Fleet(record)
+        # A case that is ended from outside stops its processes, too.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(record, fleet), 110)
+        except asyncio.CancelledError:
+            return NOT_RUN
         except Exception as error:
             # Any other end than a verdict says nothing about the rule.
             record.line(f"cannot run: {type(error).__name__}: {error}", show=True)
