--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,8 @@
-"""All machines are killed and start again while a leaf is cold."""
+"""The machine that reads the store for its zone loses it while a service is emptied."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
@@ -11,95 +10,65 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins"))
 from harness import BOUNDS, BROKEN, HELD, TROUBLE, Leaf, Requester, route, run_case
 
-ZONES = ("sohar", "sohar", "barka", "barka", "saham", "saham", "suwaiq")
-WARMUP_PER_S = 10
-COLD_S = 10
-BOUND = WARMUP_PER_S * BOUNDS["warmup_overshoot"] + BOUNDS["warmup_slack"]
-PAUSE_S = 0.025
-# "crashes at a rate well above that": half more than the rule allows.
-CRASH = 1.5 * BOUND
+DRAIN_S = BOUNDS["drain_ms"] / 1000
+CUT_S = 5.5
 
 
-class ColdLeaf(Leaf):
-    """A leaf that crashes while it is cold if it gets far too much."""
-
-    def __init__(self, *args, **fields) -> None:
-        super().__init__(*args, **fields)
-        self.cold_from_s = float("inf")
-        self.lost = set()
-        self.running = set()
-
-    async def answer(self, request_id, echo, line, body):
-        at = self.arrivals[-1][0]
-        recent = max(at - 1, self.cold_from_s)
-        self.running.add(request_id)
-        if sum(other > recent for other, _ in self.arrivals) > CRASH:
-            self.lost |= self.running
-            self.record.line(f"leaf {self.name} crashes, loses {sorted(self.running)}")
-            self.stop()
-        try:
-            return await super().answer(request_id, echo, line, body)
-        finally:
-            self.running.discard(request_id)
-
-
-async def ask_again(requester, daemon, end_s):
-    """Send 40 requests a second to a daemon while it runs."""
-    while time.monotonic() < end_s:
-        if daemon.process.returncode is None:
-            requester.begin(daemon, "/b/1", method="POST")
-        await asyncio.sleep(PAUSE_S)
+def drain(fleet, leaf, acked):
+    fleet.store.put("servers", leaf.name, leaf.spec(state="draining"))
+    acked[leaf.name] = time.monotonic()
 
 
 async def case(record, fleet):
-    fleet.zones = sorted(set(ZONES))
-    for number, zone in enumerate(ZONES):
-        await fleet.add_daemon(f"f-{zone}-{number}", zone)
-    for number in range(2):
-        leaf = ColdLeaf(
-            record, f"i-{number}", "bookbook", zone=ZONES[2 * number], work_s=0.05
-        )
-        await fleet.add_leaf(leaf, slots=3)
+    first = await fleet.add_daemon("f-sohar-1", "sohar")
+    second = await fleet.add_daemon("f-sohar-2", "sohar")
+    await fleet.add_daemon("f-barka-1", "barka")
+    emptied = [await fleet.add_leaf(Leaf(record, f"i-{n}", "donorlog")) for n in (1, 2)]
+    for number in range(12):
+        await fleet.add_leaf(Leaf(record, f"j-{number}", "bookbook"))
     fleet.write_config(
-        route("book", "/b/", upstream="bookbook", route_type="non_idempotent"),
-        warmup_per_s=WARMUP_PER_S,
+        route("log", "/d/", upstream="donorlog"),
+        route("book", "/b/", upstream="bookbook"),
     )
     await fleet.start()
     requester = Requester(record)
-    end_s = time.monotonic() + 9
-    load = [
-        asyncio.create_task(ask_again(requester, daemon, end_s))
-        for daemon in fleet.daemons
-    ]
-    await asyncio.sleep(2)
-    cold = fleet.leafs[0]
-    # The machines get a second to learn of it.
-    cold.cold_from_s = time.monotonic() + 1
-    fleet.store.put(
-        "servers", cold.name, cold.spec(slots=3, warmup_left_ms=COLD_S * 1000)
-    )
-    await asyncio.sleep(1.5)
+    for _ in range(50):
+        await requester.ask(second, "/d/1")
+    # Both leafs of a service are emptied, one 0.2 s after the other.
+    acked = {}
+    drain(fleet, emptied[0], acked)
+    await asyncio.sleep(0.1)
     if TROUBLE:
-        for daemon in fleet.daemons:
-            daemon.send(signal.SIGKILL)
-            await daemon.process.wait()
-        await asyncio.sleep(0.5)
-        for daemon in fleet.daemons:
-            await daemon.start()
-    await asyncio.gather(*load)
+        record.line(f"{first.name} is cut off from the store, silently")
+        first.door.silent = True
+    cut_s = time.monotonic()
+    await asyncio.sleep(0.1)
+    drain(fleet, emptied[1], acked)
+    while time.monotonic() - cut_s < 8:
+        requester.begin(second, "/d/1")
+        await asyncio.sleep(0.04)
+        if first.door.silent and time.monotonic() - cut_s > CUT_S:
+            first.door.silent = False
+            first.door.stop()
+            await first.door.start()
+            record.line(f"{first.name} reaches the store again")
     await asyncio.gather(*requester.tasks)
-    times = [at for at, _ in cold.arrivals if at > cold.cold_from_s]
-    most = max(
-        (sum(at <= other < at + 0.9 for other in times) for at in times), default=0
-    )
-    if most > BOUND:
-        record.line(f"FAILBACK is broken: {most} requests in 0.9 s, bound {BOUND:g}")
+    late = [
+        (at - acked[leaf.name], leaf.name, request_id)
+        for leaf in emptied
+        for at, request_id in leaf.arrivals
+        if at - acked[leaf.name] > DRAIN_S
+    ]
+    for age, name, request_id in sorted(late):
+        record.line(f"DRAIN is broken: {request_id} reached {name} {age:.2f} s after "
+                    "the ack that it drains")  # fmt: skip
+    latest = max(at - acked[leaf.name] for leaf in emptied for at, _ in leaf.arrivals)
     record.line(
-        f"{requester.count} requests, the cold leaf got at most {most} in 0.9 s, "
-        f"bound {BOUND:g} in a second; it crashed and lost {len(cold.lost)} requests",
+        f"last request at a draining leaf {latest:.2f} s after the ack, {len(late)} "
+        f"later than {DRAIN_S:g} s",
         show=True,
     )
-    return BROKEN if most > BOUND else HELD
+    return BROKEN if late else HELD
 
 
 run_case(__file__, case)
