Count the grace of a leaving leaf from the store's last confirmation

Cause: the registry counted the grace from the arrival of the change, and a hub let a watch wait on after its copy was no longer confirmed. The ages of both steps added up. Feeds now pass on when the store last confirmed the state without the changes, the grace counts from there, and a hub ends a watch with its confirmation. Lists from relays no longer count as lists after an outage unless the relay or this daemon had one.

Ruled out: the store's answer (it had the change at once); the check before bytes are written, which asks the same registry.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -8,10 +8,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Time for which a leaf that is draining or whose entry is gone stays eligible if its
-# service has no ready leaf. Entries of running leaves that expired during a store
-# outage are back within 2 s of the end of the outage.
+    from gypsumvane_core.routing.change_period import ChangePeriod
+
+# Longest time for which a leaf that is draining or whose entry is gone stays eligible
+# if its service has no ready leaf. Entries of running leaves that expired during a
+# store outage are back within 2 s of the end of the outage.
 LEAVING_LEAF_GRACE_S = 2.2
+# Time for which a leaf still serves after the store has accepted that it drains.
+DRAIN_DEFAULT_S = 3.0
+# Time that a request may be on its way to a leaf.
+SEND_MARGIN_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,61 +55,82 @@
 class LeafRegistry:
     """Hold the registered leaves and select those that may get requests."""
 
-    def __init__(self) -> None:
+    def __init__(self, drain_s: float = DRAIN_DEFAULT_S) -> None:
+        # Time for which a leaf that leaves still serves.
+        self.drain_s = drain_s
         self._leaves: dict[str, _Leaf] = {}
         self._services: dict[str, dict[str, _Leaf]] = {}
         self._domains_out: frozenset[str] = frozenset()
         # When the first leaf of each version of a service was seen.
         self._version_seen_s: dict[tuple[str, str], float] = {}
 
-    def put(self, entry: LeafEntry, now_s: float, *, grace: bool = True) -> None:
+    def put(
+        self, entry: LeafEntry, now_s: float, period: ChangePeriod | None = None
+    ) -> None:
         """Add or update a leaf, unless a newer incarnation is known.
 
-        Without grace a draining leaf is not eligible at all, because it may have
-        been draining for a long time.
+        period is when the entry may have changed; without one it has changed now.
         """
         known = self._leaves.get(entry.leaf_id)
         if known and known.entry.started_unix_ms > entry.started_unix_ms:
             return
         leaf = _Leaf(entry, cold_until_s=now_s + entry.warmup_left_ms / 1000)
         if known and known.leaving and known.entry.incarnation == entry.incarnation:
-            # The entry in the store may be older than the answer.
+            # The entry in the store may be older than the answer, or than the drain.
             leaf.leaving = True
             leaf.grace_until_s = known.grace_until_s
+            if entry.draining and known.grace_until_s is not None:
+                leaf.grace_until_s = min(
+                    known.grace_until_s, self._grace_end_s(now_s, period)
+                )
         elif entry.draining:
             if known and known.entry.draining:
                 leaf.grace_until_s = known.grace_until_s
             else:
-                leaf.grace_until_s = now_s + LEAVING_LEAF_GRACE_S if grace else now_s
+                leaf.grace_until_s = self._grace_end_s(now_s, period)
         if known and known.entry.service != entry.service:
             self._services[known.entry.service].pop(entry.leaf_id, None)
         self._leaves[entry.leaf_id] = leaf
         self._services.setdefault(entry.service, {})[entry.leaf_id] = leaf
         self._version_seen_s.setdefault((entry.service, entry.version), now_s)
 
-    def remove(self, leaf_id: str, now_s: float, *, grace: bool = True) -> None:
-        """Remove a leaf whose entry is gone, at once or at the end of its grace."""
+    def remove(
+        self, leaf_id: str, now_s: float, period: ChangePeriod | None = None
+    ) -> None:
+        """Remove a leaf whose entry is gone, at once or at the end of its grace.
+
+        period is when the entry may have gone; without one it has gone now.
+        """
         leaf = self._leaves.get(leaf_id)
         if leaf is None:
             return
-        if not grace:
+        if leaf.grace_until_s is None:
+            leaf.grace_until_s = (
+                now_s + LEAVING_LEAF_GRACE_S
+                if period is not None and period.after_outage
+                else self._grace_end_s(now_s, period)
+            )
+        if leaf.grace_until_s <= now_s:
             self._drop(leaf_id)
-        elif leaf.grace_until_s is None:
-            leaf.grace_until_s = now_s + LEAVING_LEAF_GRACE_S
 
     def replace(
-        self, entries: Iterable[LeafEntry], now_s: float, *, grace: bool
+        self, entries: Iterable[LeafEntry], now_s: float, period: ChangePeriod
     ) -> None:
-        """Replace all leaves by a complete list.
-
-        The grace applies to leaves that the list lacks. It is meant for lists after
-        a store outage, during which entries of running leaves may have expired.
-        """
+        """Replace all leaves by a complete list, which changed within a period."""
         listed = {entry.leaf_id: entry for entry in entries}
         for leaf_id in self._leaves.keys() - listed.keys():
-            self.remove(leaf_id, now_s, grace=grace)
+            self.remove(leaf_id, now_s, period)
         for entry in listed.values():
-            self.put(entry, now_s, grace=False)
+            self.put(entry, now_s, period)
+
+    def _grace_end_s(self, now_s: float, period: ChangePeriod | None) -> float:
+        """Return the end of the grace of a leaf that has begun to leave.
+
+        The leaf serves for a time that counts from the change in the store, not from
+        the arrival of the change at this daemon.
+        """
+        begin_s = now_s if period is None else period.begin_s
+        return min(now_s + LEAVING_LEAF_GRACE_S, begin_s + self.drain_s - SEND_MARGIN_S)
 
     def mark_leaving(self, entry: LeafEntry, now_s: float) -> bool:
         """Start the grace of a leaf that says that it leaves; return whether it is new.
--- a/packages/gypsumvane-core/tests/test_core_routing_registry.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_registry.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import replace
 
+from gypsumvane_core.routing.change_period import ChangePeriod
 from gypsumvane_core.routing.leaf_registry import LEAVING_LEAF_GRACE_S
 from gypsumvane_core.routing.leaf_registry import LeafEntry
 from gypsumvane_core.routing.leaf_registry import LeafRegistry
@@ -26,7 +27,7 @@
 
     def setUp(self) -> None:
         self.registry = LeafRegistry()
-        self.registry.replace([leaf("1"), leaf("2")], 0.0, grace=False)
+        self.registry.replace([leaf("1"), leaf("2")], 0.0, ChangePeriod())
 
     def eligible(self, now_s: float, service: str = "s") -> set[str]:
         """Return the names of the eligible leaves."""
@@ -42,7 +43,7 @@
         self.assertFalse(self.registry.mark_leaving(one, 11.0))
         self.assertEqual(self.eligible(10.0), {"2"})
         self.registry.put(leaf("1", slots=2), 11.0)
-        self.registry.replace([leaf("1")], 11.0, grace=False)
+        self.registry.replace([leaf("1")], 11.0, ChangePeriod())
         self.assertEqual(self.eligible(12.0), {"1"})
         self.assertEqual(self.eligible(12.3), set())
         self.registry.put(leaf("1", slots=3), 13.0)
@@ -64,6 +65,32 @@
         self.assertEqual(self.eligible(10.0 + LEAVING_LEAF_GRACE_S), set())
         self.assertLess(LEAVING_LEAF_GRACE_S, DRAIN_S)
 
+    def test_grace_ends_with_the_time_that_a_leaf_serves(self) -> None:
+        """Guard against a grace that counts from the arrival of old news (DRAIN)."""
+        period = ChangePeriod(begin_s=8.0)
+        one = next(e for e in self.registry.entries() if e.leaf_id == "1")
+        changes = {
+            "draining": lambda: self.registry.put(
+                leaf("1", draining=True), 10.0, period
+            ),
+            "gone": lambda: self.registry.remove("1", 10.0, period),
+            "not listed": lambda: self.registry.replace([], 10.0, period),
+            "listed as draining": lambda: self.registry.replace(
+                [leaf("1", draining=True)], 10.0, period
+            ),
+            "draining after it said that it leaves": lambda: (
+                self.registry.mark_leaving(one, 9.9),
+                self.registry.put(leaf("1", draining=True), 10.0, period),
+            ),
+        }
+        for name, change in changes.items():
+            with self.subTest(name):
+                self.registry.replace([leaf("1")], 0.0, ChangePeriod())
+                change()
+                self.assertEqual(self.eligible(10.0), {"1"})
+                self.assertEqual(self.eligible(8.0 + DRAIN_S), set())
+                self.setUp()
+
     def test_leaf_whose_entry_expired_returns(self) -> None:
         """Guard against an outage of a service whose entries expire with the store."""
         for name in "12":
@@ -81,14 +108,14 @@
 
     def test_list_without_grace_drops_at_once(self) -> None:
         """Guard against leaves that left while the registry got no changes."""
-        self.registry.replace([leaf("2")], 10.0, grace=False)
+        self.registry.replace([leaf("2")], 10.0, ChangePeriod())
         self.assertEqual(self.eligible(10.0), {"2"})
-        self.registry.replace([leaf("2", draining=True)], 11.0, grace=False)
+        self.registry.replace([leaf("2", draining=True)], 11.0, ChangePeriod())
         self.assertEqual(self.eligible(11.0), set())
 
     def test_list_after_an_outage_keeps_missing_leaves(self) -> None:
         """Guard against dropping leaves that register again seconds later."""
-        self.registry.replace([], 10.0, grace=True)
+        self.registry.replace([], 10.0, ChangePeriod(after_outage=True))
         self.assertEqual(self.eligible(10.5), {"1", "2"})
 
     def test_older_incarnation_is_ignored(self) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/feed_mirror.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from gypsumvane_core.routing.change_period import ChangePeriod
     from gypsumvane_daemon.routing.ports import RecordChanges
     from gypsumvane_daemon.routing.ports import RecordList
 
@@ -41,17 +42,19 @@
         self.revision = 0
         # Returns the time since the store last confirmed this kind.
         self.confirmed_age_s: Callable[[], float] = lambda: math.inf
+        # Returns whether entries that expired in an outage may still be missing.
+        self.after_outage: Callable[[], bool] = lambda: False
         self._changed = asyncio.Event()
 
-    def on_list(self, listing: RecordList[Value], *, after_outage: bool) -> None:
+    def on_list(self, listing: RecordList[Value], period: ChangePeriod) -> None:
         """Replace the copy and start a new history."""
         self._payloads = {record.name: record.payload for record in listing.records}
         self._history.clear()
         self._history_start = listing.revision
         self._advance(listing.revision)
-        self._listener.on_list(listing, after_outage=after_outage)
+        self._listener.on_list(listing, period)
 
-    def on_changes(self, changes: RecordChanges[Value]) -> None:
+    def on_changes(self, changes: RecordChanges[Value], period: ChangePeriod) -> None:
         """Apply changes to the copy and append them to the history."""
         for name, record in changes.changes:
             payload = None if record is None else record.payload
@@ -63,7 +66,7 @@
         while len(self._history) > HISTORY_CHANGES_MAX:
             self._history_start = self._history.popleft()[0]
         self._advance(changes.revision)
-        self._listener.on_changes(changes)
+        self._listener.on_changes(changes, period)
 
     def objects(self) -> list[Change]:
         """Return all objects of the copy as pairs of name and payload."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from gypsumvane_core.clock import Clock
+    from gypsumvane_core.routing.change_period import ChangePeriod
     from gypsumvane_core.routing.version_move import MoveOrder
     from gypsumvane_core.routing.version_move import MoveRegistry
     from gypsumvane_core.routing.version_move import VersionMove
@@ -49,7 +50,7 @@
         self._is_leader = is_leader
         self._clock = clock
 
-    def on_list(self, listing: RecordList[MoveOrder], *, after_outage: bool) -> None:
+    def on_list(self, listing: RecordList[MoveOrder], period: ChangePeriod) -> None:
         """Apply all orders and remove moves without one."""
         named = {record.value.service for record in listing.records}
         for move in self._registry.all():
@@ -59,7 +60,9 @@
             self._apply(record.value)
         self._state.orders_known = True
 
-    def on_changes(self, changes: RecordChanges[MoveOrder]) -> None:
+    def on_changes(
+        self, changes: RecordChanges[MoveOrder], period: ChangePeriod
+    ) -> None:
         """Apply changed orders and remove moves whose order was deleted."""
         for name, record in changes.changes:
             if record is None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -43,6 +43,10 @@
     """Report a store call that failed; the store may have executed it."""
 
 
+class StoreNotCalledError(StoreUnavailableError):
+    """Report that relays have no confirmed copy and the store was not called."""
+
+
 class StoreSilentError(StoreUnavailableError):
     """Report a store call without an answer; a connection may have gone silent."""
 
@@ -71,6 +75,8 @@
     age_s: float = 0.0
     # Whether a peer served the list.
     relayed: bool = False
+    # Whether the relaying peer has just had an outage of the store.
+    after_outage: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +90,8 @@
     age_s: float = 0.0
     # Whether a peer served the changes.
     relayed: bool = False
+    # Whether the relaying peer has just had an outage of the store.
+    after_outage: bool = False
 
 
 class RecordSource(ABC, Generic[Value]):
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relay_handler.py
@@ -49,11 +49,17 @@
             return _reply(mirror, mirror.objects(), mirror.revision)
         try:
             wait_s = min(float(request.query.get("wait_s", "0")), WAIT_MAX_S)
+            # A watch ends when the copy is no longer confirmed, because the peer may
+            # still reach the store.
+            confirmed_left_s = CONFIRMATION_AGE_MAX_S - mirror.confirmed_age_s()
+            wait_s = max(0.0, min(wait_s, confirmed_left_s))
             changes, revision = await mirror.changes(int(since), wait_s)
         except ValueError as error:
             return text_response(400, f"{error}\n")
         except HistoryLostError:
             return text_response(GONE, "these changes are not known\n")
+        if mirror.confirmed_age_s() > CONFIRMATION_AGE_MAX_S:
+            return text_response(UNCONFIRMED, "the copy is not confirmed\n")
         return _reply(mirror, changes, revision)
 
 
@@ -63,5 +69,6 @@
             "objects": objects,
             "revision": revision,
             "age_s": mirror.confirmed_age_s(),
+            "after_outage": mirror.after_outage(),
         }
     )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -14,6 +14,7 @@
 from gypsumvane_daemon.routing.ports import RecordChanges
 from gypsumvane_daemon.routing.ports import RecordList
 from gypsumvane_daemon.routing.ports import RecordSource
+from gypsumvane_daemon.routing.ports import StoreNotCalledError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 from gypsumvane_daemon.routing.relay_handler import GONE
 from gypsumvane_daemon.routing.relay_handler import RELAY_PATH
@@ -153,6 +154,7 @@
                     int(answer["revision"]),
                     float(answer["age_s"]),
                     relayed=True,
+                    after_outage=bool(answer["after_outage"]),
                 )
             except PeerError as error:
                 if error.status == GONE:
@@ -188,6 +190,7 @@
             revision,
             float(answer["age_s"]),
             relayed=True,
+            after_outage=bool(answer["after_outage"]),
         )
 
     async def _list_from_any_peer(self) -> RecordList[Value]:
@@ -260,7 +263,7 @@
         if self._is_hub():
             return
         if not self._access.take_call(self._clock.monotonic_s()):
-            raise StoreUnavailableError("relays have lost the store, waiting for them")
+            raise StoreNotCalledError("relays have lost the store, waiting for them")
 
     def _avoid(self, relay: DaemonRecord, error: Exception) -> None:
         now_s = self._clock.monotonic_s()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -70,7 +70,7 @@
         self.settings = settings
         self.platform = platform
         self.clock = SystemClock()
-        self.state = RoutingState()
+        self.state = RoutingState(settings.drain_s)
         self.metrics = RoutingMetrics()
         self.budget = RetryBudget(settings.retry_allowance)
         self.moves = MoveRegistry(settings.canary_bound)
@@ -166,6 +166,7 @@
         """Apply the settings that can change while the daemon runs."""
         self.settings = settings
         self.budget.allowance = settings.retry_allowance
+        self.state.registry.drain_s = settings.drain_s
         self.peers.seeds = settings.seed_addresses
 
     async def run(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -116,6 +116,7 @@
             rng=self._rng,
         )
         mirror.confirmed_age_s = feed.confirmed_age_s
+        mirror.after_outage = feed.after_outage
         return feed
 
     def _is_hub(self) -> bool:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_state.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from gypsumvane_core.routing.leaf_registry import DRAIN_DEFAULT_S
 from gypsumvane_core.routing.leaf_registry import LeafRegistry
 from gypsumvane_core.routing.route_table import RouteTable
 
@@ -18,9 +19,9 @@
 class RoutingState:
     """Hold the configuration in force and the registry of leaves."""
 
-    def __init__(self) -> None:
+    def __init__(self, drain_s: float = DRAIN_DEFAULT_S) -> None:
         self.table: RouteTable | None = None
-        self.registry = LeafRegistry()
+        self.registry = LeafRegistry(drain_s)
         # Whether the leaves, the evacuated failure domains and the orders of version
         # moves were read once.
         self.leaves_known = False
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -35,6 +35,8 @@
     canary_bound: CanaryBound
     # Time in which a configuration has to be in force.
     config_apply_s: float
+    # Time for which a leaf that drains still serves.
+    drain_s: float
     # Time between SIGTERM and SIGKILL.
     stop_grace_s: float
     # CPU capacity of the VM in cores.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from gypsumvane_core.clock import Clock
+    from gypsumvane_core.routing.change_period import ChangePeriod
     from gypsumvane_core.routing.config import RoutingConfig
     from gypsumvane_core.routing.leaf_registry import LeafEntry
     from gypsumvane_daemon.routing.ports import Record
@@ -27,14 +28,14 @@
         # The configuration in force as stored, which peers fetch.
         self.record: Record[RoutingConfig] | None = None
 
-    def on_list(
-        self, listing: RecordList[RoutingConfig], *, after_outage: bool
-    ) -> None:
+    def on_list(self, listing: RecordList[RoutingConfig], period: ChangePeriod) -> None:
         """Apply the listed configuration if it is newer."""
         for record in listing.records:
             self.apply(record, origin="list")
 
-    def on_changes(self, changes: RecordChanges[RoutingConfig]) -> None:
+    def on_changes(
+        self, changes: RecordChanges[RoutingConfig], period: ChangePeriod
+    ) -> None:
         """Apply changed configurations that are newer."""
         for _, record in changes.changes:
             # A removed configuration stays in force.
@@ -68,34 +69,43 @@
         self._state = state
         self._clock = clock
 
-    def on_list(self, listing: RecordList[LeafEntry], *, after_outage: bool) -> None:
-        """Replace all leaves, with grace for missing ones after an outage."""
+    def on_list(self, listing: RecordList[LeafEntry], period: ChangePeriod) -> None:
+        """Replace all leaves."""
         entries = [record.value for record in listing.records]
-        self._state.registry.replace(
-            entries, self._clock.monotonic_s(), grace=after_outage
-        )
+        now_s = self._clock.monotonic_s()
+        self._state.registry.replace(entries, now_s, period)
         self._state.leaves_known = True
         logger.info(
             "leaves listed",
             extra={
                 "leaves": len(entries),
                 "revision": listing.revision,
-                "after_outage": after_outage,
+                "age_max_ms": _age_max_ms(period, now_s),
+                "after_outage": period.after_outage,
             },
         )
 
-    def on_changes(self, changes: RecordChanges[LeafEntry]) -> None:
+    def on_changes(
+        self, changes: RecordChanges[LeafEntry], period: ChangePeriod
+    ) -> None:
         """Add, update or remove the leaves that have changed."""
         now_s = self._clock.monotonic_s()
+        age_max_ms = _age_max_ms(period, now_s)
         for name, record in changes.changes:
             if record is None:
-                self._state.registry.remove(name, now_s)
+                self._state.registry.remove(name, now_s, period)
                 logger.info(
-                    "leaf removed", extra={"leaf": name, "revision": changes.revision}
+                    "leaf removed",
+                    extra={
+                        "leaf": name,
+                        "age_max_ms": age_max_ms,
+                        "after_outage": period.after_outage,
+                        "revision": changes.revision,
+                    },
                 )
                 continue
             entry = record.value
-            self._state.registry.put(entry, now_s)
+            self._state.registry.put(entry, now_s, period)
             logger.info(
                 "leaf changed",
                 extra={
@@ -103,6 +113,7 @@
                     "service": entry.service,
                     "draining": entry.draining,
                     "warmup_left_ms": entry.warmup_left_ms,
+                    "age_max_ms": age_max_ms,
                     "revision": changes.revision,
                 },
             )
@@ -115,13 +126,13 @@
         self._state = state
         self._domains: set[str] = set()
 
-    def on_list(self, listing: RecordList[str], *, after_outage: bool) -> None:
+    def on_list(self, listing: RecordList[str], period: ChangePeriod) -> None:
         """Replace the evacuated failure domains."""
         self._domains = {record.value for record in listing.records}
         self._state.domains_known = True
         self._apply(listing.revision)
 
-    def on_changes(self, changes: RecordChanges[str]) -> None:
+    def on_changes(self, changes: RecordChanges[str], period: ChangePeriod) -> None:
         """Add or remove the failure domains that have changed."""
         for name, record in changes.changes:
             if record is None:
@@ -136,3 +147,8 @@
             "evacuated failure domains updated",
             extra={"failure_domains": sorted(self._domains), "revision": revision},
         )
+
+
+def _age_max_ms(period: ChangePeriod, now_s: float) -> int:
+    """Return how long ago the changes of a period may have been made."""
+    return round((now_s - period.begin_s) * 1000)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -12,8 +12,10 @@
 from typing import Generic
 from typing import TypeVar
 
+from gypsumvane_core.routing.change_period import ChangePeriod
 from gypsumvane_daemon.backoff import Backoff
 from gypsumvane_daemon.routing.ports import HistoryLostError
+from gypsumvane_daemon.routing.ports import StoreNotCalledError
 from gypsumvane_daemon.routing.ports import StoreSilentError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 
@@ -48,21 +50,21 @@
 # Time after a store outage in which a list may still lack running leaves, which have
 # to register again.
 REREGISTRATION_S = 4.0
+# Shortest time without a confirmation in which entries of running leaves may expire.
+# They expire after three silent ping intervals.
+ENTRY_EXPIRY_MIN_S = 2.4
 
 
 class FeedListener(ABC, Generic[Value]):
     """Receive what a feed reads."""
 
     @abstractmethod
-    def on_list(self, listing: RecordList[Value], *, after_outage: bool) -> None:
-        """Handle a complete list.
-
-        after_outage tells that it may lack objects that expired during an outage.
-        """
+    def on_list(self, listing: RecordList[Value], period: ChangePeriod) -> None:
+        """Handle a complete list, which changed within a period."""
 
     @abstractmethod
-    def on_changes(self, changes: RecordChanges[Value]) -> None:
-        """Handle changes in order."""
+    def on_changes(self, changes: RecordChanges[Value], period: ChangePeriod) -> None:
+        """Handle changes in order, which were made within a period."""
 
 
 class StoreFeed(Generic[Value]):
@@ -89,7 +91,11 @@
         self._revision: int | None = None
         # Start of the current outage.
         self._lost_s: float | None = None
-        # End of the last outage; the initial value is too early to mark the first list.
+        # Whether a call of this daemon to the store failed in the current outage, not
+        # only the relays.
+        self._store_failed = False
+        # End of the last outage of the store; the initial value is too early to mark
+        # the first list.
         self._regained_s = -REREGISTRATION_S
         self._step_task: asyncio.Task[None] | None = None
         self._restarting = False
@@ -118,6 +124,10 @@
         """Return the time since the store last confirmed the current state."""
         return self._clock.monotonic_s() - self._confirmed_s
 
+    def after_outage(self) -> bool:
+        """Return whether entries that expired in an outage may still be missing."""
+        return self._clock.monotonic_s() - self._regained_s < REREGISTRATION_S
+
     async def wait_until_reached(self) -> None:
         """Wait until the store is reachable."""
         await self._reached.wait()
@@ -198,16 +208,13 @@
             await self._leader.wait_until_reached()
         if self._revision is None:
             listing = await self._source.list_all()
-            self._mark_answered(listing)
+            period = self._mark_answered(listing)
             self._revision = listing.revision
-            since_regained_s = self._clock.monotonic_s() - self._regained_s
-            # The list of a hub may stem from an outage that is not visible here.
-            after_outage = since_regained_s < REREGISTRATION_S or listing.relayed
-            self._listener.on_list(listing, after_outage=after_outage)
+            self._listener.on_list(listing, period)
             return
         since = self._revision
         changes = await self._source.watch(since, self._watch_s)
-        self._mark_answered(changes)
+        period = self._mark_answered(changes)
         self._revision = changes.revision
         if changes.changes:
             logger.info(
@@ -219,13 +226,15 @@
                     "age_ms": round(changes.age_s * 1000),
                 },
             )
-            self._listener.on_changes(changes)
+            self._listener.on_changes(changes, period)
         if not changes.relayed:
             self.on_watched(since, changes)
         if changes.changes:
             await asyncio.sleep(self._pause_s)
 
     def _mark_lost(self, error: StoreUnavailableError) -> None:
+        if not isinstance(error, StoreNotCalledError):
+            self._store_failed = True
         if self._lost_s is None:
             self._lost_s = self._clock.monotonic_s()
             self._reached.clear()
@@ -235,9 +244,17 @@
             )
             self.on_interruption()
 
-    def _mark_answered(self, answer: RecordList[Value] | RecordChanges[Value]) -> None:
+    def _mark_answered(
+        self, answer: RecordList[Value] | RecordChanges[Value]
+    ) -> ChangePeriod:
+        """Record an answer and return the period in which its changes were made."""
         self._backoff.reset()
         now_s = self._clock.monotonic_s()
+        begin_s = self._confirmed_s
+        relay_outage = answer.after_outage and now_s - begin_s >= ENTRY_EXPIRY_MIN_S
+        if self._store_failed or relay_outage:
+            self._store_failed = False
+            self._regained_s = now_s
         self._confirmed_s = now_s - answer.age_s
         self._covered_revision = answer.revision
         self._relayed = answer.relayed
@@ -248,7 +265,7 @@
             )
             self._lost_s = None
             self._reached.set()
-            self._regained_s = now_s
+        return ChangePeriod(begin_s, self.after_outage())
 
 
 def link_feeds(leader: StoreFeed[Any], *followers: StoreFeed[Any]) -> None:
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -11,7 +11,9 @@
 from unittest import mock
 
 from gypsumvane_core.clock import ManualClock
+from gypsumvane_core.routing.change_period import ChangePeriod
 from gypsumvane_core.routing.daemon_record import DaemonRecord
+from gypsumvane_core.routing.leaf_registry import LeafEntry
 from gypsumvane_daemon.routing import relayed_source
 from gypsumvane_daemon.routing.feed_mirror import FeedMirror
 from gypsumvane_daemon.routing.listener import HttpListener
@@ -22,12 +24,15 @@
 from gypsumvane_daemon.routing.ports import RecordChanges
 from gypsumvane_daemon.routing.ports import RecordList
 from gypsumvane_daemon.routing.ports import RecordSource
+from gypsumvane_daemon.routing.ports import StoreNotCalledError
 from gypsumvane_daemon.routing.ports import StoreSilentError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
 from gypsumvane_daemon.routing.relay_handler import CONFIRMATION_AGE_MAX_S
 from gypsumvane_daemon.routing.relay_handler import RelayHandler
 from gypsumvane_daemon.routing.relayed_source import FIRST_LIST_PATIENCE_S
 from gypsumvane_daemon.routing.relayed_source import RelayedSource
+from gypsumvane_daemon.routing.routing_state import RoutingState
+from gypsumvane_daemon.routing.state_listeners import LeafListener
 from gypsumvane_daemon.routing.store_feed import FeedListener
 from gypsumvane_daemon.routing.store_feed import StoreFeed
 from gypsumvane_daemon.routing.store_feed import link_feeds
@@ -38,6 +43,11 @@
     from collections.abc import Callable
 
 
+NOW = ChangePeriod()
+# Time after which a draining leaf must get no more requests.
+DRAIN_S = 3.0
+
+
 def record(name: str, payload: Any = 1) -> Record[Any]:
     """Return a record whose value is its payload."""
     return Record(name, payload, payload)
@@ -82,12 +92,12 @@
         self.lists: list[tuple[list[str], bool]] = []
         self.changes: list[str] = []
 
-    def on_list(self, listing: RecordList[Any], *, after_outage: bool) -> None:
+    def on_list(self, listing: RecordList[Any], period: ChangePeriod) -> None:
         """Record the names in a list and whether it is marked as after an outage."""
         names = [entry.name for entry in listing.records]
-        self.lists.append((names, after_outage))
+        self.lists.append((names, period.after_outage))
 
-    def on_changes(self, changes: RecordChanges[Any]) -> None:
+    def on_changes(self, changes: RecordChanges[Any], period: ChangePeriod) -> None:
         """Record the names of changed objects."""
         self.changes += [name for name, _ in changes.changes]
 
@@ -220,6 +230,56 @@
             await asyncio.wait(self.tasks)
         self.assertTrue(self.tasks[0].cancelled())
 
+    async def test_late_news_of_a_drain_begins_no_new_grace(self) -> None:
+        """Guard against sends to a leaf that drained while a hub had lost the store.
+
+        Each arrival of the news began a grace of its own (DRAIN, review/5).
+        """
+        state = RoutingState(DRAIN_S)
+        feed = StoreFeed(
+            self.source,
+            LeafListener(state, self.clock),
+            watch_s=1.0,
+            clock=self.clock,
+            rng=random.Random(1),
+        )
+        ready = LeafEntry("leaf", "s", "127.0.0.1:1", "a")
+        draining = LeafEntry("leaf", "s", "127.0.0.1:1", "a", draining=True)
+        self.source.listing = RecordList((Record("leaf", ready, 1),), 1)
+        self.run_feed(feed)
+        await wait_until(lambda: self.source.watches == [1])
+        confirmed_s = self.clock.monotonic_s()
+        self.clock.advance(2.0)
+        changes = RecordChanges((("leaf", Record("leaf", draining, 1)),), 5)
+        self.source.answers.put_nowait(changes)
+        await wait_until(lambda: self.source.watches == [1, 5])
+        self.assertTrue(state.registry.eligible("s", self.clock.monotonic_s()))
+        self.assertEqual(state.registry.eligible("s", confirmed_s + DRAIN_S), [])
+
+    async def test_lost_relays_are_no_outage_of_the_store(self) -> None:
+        """Guard against a grace for entries that cannot have expired (DRAIN)."""
+        self.run_feed(self.feed)
+        self.source.answers.put_nowait(StoreNotCalledError("relays lost"))
+        self.source.answers.put_nowait(HistoryLostError("gone"))
+        await wait_until(lambda: len(self.listener.lists) == 2)
+        self.assertEqual([marked for _, marked in self.listener.lists], [False, False])
+
+    async def test_outage_that_a_relay_reports(self) -> None:
+        """Guard against dropping leaves whose entries expired in an outage.
+
+        In a short time without a confirmation no entry can have expired.
+        """
+        for away_s, marked in ((1.0, False), (5.0, True)):
+            with self.subTest(away_s):
+                feed, source, listener = self.make()
+                self.run_feed(feed)
+                await wait_until(lambda source=source: source.watches)
+                self.clock.advance(away_s)
+                source.listing = RecordList((), 2, relayed=True, after_outage=True)
+                source.answers.put_nowait(HistoryLostError("gone"))
+                await wait_until(lambda listener=listener: len(listener.lists) == 2)
+                self.assertEqual(listener.lists[-1], ([], marked))
+
     async def test_age_of_the_confirmation(self) -> None:
         self.source.listing = RecordList((), 1, age_s=0.5)
         self.run_feed(self.feed)
@@ -234,13 +294,11 @@
     def setUp(self) -> None:
         self.listener = RecordingListener()
         self.mirror: FeedMirror[Any] = FeedMirror(self.listener)
-        self.mirror.on_list(
-            RecordList((record("a"), record("b")), 10), after_outage=False
-        )
+        self.mirror.on_list(RecordList((record("a"), record("b")), 10), NOW)
 
     async def test_changes_since_a_revision(self) -> None:
-        self.mirror.on_changes(RecordChanges((("c", record("c")),), 12))
-        self.mirror.on_changes(RecordChanges((("a", None),), 15))
+        self.mirror.on_changes(RecordChanges((("c", record("c")),), 12), NOW)
+        self.mirror.on_changes(RecordChanges((("a", None),), 15), NOW)
         both = [("c", 1), ("a", None)]
         self.assertEqual(await self.mirror.changes(10, 0.0), (both, 15))
         self.assertEqual(await self.mirror.changes(12, 0.0), ([("a", None)], 15))
@@ -257,13 +315,13 @@
         self.assertEqual(await self.mirror.changes(11, 0.0), ([], 11))
         waiting = asyncio.create_task(self.mirror.changes(11, 30.0))
         await asyncio.sleep(0)
-        self.mirror.on_changes(RecordChanges((("c", record("c")),), 15))
+        self.mirror.on_changes(RecordChanges((("c", record("c")),), 15), NOW)
         self.assertEqual((await waiting)[0], [("c", 1)])
 
     async def test_waiting_peer_gets_the_change(self) -> None:
         waiting = asyncio.create_task(self.mirror.changes(10, 30.0))
         await asyncio.sleep(0)
-        self.mirror.on_changes(RecordChanges((("c", record("c")),), 12))
+        self.mirror.on_changes(RecordChanges((("c", record("c")),), 12), NOW)
         self.assertEqual((await waiting)[0], [("c", 1)])
 
     async def test_change_at_the_end_of_the_wait(self) -> None:
@@ -276,7 +334,7 @@
         waiting = asyncio.create_task(self.mirror.changes(10, 0.005))
         await asyncio.sleep(0)
         change: RecordChanges[Any] = RecordChanges((("c", record("c")),), 12)
-        loop.call_later(0.006, self.mirror.on_changes, change)
+        loop.call_later(0.006, self.mirror.on_changes, change, NOW)
         # Both timers are due in the same iteration of the loop.
         loop.call_soon(time.sleep, 0.02)
         changes, revision = await waiting
@@ -286,7 +344,7 @@
         """Guard against a peer that misses the changes in a new list."""
         waiting = asyncio.create_task(self.mirror.changes(10, 30.0))
         await asyncio.sleep(0)
-        self.mirror.on_list(RecordList((record("z"),), 20), after_outage=False)
+        self.mirror.on_list(RecordList((record("z"),), 20), NOW)
         with self.assertRaises(HistoryLostError):
             await waiting
 
@@ -344,9 +402,7 @@
         self.addCleanup(patch.stop)
         self.age_s = 0.3
         self.mirror: FeedMirror[Any] = FeedMirror(RecordingListener())
-        self.mirror.on_list(
-            RecordList((record("a"), record("b", "odd")), 10), after_outage=False
-        )
+        self.mirror.on_list(RecordList((record("a"), record("b", "odd")), 10), NOW)
         self.mirror.confirmed_age_s = lambda: self.age_s
         self.leaves: FeedMirror[Any] = FeedMirror(RecordingListener())
         self.leaves.confirmed_age_s = lambda: 0.0
@@ -393,7 +449,9 @@
         self.assertEqual([entry.name for entry in listing.records], ["a"])
         self.assertEqual((listing.revision, listing.relayed), (10, True))
         self.assertGreaterEqual(listing.age_s, 0.3)
-        self.mirror.on_changes(RecordChanges((("c", record("c")), ("a", None)), 12))
+        self.mirror.on_changes(
+            RecordChanges((("c", record("c")), ("a", None)), 12), NOW
+        )
         watched = await self.source.watch(10, 5.0)
         self.assertEqual(
             [(name, entry is None) for name, entry in watched.changes],
@@ -411,7 +469,7 @@
     async def start_remote_hub(self) -> FeedMirror[Any]:
         """Start a hub of another failure domain with a confirmed copy."""
         mirror: FeedMirror[Any] = FeedMirror(RecordingListener())
-        mirror.on_list(RecordList((record("r"),), 20), after_outage=False)
+        mirror.on_list(RecordList((record("r"),), 20), NOW)
         address = free_address()
         mirror.confirmed_age_s = lambda: 0.1
         handler = RelayHandler({"things": mirror})
@@ -423,18 +481,27 @@
 
     async def test_age_of_a_kind_is_its_own(self) -> None:
         """Guard against a copy that passes for as recent as the leaves (CONFIG)."""
-        self.leaves.on_list(RecordList((), 10), after_outage=False)
+        self.leaves.on_list(RecordList((), 10), NOW)
         self.assertGreaterEqual((await self.source.list_all()).age_s, 0.3)
         self.age_s = CONFIRMATION_AGE_MAX_S + 1
         self.assertEqual(await self.names(), ["s"])
 
+    async def test_watch_ends_with_the_confirmation_of_the_hub(self) -> None:
+        """Guard against a peer that waits at a hub that has lost the store (DRAIN)."""
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time() - CONFIRMATION_AGE_MAX_S + 0.1
+        self.mirror.confirmed_age_s = lambda: loop.time() - begun_s
+        path = "/v1/relay/things?since=10&wait_s=1"
+        with self.assertRaisesRegex(PeerError, "status 503"):
+            await self.client.call("GET", self.address, path, timeout_s=9.0)
+
     async def test_hub_of_another_domain_stands_in(self) -> None:
         """Guard against a call to the store by each daemon whose hubs are cut off."""
         self.is_hub = False
         mirror = await self.start_remote_hub()
         self.assertEqual(await self.names(), ["a"])
         self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
-        mirror.on_changes(RecordChanges((("c", record("c")),), 22))
+        mirror.on_changes(RecordChanges((("c", record("c")),), 22), NOW)
         watched = await self.source.watch(20, 5.0)
         self.assertEqual([name for name, _ in watched.changes], ["c"])
         self.assertEqual(await self.names(), ["r", "c"])
