Complete a version move only by current reports of all daemons

Cause: reports of peers had no age and counted for good, forwarded ones too, and nothing asked whether the process had been paused. The timer of the recorder was due before the queued pings were read. Reports now carry their age, an older one replaces no newer one, and a completion needs reports of at most 2.5 s from each daemon that was heard within 5 s, and 2.5 s without a long pause.

Ruled out: a second leader; the judgement, which takes the version back with the reports of after the freeze.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
@@ -28,6 +28,13 @@
 FIRST_THRESHOLDS = (8, 16)
 # Number of latest answers of the new version that are compared besides.
 RECENT_ANSWERS = 30
+# Age up to which the report of a daemon is current. It takes two pings, of the daemon
+# to its hub and between hubs, which are sent each second.
+REPORT_AGE_MAX_S = 2.5
+# Time without a report after which a daemon is not expected to report again.
+REPORTER_GONE_S = 5.0
+# Separates the name of a daemon from that of its start.
+START_SEPARATOR = "#"
 
 
 class AnswerKind(IntEnum):
@@ -125,6 +132,8 @@
     _peers: dict[str, Mapping[str, RouteCounts]] = field(default_factory=dict)
     _peers_sends: dict[str, int] = field(default_factory=dict)
     _peers_good: dict[str, int] = field(default_factory=dict)
+    # When each reporter last counted its answers.
+    _reported_s: dict[str, float] = field(default_factory=dict)
 
     def add_answer(
         self, route: str, *, new: bool, failed: bool, latency_ms: float
@@ -157,12 +166,38 @@
         *,
         new_sends: int,
         good_answers: int,
+        reported_s: float,
     ) -> None:
-        """Replace the counts that a daemon has reported."""
+        """Replace the counts that a daemon has reported, unless they are newer.
+
+        Counts that a hub forwards may be older than those of another hub.
+        """
+        if reported_s < self._reported_s.get(reporter, reported_s):
+            return
+        self._reported_s[reporter] = reported_s
         self._peers[reporter] = routes
         self._peers_sends[reporter] = new_sends
         self._peers_good[reporter] = good_answers
 
+    def is_current(self, now_s: float, running_since_s: float) -> bool:
+        """Return whether the counts of all daemons are recent enough to act on.
+
+        running_since_s is the start of this process or the end of its last pause.
+        Reports from before say nothing of the time since, and their age does not show
+        that a daemon has gone.
+        """
+        if now_s - running_since_s < REPORT_AGE_MAX_S:
+            return False
+        last_s: dict[str, float] = {}
+        for reporter, at_s in self._reported_s.items():
+            daemon = reporter.partition(START_SEPARATOR)[0]
+            last_s[daemon] = max(at_s, last_s.get(daemon, at_s))
+        gone_s = now_s - REPORTER_GONE_S
+        return all(
+            now_s - at_s <= REPORT_AGE_MAX_S or max(at_s, running_since_s) <= gone_s
+            for at_s in last_s.values()
+        )
+
     def counts(self) -> dict[str, RouteCounts]:
         """Return the counts of this daemon by route."""
         return {route: answers.counts() for route, answers in self._routes.items()}
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 from math import log
@@ -92,12 +93,14 @@
     reporter: str
     service: str
     target_version: str
-    # Time since the daemon learned of the order.
+    # Time since the daemon learned of the order, at the time of the report.
     elapsed_s: float
     taken_back: bool
     new_sends: int
     good_answers: int
     routes: dict[str, RouteCounts]
+    # Time since the report was made, if a hub forwards it.
+    age_s: float = 0.0
 
 
 class VersionMove:
@@ -190,12 +193,14 @@
         """Adopt peers' reports and return whether they take the version back here."""
         for report in reports:
             # A daemon that has started again does not begin the move anew.
-            self._started_s = min(self._started_s, now_s - report.elapsed_s)
+            reported_s = now_s - report.age_s
+            self._started_s = min(self._started_s, reported_s - report.elapsed_s)
             self._evidence.add_peer(
                 report.reporter,
                 report.routes,
                 new_sends=report.new_sends,
                 good_answers=report.good_answers,
+                reported_s=reported_s,
             )
         if self.state is MoveState.RUNNING and any(
             report.taken_back for report in reports
@@ -213,8 +218,15 @@
         self.state = MoveState.ROLLED_BACK
         return True
 
-    def due_state(self, now_s: float) -> MoveState | None:
-        """Return the final state that is due now, None if the move goes on."""
+    def due_state(
+        self, now_s: float, running_since_s: float = -math.inf
+    ) -> MoveState | None:
+        """Return the final state that is due now, None if the move goes on.
+
+        The old leaves are stopped on a completion, so that it needs current reports of
+        all daemons. running_since_s is the start of this process or the end of its
+        last pause.
+        """
         if self.state is not MoveState.RUNNING:
             return None
         elapsed = self._elapsed_share(now_s)
@@ -223,7 +235,8 @@
         if self._evidence.new_is_worse(LOG_FINAL_SIGNIFICANCE):
             return MoveState.ROLLED_BACK
         if self._proven(now_s) and not self._suspect:
-            return MoveState.COMPLETED
+            current = self._evidence.is_current(now_s, running_since_s)
+            return MoveState.COMPLETED if current else None
         return MoveState.ROLLED_BACK if elapsed >= DECIDE_AT else None
 
     def take_back(self) -> None:
--- a/packages/gypsumvane-core/tests/test_core_routing_pause.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_pause.py
@@ -30,6 +30,14 @@
         self.assertAlmostEqual(self.detector.waited_s(resumed_s + 0.05), 4.0)
         self.assertEqual(self.detector.waited_s(resumed_s + BACKLOG_S + 0.01), 0.0)
 
+    def test_timer_that_is_due_before_the_late_tick(self) -> None:
+        """Guard against acting on what was known before a pause (EXPOSURE)."""
+        self.assertEqual(self.detector.running_since_s(self.paused_s), 100.0)
+        resumed_s = self.paused_s + 2.2
+        self.assertEqual(self.detector.running_since_s(resumed_s), resumed_s)
+        self.detector.tick(resumed_s + 0.5)
+        self.assertEqual(self.detector.running_since_s(resumed_s + 0.6), resumed_s)
+
     def test_late_ticks_are_no_pause(self) -> None:
         """Guard against refusals by a daemon that is only busy."""
         now_s = self.paused_s
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -9,7 +9,6 @@
 from multidict import CIMultiDict
 
 from gypsumvane_core.routing.pause_detector import TICK_INTERVAL_S
-from gypsumvane_core.routing.pause_detector import PauseDetector
 from gypsumvane_core.routing.retry_after import WAIT_MIN_S
 from gypsumvane_core.routing.retry_after import RetryAfterPolicy
 from gypsumvane_core.verdict import Verdict
@@ -35,6 +34,7 @@
     from gypsumvane_core.routing.config import RequestLimits
     from gypsumvane_core.routing.config import Route
     from gypsumvane_core.routing.config import RoutingConfig
+    from gypsumvane_core.routing.pause_detector import PauseDetector
     from gypsumvane_core.routing.traffic_split import TrafficSplit
     from gypsumvane_daemon.routing.ports import HeaderNames
     from gypsumvane_daemon.routing.routing_metrics import RoutingMetrics
@@ -74,6 +74,7 @@
         config_apply_s: float,
         split: TrafficSplit,
         metrics: RoutingMetrics,
+        pauses: PauseDetector,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -86,7 +87,7 @@
         self._clock = clock
         self._started_s = clock.monotonic_s()
         self._retry_after = RetryAfterPolicy(rng)
-        self._pauses = PauseDetector(self._started_s)
+        self._pauses = pauses
         # Time limits of the requests in progress, which a planned stop sets.
         self._limits: set[asyncio.Timeout] = set()
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -48,9 +49,10 @@
             for reporter, entry in self._direct.items()
             if entry[1] > expired_s
         }
+        # A hub that was paused forwards what it received before the pause.
         forwarded = [
-            _encode(report)
-            for reports, _ in self._direct.values()
+            _encode(replace(report, age_s=report.age_s + now_s - received_s))
+            for reports, received_s in self._direct.values()
             for report in reports
         ]
         return {
@@ -90,6 +92,7 @@
         "service": report.service,
         "target_version": report.target_version,
         "elapsed_s": report.elapsed_s,
+        "age_s": report.age_s,
         "taken_back": report.taken_back,
         "new_sends": report.new_sends,
         "good_answers": report.good_answers,
@@ -104,7 +107,8 @@
         reporter=str(entry["reporter"]),
         service=str(entry["service"]),
         target_version=str(entry["target_version"]),
-        elapsed_s=_elapsed_s(entry),
+        elapsed_s=_duration_s(entry, "elapsed_s"),
+        age_s=_duration_s(entry, "age_s"),
         taken_back=bool(entry["taken_back"]),
         new_sends=int(entry["new_sends"]),
         good_answers=int(entry["good_answers"]),
@@ -115,11 +119,11 @@
     )
 
 
-def _elapsed_s(entry: Any) -> float:
-    elapsed_s = float(entry["elapsed_s"])
-    if not 0 <= elapsed_s < math.inf:
-        raise ValueError(f"elapsed_s is {elapsed_s}")
-    return elapsed_s
+def _duration_s(entry: Any, name: str) -> float:
+    value_s = float(entry[name])
+    if not 0 <= value_s < math.inf:
+        raise ValueError(f"{name} is {value_s}")
+    return value_s
 
 
 def _encode_counts(counts: RouteCounts) -> list[int]:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -18,6 +18,8 @@
 from gypsumvane_core.routing.entry_selection import limit_share
 from gypsumvane_core.routing.latency_tracker import LatencyTracker
 from gypsumvane_core.routing.leaf_choice import LeafChooser
+from gypsumvane_core.routing.move_evidence import START_SEPARATOR
+from gypsumvane_core.routing.pause_detector import PauseDetector
 from gypsumvane_core.routing.peer_table import PeerTable
 from gypsumvane_core.routing.retry_budget import RetryBudget
 from gypsumvane_core.routing.traffic_split import TrafficSplit
@@ -87,6 +89,7 @@
         )
         self._rng = random.Random()
         self.pool = LeafPool(settings.daemon_name, self._rng)
+        self._pauses = PauseDetector(self.clock.monotonic_s())
         self._stop = asyncio.Event()
         self._split = TrafficSplit()
         self._latencies = LatencyTracker()
@@ -98,13 +101,15 @@
             config_apply_s=settings.config_apply_s,
             split=self._split,
             metrics=self.metrics,
+            pauses=self._pauses,
             clock=self.clock,
             rng=self._rng,
         )
         self._configs = ConfigListener(self.state)
         self._peer_client = PeerClient()
         # Names this start of the daemon.
-        reporter = f"{self.own.name}#{self._rng.getrandbits(64):016x}"
+        start_id = f"{self._rng.getrandbits(64):016x}"
+        reporter = f"{self.own.name}{START_SEPARATOR}{start_id}"
         move_exchange = MoveExchange(reporter, self.moves, self.clock)
         self.peers = PeerExchange(
             self.own,
@@ -132,7 +137,12 @@
         )
         self.state.on_config(self._config_applied)
         self._recorder = MoveRecorder(
-            self.moves, self.state, platform, self._is_leader, self.clock
+            self.moves,
+            self.state,
+            platform,
+            self._is_leader,
+            self._pauses,
+            self.clock,
         )
         self._feeds = RoutingFeeds(
             platform,
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_move_exchange.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_move_exchange.py
@@ -105,6 +105,19 @@
         self.clock.advance(REPORT_VALID_S + 1)
         self.assertEqual(self.hubs[0].status()["forwarded"], [])
 
+    def test_forwarded_reports_keep_their_age(self) -> None:
+        """Guard against a hub that wakes and forwards old counts as new (EXPOSURE)."""
+        first = self.others[0]
+        first.answers("v2", 20)
+        first.ping(self.hubs[0])
+        self.clock.advance(3.0)
+        first.answers("v2", 20)
+        first.ping(self.hubs[1])
+        self.assertEqual(self.hubs[0].status()["forwarded"][0]["age_s"], 3.0)
+        self.hubs[1].exchange.receive(self.hubs[0].status())
+        evidence = self.hubs[1].move._evidence  # noqa: SLF001
+        self.assertEqual(evidence.fleet_good_answers, 40)
+
     def test_malformed_reports(self) -> None:
         """Guard against a report that ends the daemon or is taken in part."""
         report = self.others[0].exchange.outgoing(forward=False)["own"][0]
@@ -117,6 +130,8 @@
             {"good_answers": None},
             {"elapsed_s": float("nan")},
             {"elapsed_s": -1},
+            {"age_s": -1},
+            {"age_s": float("inf")},
         ):
             with self.subTest(change), self.assertRaises((TypeError, ValueError)):
                 self.hubs[0].exchange.receive(
