Call the store before the own copy is too old for the bounds

Cause: whether a daemon behind hubs without the store calls it was decided by a pause chosen for an outage of the whole store. The age of its copy, the bounds and the outcome of its own calls did not enter. Now a call is due before the copy is too old, calls go on while they are answered and are paced after one that fails. A watch at a hub ends by the age of the own copy too.

Ruled out: the grace of leaves (a ready leaf was there); the hub's confirmation.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/relayed_source.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+import math
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -22,6 +24,7 @@
 from gypsumvane_daemon.routing.relay_handler import UNCONFIRMED_QUERY
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterator
     from random import Random
@@ -32,13 +35,18 @@
     from gypsumvane_daemon.routing.ports import Record
 
 Value = TypeVar("Value")
+Answer = TypeVar("Answer")
 
 logger = logging.getLogger(__name__)
 
-# Wait of a watch at a hub and the time-out on top. Together they bound the time until
-# a hub that has stopped silently is noticed.
+# Longest and shortest wait of a watch at a hub, and the time-out on top.
 WATCH_WAIT_S = 1.0
+WATCH_WAIT_MIN_S = 0.1
 RELAY_MARGIN_S = 0.4
+# Time before news has to be in force at which a watch at a hub has ended, because the
+# hub may have stopped silently or have lost the store: for a second hub that is silent
+# and a call to the store.
+RELAY_LEAD_S = 0.9
 # Time to connect to a hub for the first list, before which a daemon serves nothing.
 # When all daemons start together, a hub may still be down, and a hub that runs accepts
 # a connection within some milliseconds.
@@ -74,6 +82,7 @@
         may_be_entry: Callable[[], bool],
         peers: Callable[[], list[DaemonRecord]],
         client: PeerClient,
+        news_bound_s: float,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -87,7 +96,11 @@
         self._client = client
         self._clock = clock
         self._rng = rng
-        self._access = StoreAccess(rng)
+        # Greatest age of the own copy at which hubs are trusted.
+        self._copy_age_max_s = news_bound_s - RELAY_LEAD_S
+        self._access = StoreAccess(rng, news_bound_s)
+        # Returns the time since the store last confirmed the own copy.
+        self.copy_age_s: Callable[[], float] = lambda: math.inf
         self._created_s = clock.monotonic_s()
         self._avoid_until_s: dict[str, float] = {}
         self._unconfirmed_until_s: dict[str, float] = {}
@@ -109,7 +122,6 @@
                 return listing
         if not self._has_read:
             return await self._list_first()
-        self._require_store_access()
         return await self._list_from_store()
 
     async def _list_first(self) -> RecordList[Value]:
@@ -130,8 +142,7 @@
             return await self._list_from_any_peer()
 
     async def _list_from_store(self) -> RecordList[Value]:
-        listing = await self._store.list_all()
-        self._access.record_confirmed()
+        listing = await self._call_store(self._store.list_all)
         self._seen_revision = max(self._seen_revision, listing.revision)
         return listing
 
@@ -142,9 +153,10 @@
         has the changes.
         """
         for relay in self._relays_to_ask():
-            query = {"since": str(revision), "wait_s": f"{WATCH_WAIT_S:g}"}
+            relay_wait_s = self._relay_wait_s()
+            query = {"since": str(revision), "wait_s": f"{relay_wait_s:.3f}"}
             try:
-                answer = await self._call(relay, query, WATCH_WAIT_S + RELAY_MARGIN_S)
+                answer = await self._call(relay, query, relay_wait_s + RELAY_MARGIN_S)
                 changes = tuple(
                     (name, None if payload is None else self.decode(name, payload))
                     for name, payload in answer["objects"]
@@ -165,9 +177,7 @@
             else:
                 self._access.record_confirmed()
                 return watched
-        self._require_store_access()
-        watched = await self._store.watch(revision, wait_s)
-        self._access.record_confirmed()
+        watched = await self._call_store(partial(self._store.watch, revision, wait_s))
         self._seen_revision = max(self._seen_revision, watched.revision)
         return watched
 
@@ -258,12 +268,27 @@
         now_s = self._clock.monotonic_s()
         return self._unconfirmed_until_s.get(relay.name, 0.0) > now_s
 
-    def _require_store_access(self) -> None:
-        """Raise StoreUnavailableError if this daemon must not call the store now."""
-        if self._is_hub():
-            return
-        if not self._access.take_call(self._clock.monotonic_s()):
+    def _relay_wait_s(self) -> float:
+        """Return how long a watch at a hub may wait before the own copy is too old."""
+        left_s = self._copy_age_max_s - RELAY_MARGIN_S - self.copy_age_s()
+        return max(WATCH_WAIT_MIN_S, min(WATCH_WAIT_S, left_s))
+
+    async def _call_store(self, call: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Return the answer of a call to the store, if one may be made now.
+
+        Raises StoreNotCalledError otherwise, and the errors of the call.
+        """
+        access = self._access
+        may_call = access.may_call(self._clock.monotonic_s(), self.copy_age_s())
+        if self._has_read and not self._is_hub() and not may_call:
             raise StoreNotCalledError("relays have lost the store, waiting for them")
+        try:
+            answer = await call()
+        except StoreUnavailableError:
+            access.record_failed(self._clock.monotonic_s())
+            raise
+        access.record_answered()
+        return answer
 
     def _avoid(self, relay: DaemonRecord, error: Exception) -> None:
         now_s = self._clock.monotonic_s()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -151,6 +151,7 @@
             self._recorder,
             peers=self.peer_table,
             client=self._peer_client,
+            news_bound_s=settings.news_bound_s,
             clock=self.clock,
             rng=self._rng,
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -53,11 +53,14 @@
         *,
         peers: PeerTable,
         client: PeerClient,
+        news_bound_s: float,
         clock: Clock,
         rng: Random,
     ) -> None:
         self._peers = peers
         self._client = client
+        # Time in which changes have to be in force.
+        self._news_bound_s = news_bound_s
         self._clock = clock
         self._rng = rng
         self._mirrors: dict[str, FeedMirror[Any]] = {}
@@ -104,6 +107,7 @@
             may_be_entry=self._may_be_entry,
             peers=partial(self._select_now, self._peers.present),
             client=self._client,
+            news_bound_s=self._news_bound_s,
             clock=self._clock,
             rng=self._rng,
         )
@@ -117,6 +121,7 @@
         )
         mirror.confirmed_age_s = feed.confirmed_age_s
         mirror.after_outage = feed.after_outage
+        relayed.copy_age_s = feed.confirmed_age_s
         return feed
 
     def _is_hub(self) -> bool:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -37,6 +37,8 @@
     config_apply_s: float
     # Time for which a leaf that drains still serves.
     drain_s: float
+    # Time in which an evacuated failure domain gets no more requests.
+    evacuate_s: float
     # Time between SIGTERM and SIGKILL.
     stop_grace_s: float
     # CPU capacity of the VM in cores.
@@ -44,3 +46,8 @@
     # Whether the whole system is started for the first time.
     first_start: bool = False
     cold_start_bound: ColdStartBound = field(default_factory=ColdStartBound)
+
+    @property
+    def news_bound_s(self) -> float:
+        """Return the time in which changes in the store have to be in force."""
+        return min(self.config_apply_s, self.drain_s, self.evacuate_s)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -255,7 +255,8 @@
         if self._store_failed or relay_outage:
             self._store_failed = False
             self._regained_s = now_s
-        self._confirmed_s = now_s - answer.age_s
+        # A relay may have an older confirmation than this daemon.
+        self._confirmed_s = max(begin_s, now_s - answer.age_s)
         self._covered_revision = answer.revision
         self._relayed = answer.relayed
         if self._lost_s is not None:
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -350,15 +350,23 @@
 
 
 class RecordingPeerClient(PeerClient):
-    """Client whose connections fail and which records the time that they may take."""
+    """Client whose calls fail and which records the time that they may take."""
 
     def __init__(self) -> None:
         super().__init__()
         self.connect_timeouts_s: list[float] = []
-
-    async def call(self, *_: Any, connect_timeout_s: float = 0.5, **__: Any) -> Any:
-        """Record the time to connect and fail."""
+        self.timeouts_s: list[float] = []
+
+    async def call(
+        self,
+        *_: Any,
+        timeout_s: float,
+        connect_timeout_s: float = 0.5,
+        **__: Any,
+    ) -> Any:
+        """Record the times to connect and to answer, and fail."""
         self.connect_timeouts_s.append(connect_timeout_s)
+        self.timeouts_s.append(timeout_s)
         raise PeerError("no connection")
 
 
@@ -381,6 +389,7 @@
             may_be_entry=lambda: True,
             peers=list,
             client=client,
+            news_bound_s=DRAIN_S,
             clock=clock,
             rng=random.Random(1),
         )
@@ -426,6 +435,7 @@
             may_be_entry=lambda: self.may_be_entry,
             peers=self.hubs(),
             client=self.client,
+            news_bound_s=DRAIN_S,
             clock=self.clock,
             rng=random.Random(1),
         )
@@ -507,6 +517,34 @@
         self.assertEqual(await self.names(), ["r", "c"])
         self.assertEqual((self.store.lists, self.store.watches), (0, []))
 
+    async def test_store_that_fails_for_the_hubs_only(self) -> None:
+        """Guard against a daemon that waits for hubs without the store (DRAIN).
+
+        Nine of twelve daemons reached the store, but not their hubs' copies (review/4).
+        """
+        self.is_hub = False
+        await self.names()
+        self.age_s = CONFIRMATION_AGE_MAX_S + 0.1
+        self.source.copy_age_s = lambda: CONFIRMATION_AGE_MAX_S
+        self.store.answers.put_nowait(RecordChanges((), 31))
+        self.assertEqual((await self.source.watch(10, 5.0)).revision, 31)
+        self.source.copy_age_s = lambda: 0.0
+        self.clock.advance(1.0)
+        self.store.answers.put_nowait(RecordChanges((), 32))
+        self.assertEqual((await self.source.watch(31, 5.0)).revision, 32)
+
+    async def test_watch_at_a_hub_ends_before_the_own_copy_is_too_old(self) -> None:
+        """Guard against news that waits for a hub that is silent (DRAIN)."""
+        client = RecordingPeerClient()
+        self.source._client = client  # noqa: SLF001
+        for copy_age_s in (0.0, 1.0, 1.5, 1.9):
+            self.source.copy_age_s = lambda age_s=copy_age_s: age_s
+            self.store.answers.put_nowait(RecordChanges((), 31))
+            await self.source.watch(30, 5.0)
+            self.clock.advance(60.0)
+            # A second hub may be silent too, and the store takes a moment.
+            self.assertLess(copy_age_s + client.timeouts_s[-1], DRAIN_S - 0.5)
+
     async def test_outage_of_the_store_costs_few_calls(self) -> None:
         """Guard against a fleet that retries a failing store in every daemon."""
         await self.names()
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_settings.py
@@ -32,6 +32,7 @@
     retry_allowance=RetryAllowance(ratio=0.2, slack=50, window_s=10),
     config_apply_s=3.0,
     drain_s=3.0,
+    evacuate_s=5.0,
     canary_bound=CanaryBound(0.1),
     stop_grace_s=6.0,
 )
