Count the age of pings that a paused process reads late

A hub that is frozen for 3.5 s reads the pings that queued up meanwhile, takes them for new and reports their senders to other hubs, which name them for 3.5 s more. A daemon that died during the freeze may so be named for over 7 s, the bound for answers of the directory (DRAIN).

Cause: the time of a ping was that of its arrival in the process. Pings now count from when they may have been sent, answers from the sending of the ping at the earliest; reports of version moves in them as well.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -91,10 +91,12 @@
             peer.record = record
 
     def record_ping(self, record: DaemonRecord, *, serving: bool, now_s: float) -> None:
-        """Record a ping from a daemon, or its answer to one."""
+        """Record a ping of a daemon or its answer to one, unless a newer is known."""
         if record.name == self._own.name:
             return
         peer = self._peers.setdefault(record.name, _Peer(record, now_s))
+        if peer.last_ping_s is not None and now_s < peer.last_ping_s:
+            return
         peer.record = record
         peer.last_ping_s = now_s
         peer.serving = serving
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_exchange.py
@@ -62,18 +62,17 @@
             "forwarded": forwarded if forward else [],
         }
 
-    def receive(self, content: Any) -> None:
-        """Adopt the reports in a ping.
+    def receive(self, content: Any, sent_s: float) -> None:
+        """Adopt the reports in a ping that was sent at a time.
 
         Raises KeyError, TypeError or ValueError if they are malformed.
         """
         own = [_decode(entry) for entry in content["own"]]
         forwarded = [_decode(entry) for entry in content["forwarded"]]
-        now_s = self._clock.monotonic_s()
         if own:
-            self._direct[own[0].reporter] = (own, now_s)
+            self._direct[own[0].reporter] = (own, sent_s)
         known = [entry for entry in forwarded if entry.reporter != self._reporter]
-        taken_back = self._moves.add_reports([*own, *known], now_s)
+        taken_back = self._moves.add_reports([*own, *known], sent_s)
         for move in taken_back:
             logger.warning(
                 "version taken back by the answers of all daemons",
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -24,6 +24,7 @@
     from aiohttp.web import Response
 
     from gypsumvane_core.clock import Clock
+    from gypsumvane_core.routing.pause_detector import PauseDetector
     from gypsumvane_core.routing.peer_table import PeerTable
     from gypsumvane_daemon.routing.move_exchange import MoveExchange
     from gypsumvane_daemon.routing.peer_client import PeerClient
@@ -64,6 +65,7 @@
         platform: Platform,
         client: PeerClient,
         seeds: tuple[str, ...],
+        pauses: PauseDetector,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -76,6 +78,7 @@
         self._client = client
         # Peer addresses that may be stale and include this daemon's own.
         self.seeds = seeds
+        self._pauses = pauses
         self._clock = clock
         self._rng = rng
         self._pings: set[asyncio.Task[None]] = set()
@@ -109,8 +112,11 @@
 
     async def handle_ping(self, request: BaseRequest) -> Response:
         """Record the status in a ping and answer with this daemon's own status."""
+        # Pings that were sent to a paused process are read when it resumes.
+        now_s = self._clock.monotonic_s()
+        sent_s = now_s - self._pauses.waited_s(now_s)
         try:
-            self._record_status(decode_json(await request.read()))
+            self._record_status(decode_json(await request.read()), sent_s)
         except (ValueError, KeyError, TypeError) as error:
             return text_response(400, f"ping cannot be read: {error}\n")
         return json_response(self._own_status())
@@ -169,11 +175,14 @@
             await asyncio.sleep(PING_INTERVAL_S)
 
     async def _ping(self, address: str, name: str, status: dict[str, Any]) -> None:
+        begun_s = self._clock.monotonic_s()
         try:
             answer = await self._client.call(
                 "POST", address, PING_PATH, body=status, timeout_s=PING_TIMEOUT_S
             )
-            self._record_status(answer)
+            now_s = self._clock.monotonic_s()
+            sent_s = now_s - self._pauses.waited_s(now_s)
+            self._record_status(answer, max(begun_s, sent_s))
             version = int(answer["version"])
         except PeerError as error:
             # The table detects silent peers by the age of their last ping.
@@ -228,13 +237,13 @@
             "moves": self._moves.outgoing(forward=is_hub),
         }
 
-    def _record_status(self, status: Any) -> None:
-        now_s = self._clock.monotonic_s()
+    def _record_status(self, status: Any, sent_s: float) -> None:
+        """Record the status that a peer sent at a time."""
         record = DaemonRecord(**status["daemon"])
-        self._table.record_ping(record, serving=bool(status["serving"]), now_s=now_s)
+        self._table.record_ping(record, serving=bool(status["serving"]), now_s=sent_s)
         reported = [
             ServingDaemon(DaemonRecord(**entry["record"]), float(entry["age_s"]))
             for entry in status["told"]
         ]
-        self._table.record_hub_report(record.name, reported, now_s)
-        self._moves.receive(status["moves"])
+        self._table.record_hub_report(record.name, reported, sent_s)
+        self._moves.receive(status["moves"], sent_s)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -120,6 +120,7 @@
             platform=platform,
             client=self._peer_client,
             seeds=settings.seed_addresses,
+            pauses=self._pauses,
             clock=self.clock,
             rng=self._rng,
         )
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_move_exchange.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_move_exchange.py
@@ -21,6 +21,7 @@
     """Daemon that knows an order and pings others."""
 
     def __init__(self, name: str, clock: ManualClock, *, hub: bool) -> None:
+        self.clock = clock
         self.moves = MoveRegistry(CanaryBound(0.1))
         self.move: VersionMove = self.moves.put(ORDER, clock.monotonic_s())
         self.exchange = MoveExchange(name, self.moves, clock)
@@ -38,8 +39,9 @@
 
     def ping(self, other: Member) -> None:
         """Exchange the contents of a ping and of its answer."""
-        other.exchange.receive(self.status())
-        self.exchange.receive(other.status())
+        now_s = self.clock.monotonic_s()
+        other.exchange.receive(self.status(), now_s)
+        self.exchange.receive(other.status(), now_s)
 
     def answers(self, version: str, count: int, *, failed: bool = False) -> None:
         """Record answers of a version."""
@@ -114,7 +116,8 @@
         first.answers("v2", 20)
         first.ping(self.hubs[1])
         self.assertEqual(self.hubs[0].status()["forwarded"][0]["age_s"], 3.0)
-        self.hubs[1].exchange.receive(self.hubs[0].status())
+        now_s = self.clock.monotonic_s()
+        self.hubs[1].exchange.receive(self.hubs[0].status(), now_s)
         evidence = self.hubs[1].move._evidence  # noqa: SLF001
         self.assertEqual(evidence.fleet_good_answers, 40)
 
