Bound the memory of answers without end of many leaves

Seen by callers (trial, 16 leaves that answer without end, 16 callers): the daemon grew from 41 to 966 MB, and requests to a sound leaf were refused or late.

Cause: each response was bounded by its bytes only. Thousands of small responses became kilobytes each, failed responses stayed in a reference cycle until the rare garbage collection, and nothing bounded all answers together.

Ruled out: the bounds of single answers, which held; retries.

The stand-in moves to the developers' tools, because it also runs as a process.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
@@ -12,6 +12,7 @@
     from aiohttp.connector import SocketFactoryType
     from aiohttp.http_parser import RawResponseMessage
 
+    from gypsumvane_core.routing.receive_allowance import ReceiveAllowance
     from gypsumvane_daemon.bounded_response import BoundedResponseHandler
 
 # Statuses whose responses have no body.
@@ -59,6 +60,7 @@
         *,
         bytes_max: int,
         socket_factory: SocketFactoryType | None = None,
+        allowance: ReceiveAllowance | None = None,
     ) -> None:
         # Idle connections never expire, because opening one takes up to 6 ms.
         super().__init__(
@@ -66,6 +68,7 @@
             limit=max(1, limit),
             keepalive_timeout=None,
             socket_factory=socket_factory,
+            allowance=allowance,
         )
 
     def set_limit(self, limit: int) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
@@ -13,6 +13,7 @@
 from pydantic import ValidationError
 
 from gypsumvane_daemon.bounded_response import BoundedConnector
+from gypsumvane_daemon.error_text import release_frames
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -81,6 +82,7 @@
                 response.raise_for_status()
                 listing = Listing.model_validate_json(await response.read())
         except (ClientError, TimeoutError, OSError, ValidationError) as error:
+            release_frames(error)
             self._metrics.count("live_list_errors", reason=type(error).__name__)
             self._set_available(available=False)
             return
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -18,6 +18,7 @@
 from gypsumvane_daemon.bounded_response import BoundedResponseHandler
 from gypsumvane_daemon.bounded_response import ResponseTooLargeError
 from gypsumvane_daemon.error_text import describe_error
+from gypsumvane_daemon.error_text import release_frames
 from gypsumvane_daemon.leaf_connector import LeafConnector
 from gypsumvane_daemon.leaf_connector import read_response
 from gypsumvane_daemon.routing.sockets import keepalive_socket
@@ -31,6 +32,7 @@
     from multidict import CIMultiDictProxy
 
     from gypsumvane_core.reason import Reason
+    from gypsumvane_core.routing.receive_allowance import ReceiveAllowance
 
 # Leaves are about 1 ms away. A connection that takes longer lost a packet or goes to
 # a VM that is down.
@@ -94,9 +96,12 @@
 class _Connector(LeafConnector):
     """Connector that closes idle connections before the leaf does."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, allowance: ReceiveAllowance | None) -> None:
         super().__init__(
-            limit, bytes_max=HEADS_BYTES_MAX, socket_factory=keepalive_socket
+            limit,
+            bytes_max=HEADS_BYTES_MAX,
+            socket_factory=keepalive_socket,
+            allowance=allowance,
         )
         self.idle_max_s: float | None = None
 
@@ -112,8 +117,14 @@
 class LeafChannel:
     """Exchange requests and responses with one incarnation of a leaf."""
 
-    def __init__(self, address: str, *, connections: int) -> None:
-        self._connector = _Connector(connections)
+    def __init__(
+        self,
+        address: str,
+        *,
+        connections: int,
+        allowance: ReceiveAllowance | None = None,
+    ) -> None:
+        self._connector = _Connector(connections, allowance)
         self._timeout = ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         base = URL.build(scheme="http", authority=address)
         # Names the peer for the connector; this request is never sent.
@@ -173,9 +184,11 @@
             raise
         except ResponseTooLargeError as error:
             connection.close()
+            release_frames(error)
             raise ExchangeError(str(error), written=True, too_large=True) from error
         except (ClientError, HttpProcessingError, OSError, ValueError) as error:
             connection.close()
+            release_frames(error)
             raise ExchangeError(describe_error(error), written=True) from error
         except BaseException:
             connection.close()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
@@ -11,6 +11,7 @@
 from gypsumvane_core.routing.leaf_limit import LeafLimit
 from gypsumvane_core.routing.leaf_limit import divide_limit
 from gypsumvane_core.routing.leaf_load import LeafLoad
+from gypsumvane_core.routing.receive_allowance import ReceiveAllowance
 from gypsumvane_daemon.routing.leaf_channel import LeafChannel
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
         self._members: tuple[str, ...] = (own_name,)
         self._states: dict[tuple[str, int, str], LeafState] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        self._allowance = ReceiveAllowance()
         # Share of each leaf's connection limit that this daemon may use.
         self.share = 1.0
 
@@ -108,7 +110,9 @@
         state = self.state(entry)
         limit = self._connections(entry, service)
         if state.channel is None:
-            state.channel = LeafChannel(entry.address, connections=limit)
+            state.channel = LeafChannel(
+                entry.address, connections=limit, allowance=self._allowance
+            )
         elif state.connections != limit:
             state.channel.set_connections(limit)
         state.connections = limit
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
@@ -23,6 +23,7 @@
 from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_daemon.backoff import Backoff
 from gypsumvane_daemon.bounded_response import BoundedConnector
+from gypsumvane_daemon.error_text import release_frames
 from gypsumvane_daemon.store_objects import Conflict
 from gypsumvane_daemon.store_objects import ObjectChange
 from gypsumvane_daemon.store_objects import ObjectChanges
@@ -222,6 +223,7 @@
             ) from error
         except (ClientError, OSError) as error:
             self._record_result(call, "lost")
+            release_frames(error)
             raise StoreError(
                 f"no answer from the store: {type(error).__name__}",
                 may_have_applied=call.writes,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -19,6 +19,7 @@
 
 from gypsumvane_daemon.bounded_response import BoundedResponseHandler
 from gypsumvane_daemon.error_text import describe_error
+from gypsumvane_daemon.error_text import release_frames
 from gypsumvane_daemon.leaf_connector import LeafConnector
 from gypsumvane_daemon.leaf_connector import read_response
 
@@ -157,6 +158,7 @@
             answer = await self._exchange(connection, call)
         except (ClientError, HttpProcessingError, OSError, ValueError) as error:
             connection.close()
+            release_frames(error)
             raise LeafCallError(describe_error(error)) from error
         except BaseException:
             connection.close()
@@ -193,6 +195,7 @@
                 if response.status >= 500:
                     raise LeafCallError(f"cancellation failed with {response.status}")
         except (ClientError, OSError) as error:
+            release_frames(error)
             raise LeafCallError(describe_error(error)) from error
 
     async def status(self) -> LeafAnswer:
@@ -222,6 +225,7 @@
                 f"no status report within {STATUS_TIMEOUT_S} s", timed_out=True
             ) from error
         except (ClientError, OSError, ValueError) as error:
+            release_frames(error)
             raise LeafCallError(describe_error(error)) from error
 
     async def open_connections_ahead(self, count: int) -> None:
--- a/packages/gypsumvane-daemon/tests/test_daemon_endless_answers.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_endless_answers.py
@@ -4,13 +4,11 @@
 
 import asyncio
 import contextlib
+import gc
+import tracemalloc
 import unittest
 from typing import TYPE_CHECKING
 
-from endless_server import BLOCK
-from endless_server import ENDLESS_RESPONSES
-from endless_server import HEAD
-from endless_server import EndlessServer
 from gypsumvane_daemon.routing.leaf_channel import ExchangeError
 from gypsumvane_daemon.routing.leaf_channel import LeafChannel
 from gypsumvane_daemon.routing.peer_client import PeerClient
@@ -18,6 +16,10 @@
 from gypsumvane_daemon.upstream_client import LeafCall
 from gypsumvane_daemon.upstream_client import LeafCallError
 from gypsumvane_daemon.upstream_client import UpstreamClient
+from gypsumvane_devtools.endless_server import BLOCK
+from gypsumvane_devtools.endless_server import ENDLESS_RESPONSES
+from gypsumvane_devtools.endless_server import HEAD
+from gypsumvane_devtools.endless_server import EndlessServer
 from waiting import wait_until
 
 if TYPE_CHECKING:
@@ -103,6 +105,46 @@
         await self.check_ended(read)
 
 
+class FailedResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Check what is left of responses that were given up."""
+
+    EXCHANGES = 40
+    # The objects of closed connections of both sides, but not the received bytes.
+    KEPT_BYTES_MAX = EXCHANGES * BODY_BYTES_MAX // 4
+
+    async def test_no_bytes_are_kept(self) -> None:
+        """Guard against failed responses that wait for a garbage collection.
+
+        The collector runs rarely in a daemon.
+        """
+        for name, (start, repeated) in ENDLESS_RESPONSES.items():
+            with self.subTest(name):
+                server = EndlessServer(start, repeated)
+                await server.start()
+                channel = LeafChannel(server.address, connections=1)
+                gc.collect()
+                gc.disable()
+                tracemalloc.start()
+                try:
+                    for _ in range(self.EXCHANGES):
+                        with self.assertRaises(ExchangeError):
+                            await channel.exchange(
+                                lambda: b"GET / HTTP/1.1\r\n\r\n",
+                                request_id="request-1",
+                                id_header="Request-Id",
+                                body_bytes_max=BODY_BYTES_MAX,
+                            )
+                        await wait_until(lambda server=server: not server.connected)
+                    kept, peak = tracemalloc.get_traced_memory()
+                    self.assertLess(kept, self.KEPT_BYTES_MAX)
+                    self.assertLess(peak, MEMORY_BYTES_MAX + self.KEPT_BYTES_MAX)
+                finally:
+                    tracemalloc.stop()
+                    gc.enable()
+                    await channel.close()
+                    await server.stop()
+
+
 class UnsolicitedBytesTest(unittest.IsolatedAsyncioTestCase):
     """Receive bytes on a connection that waits for its next request."""
 
--- a/packages/gypsumvane-daemon/tests/endless_server.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/endless_server.py
@@ -1,9 +1,14 @@
-"""Server whose responses never end, for tests of readers of outside bytes."""
+"""Server whose responses never end, for tests of readers of outside bytes.
+
+``python -m gypsumvane_devtools.endless_server COUNT`` runs that many servers, prints
+their addresses and serves all kinds of endless responses until standard input ends.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import sys
 
 BLOCK = b"x" * 65_536
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\n"
@@ -87,3 +92,19 @@
             self._tasks.discard(task)
             with contextlib.suppress(OSError):
                 writer.transport.abort()
+
+
+async def serve(count: int) -> None:
+    """Serve all kinds of endless responses in turn until standard input ends."""
+    kinds = list(ENDLESS_RESPONSES.values())
+    servers = [EndlessServer(*kinds[at % len(kinds)]) for at in range(count)]
+    for server in servers:
+        await server.start()
+    print(*(server.address for server in servers), flush=True)
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    for server in servers:
+        await server.stop()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(int(sys.argv[1])))
