Wait for reports only in a fleet, and take a suspect version back at once

Cause of the failing test: a daemon without peers waited 2.5 s for reports that nobody sends, and its move of 1 s was judged for longer. A daemon that knows no peers no longer waits.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -223,22 +223,20 @@
     ) -> MoveState | None:
         """Return the final state that is due now, None if the move goes on.
 
-        The old leaves are stopped on a completion, and each further look at the answers
-        may take a good version for a bad one, so that both ends need current reports of
-        all daemons. running_since_s is the start of this process or the end of its last
-        pause.
+        The old leaves are stopped on a completion, so that it needs current reports of
+        all daemons. running_since_s is the start of this process or the end of its
+        last pause.
         """
         if self.state is not MoveState.RUNNING:
             return None
         elapsed = self._elapsed_share(now_s)
         if elapsed < COMPLETE_AT:
             return None
-        if not self._evidence.is_current(now_s, running_since_s):
-            return None
         if self._evidence.new_is_worse(LOG_FINAL_SIGNIFICANCE):
             return MoveState.ROLLED_BACK
         if self._proven(now_s) and not self._suspect:
-            return MoveState.COMPLETED
+            current = self._evidence.is_current(now_s, running_since_s)
+            return MoveState.COMPLETED if current else None
         return MoveState.ROLLED_BACK if elapsed >= DECIDE_AT else None
 
     def take_back(self) -> None:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -15,7 +15,6 @@
 
     from gypsumvane_core.clock import Clock
     from gypsumvane_core.routing.change_period import ChangePeriod
-    from gypsumvane_core.routing.pause_detector import PauseDetector
     from gypsumvane_core.routing.version_move import MoveOrder
     from gypsumvane_core.routing.version_move import MoveRegistry
     from gypsumvane_core.routing.version_move import VersionMove
@@ -41,7 +40,7 @@
         state: RoutingState,
         platform: Platform,
         is_leader: Callable[[], bool],
-        pauses: PauseDetector,
+        running_since_s: Callable[[float], float],
         clock: Clock,
     ) -> None:
         self._registry = registry
@@ -50,7 +49,8 @@
         # Only the leader records progress; any daemon records that it took a version
         # back.
         self._is_leader = is_leader
-        self._pauses = pauses
+        # Returns since when reports of peers could be received without a pause.
+        self._running_since_s = running_since_s
         self._clock = clock
 
     def on_list(self, listing: RecordList[MoveOrder], period: ChangePeriod) -> None:
@@ -92,7 +92,7 @@
         if not self._is_leader():
             return None
         now_s = self._clock.monotonic_s()
-        due = move.due_state(now_s, self._pauses.running_since_s(now_s))
+        due = move.due_state(now_s, self._running_since_s(now_s))
         if due is MoveState.ROLLED_BACK:
             logger.warning(
                 "version taken back at the end of its move",
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -142,7 +143,7 @@
             self.state,
             platform,
             self._is_leader,
-            self._pauses,
+            self._reports_since_s,
             self.clock,
         )
         self._feeds = RoutingFeeds(
@@ -281,6 +282,12 @@
         entries = self.directory.entries()
         return bool(entries) and entries[0].name == self.own.name
 
+    def _reports_since_s(self, now_s: float) -> float:
+        """Return since when reports of peers could be received without a pause."""
+        if self.peer_table.fleet_size(now_s) == 1:
+            return -math.inf
+        return self._pauses.running_since_s(now_s)
+
     async def _handle_peer(self, request: BaseRequest) -> Response:
         if request.path == PING_PATH:
             return await self.peers.handle_ping(request)
