Read the store past an entry that is not valid text

Cause: an answer of the store was decoded as a whole.

Ruled out: the watch, which returns the events; the other kinds, which wait for the leaves only.

--- a/packages/gypsumvane-core/tests/test_core_bounded_json.py
+++ b/packages/gypsumvane-core/tests/test_core_bounded_json.py
@@ -27,6 +27,21 @@
                 self.assertEqual(value[1:], [{"x": '[{"]'}, {"x": 2}])
                 self.assertEqual([is_bounded(x) for x in value], [False, True, True])
 
+    def test_unreadable_text_hides_no_other_entry(self) -> None:
+        """Guard against a list that is lost to a text that is not UTF-8 (CONFIG).
+
+        All reading of the store stopped while such an entry was there (review/2).
+        """
+        for odd in (b"\xff\xfe", b"\x01", b"\\x", b"\\udcff", b"\\ud800"):
+            for entry in (b'{"x":"' + odd + b'"}', b'{"' + odd + b'":1}'):
+                for deep in (b"1", DEEP_LIST):
+                    with self.subTest(entry, deep=deep[:5]):
+                        text = b"[" + entry + b',{"y":' + deep + b'},{"x":"\xc3\xa9"}]'
+                        value = decode_json_leniently(text)
+                        self.assertEqual(value[2], {"x": "\xe9"})
+                        bounded = [is_bounded(part) for part in value]
+                        self.assertEqual(bounded, [False, deep == b"1", True])
+
     def test_strict_decoding_raises_one_error(self) -> None:
         """Guard against an error that no caller expects."""
         for text in (
