Close idle connections after a call that was not answered

After a silent outage a daemon may know nothing newer for over 4 s, when it already counts as in touch (CONFIG).

Cause: all idle connections from before may stay silent for good, and each of them cost a later call its whole time-out of 1.5 to 2 s.

Ruled out: the watches of other kinds, which are restarted together.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/bounded_response.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/bounded_response.py
@@ -150,6 +150,13 @@
             allowance=allowance,
         )
 
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to an address, each of which may be silent."""
+        for key, pool in self._conns.items():
+            if f"{key.host}:{key.port}" == address:
+                for protocol, _ in pool:
+                    protocol.close()
+
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
         # aiohttp would reuse an idle connection that has received unsolicited bytes
         # and parse them as the response to the next request.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -13,6 +13,7 @@
 from gypsumvane_core.bounded_json import decode_json
 from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.error_text import release_frames
+from gypsumvane_daemon.routing.sockets import close_idle_connections
 from gypsumvane_daemon.routing.sockets import keepalive_session
 
 if TYPE_CHECKING:
@@ -78,6 +79,8 @@
             refused = isinstance(error.os_error, ConnectionRefusedError)
             raise PeerError(f"{address}{path}: {error}", refused=refused) from error
         except (ClientError, OSError, TimeoutError, ValueError) as error:
+            if isinstance(error, TimeoutError):
+                close_idle_connections(self._session, address)
             release_frames(error)
             raise PeerError(f"{address}{path}: {describe_error(error)}") from error
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
@@ -41,6 +41,16 @@
     return sock
 
 
+def close_idle_connections(session: ClientSession, address: str) -> None:
+    """Close a session's idle connections to an address after a call without an answer.
+
+    All connections from before an outage may be silent for good while new ones work.
+    Each of them would cost a later call its whole time-out.
+    """
+    if isinstance(session.connector, BoundedConnector):
+        session.connector.close_idle(address)
+
+
 def keepalive_session(*, skip_auto_headers: tuple[str, ...] = ()) -> ClientSession:
     """Create an HTTP session on keepalive sockets, for calls to the store or peers."""
     return ClientSession(
