Replace a status that denies a run by 502 after a run

Cause: a reply was passed on whatever its status was, and 408 and 429 counted as good answers. Requests that must not run twice now get 502 in place of 408, 421, 429 and 503 from a leaf that ran them. Others get the leaf's answer as before.

Ruled out: the verdict, which was right (`ran`).

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -50,6 +50,8 @@
 LEAF_RETURN_S = 0.5
 # Time that the event loop gets after a pause to notice which callers have left.
 AFTER_PAUSE_S = 0.01
+# Statuses that tell a caller that its request was not executed.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Deadline of a caller that states none.
 DEADLINE_DEFAULT_S = 1.0
 
@@ -359,7 +361,7 @@
             self._context.log.decision("no_answer_in_time", request, service=service)
             return text_response(504, "no answer in time\n"), "late"
         if isinstance(result, LeafReply):
-            return self._relay_reply(result), "complete"
+            return self._relay_run(request, route, result, "complete")
         return self._failure_response(request, route, call, service, result)
 
     def _failure_response(
@@ -380,7 +382,7 @@
             detail=failure.message,
         )
         if failure.reply is not None:
-            return self._relay_reply(failure.reply), "upstream_error"
+            return self._relay_run(request, route, failure.reply, "upstream_error")
         if failure.verdict is Verdict.NOT_RUN:
             expected_s = LEAF_RETURN_S
             if call.pause_left_s is not None:
@@ -407,6 +409,26 @@
         response.headers[self._names.retry_after] = f"{retry_after_s:.3f}"
         return response
 
+    def _relay_run(
+        self,
+        request: ForwardedRequest,
+        route: Route,
+        reply: LeafReply,
+        outcome: str,
+    ) -> tuple[Response, str]:
+        """Return the reply of a leaf that executed the request, and the outcome.
+
+        To callers some statuses mean that the request was not executed. One that must
+        not be executed twice gets an answer without that meaning in their place.
+        """
+        status = reply.answer.status
+        if route.idempotent or status not in NOT_RUN_STATUSES:
+            return self._relay_reply(reply), outcome
+        self._context.log.decision(
+            "status_replaced", request, leaf=reply.entry.leaf_id, leaf_status=status
+        )
+        return text_response(502, f"executed, answered with {status}\n"), "failed"
+
     def _relay_reply(self, reply: LeafReply) -> Response:
         headers = CIMultiDict(end_to_end(reply.answer.headers, without=FRAMING_HEADERS))
         return Response(
