Divide limits among all known daemons until peers are heard

Cause: limits are divided among the daemons that are known to serve, and after a start or a pause a daemon knows only itself. For 2.5 s after that, the division now counts all daemons that are registered or were heard within a minute, and it begins before the leaves are read.

Ruled out: the cold start bound itself, which holds with the right share.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/peer_table.py
@@ -153,8 +153,12 @@
 
     def may_be_entry(self, now_s: float) -> bool:
         """Return whether this daemon would be an entry daemon if all daemons served."""
+        return self._own in self.expected_entries(now_s)
+
+    def expected_entries(self, now_s: float) -> list[DaemonRecord]:
+        """Return the entry daemons if all known daemons served, with this one."""
         fleet = [peer.record for peer in self._peers.values() if peer.in_fleet(now_s)]
-        return self._own in select_entries([*fleet, self._own])
+        return select_entries([*fleet, self._own])
 
     def ping_targets(self, now_s: float) -> list[DaemonRecord]:
         """Return the peers to ping now.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -64,6 +64,9 @@
 # Interval at which fleet-wide limits are divided again and the channels of removed
 # leaves are closed.
 MAINTENANCE_INTERVAL_S = 0.5
+# Time after the start or a pause in which all daemons that serve are heard, directly
+# or by reports of hubs.
+PEERS_HEARD_S = 2.5
 
 
 class RoutingDaemon:
@@ -259,9 +262,12 @@
 
     async def _maintain(self) -> None:
         """Keep this daemon's shares of limits and the open channels up to date."""
+        # Requests are routed only after this, once the leaves are known.
+        await self.peers.listed.wait()
         while True:
-            count = self.peer_table.fleet_size(self.clock.monotonic_s())
-            entries = self.directory.entries()
+            now_s = self.clock.monotonic_s()
+            count = self.peer_table.fleet_size(now_s)
+            entries = self._limit_members(now_s)
             share = limit_share(self.own.name, entries, count)
             self.pool.set_members(tuple(sorted(entry.name for entry in entries)))
             self.budget.share = share
@@ -270,6 +276,16 @@
             self.pool.keep_only(self.state.registry.entries())
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
+    def _limit_members(self, now_s: float) -> list[DaemonRecord]:
+        """Return the entry daemons, which divide the limits of the fleet.
+
+        Load: all daemons start or wake at the same time. Each of them hears only later
+        which others serve, and would use the limits of the whole fleet.
+        """
+        if now_s - self._pauses.running_since_s(now_s) < PEERS_HEARD_S:
+            return self.peer_table.expected_entries(now_s)
+        return self.directory.entries()
+
     def _config_applied(self, config: RoutingConfig) -> None:
         self._split.reset()
         self._latencies.keep_only({route.name for route in config.routes})
