Keep drained leaves known while their entries may return

Seen: none; found on reading again. A leaf whose grace was over was dropped when its entry was removed in an outage of the store. When the entry was back, still draining, the leaf got a new grace and so requests long after it had begun to drain (DRAIN).

Evidence: test_drained_leaf_whose_entry_returns failed before.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -51,6 +51,19 @@
     # Whether the incarnation has said in an answer that it leaves.
     leaving: bool = False
 
+    @property
+    def began_to_leave(self) -> bool:
+        """Return whether the leaf has said that it leaves.
+
+        It stays known when its entry is gone, because its entry may return after an
+        outage of the store and would start a new grace.
+        """
+        return self.entry.draining or self.leaving
+
+    def grace_is_over(self, now_s: float) -> bool:
+        """Return whether the leaf has begun to leave and its grace has ended."""
+        return self.grace_until_s is not None and self.grace_until_s <= now_s
+
 
 class LeafRegistry:
     """Hold the registered leaves and select those that may get requests."""
@@ -110,7 +123,7 @@
                 if period is not None and period.after_outage
                 else self._grace_end_s(now_s, period)
             )
-        if leaf.grace_until_s <= now_s:
+        if leaf.grace_is_over(now_s) and not leaf.began_to_leave:
             self._drop(leaf_id)
 
     def replace(
@@ -120,6 +133,9 @@
         listed = {entry.leaf_id: entry for entry in entries}
         for leaf_id in self._leaves.keys() - listed.keys():
             self.remove(leaf_id, now_s, period)
+            leaf = self._leaves.get(leaf_id)
+            if leaf and not period.after_outage and leaf.grace_is_over(now_s):
+                self._drop(leaf_id)
         for entry in listed.values():
             self.put(entry, now_s, period)
 
@@ -167,7 +183,7 @@
         leaving: list[LeafEntry] = []
         expired: list[str] = []
         for leaf_id, leaf in leaves.items():
-            if leaf.grace_until_s is not None and leaf.grace_until_s <= now_s:
+            if leaf.grace_is_over(now_s):
                 expired.append(leaf_id)
             elif leaf.entry.failure_domain in self._domains_out:
                 continue
@@ -175,9 +191,8 @@
                 ready.append(leaf.entry)
             else:
                 leaving.append(leaf.entry)
-        # Draining leaves stay known, or their next entry would start a new grace.
         for leaf_id in expired:
-            if not (leaves[leaf_id].entry.draining or leaves[leaf_id].leaving):
+            if not leaves[leaf_id].began_to_leave:
                 self._drop(leaf_id)
         return ready or leaving
 
--- a/packages/gypsumvane-core/tests/test_core_routing_registry.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_registry.py
@@ -91,6 +91,29 @@
                 self.assertEqual(self.eligible(8.0 + DRAIN_S), set())
                 self.setUp()
 
+    def test_drained_leaf_whose_entry_returns(self) -> None:
+        """Guard against a new grace for a leaf that drained long ago (DRAIN).
+
+        Its entry expired during an outage of the store and is back.
+        """
+        outage = ChangePeriod(begin_s=10.0, after_outage=True)
+        for gone in (
+            lambda: self.registry.remove("1", 20.0, outage),
+            lambda: self.registry.replace([], 20.0, outage),
+        ):
+            self.setUp()
+            self.registry.put(leaf("1", draining=True), 10.0)
+            gone()
+            self.registry.remove("2", 20.0, ChangePeriod())
+            self.registry.put(leaf("1", draining=True), 21.0, ChangePeriod(20.0))
+            self.assertNotIn("1", self.eligible(21.0))
+
+    def test_drained_leaves_are_not_kept_for_good(self) -> None:
+        """Guard against memory for each leaf that has ever drained."""
+        self.registry.put(leaf("1", draining=True), 10.0)
+        self.registry.replace([leaf("2")], 20.0, ChangePeriod(begin_s=19.0))
+        self.assertEqual([e.leaf_id for e in self.registry.entries()], ["2"])
+
     def test_leaf_whose_entry_expired_returns(self) -> None:
         """Guard against an outage of a service whose entries expire with the store."""
         for name in "12":
