Play 16 endless leaves with as many callers as the memory target names

Cause: 16 callers that repeat at once send up to 256 requests to 16 endless leaves at the same time and keep the event loop busy, so that a connection to the good leaf took over 0.5 s and the request was refused, truthfully.

--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/endless_server.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/endless_server.py
@@ -1,7 +1,8 @@
 """Server whose responses never end, for tests of readers of outside bytes.
 
-``python -m gypsumvane_devtools.endless_server COUNT`` runs that many servers, prints
-their addresses and serves all kinds of endless responses until standard input ends.
+``python -m gypsumvane_devtools.endless_server COUNT [KIND ...]`` runs that many
+servers, prints their addresses and serves the kinds of endless responses, by default
+all of them, until standard input ends.
 """
 
 from __future__ import annotations
@@ -94,9 +95,9 @@
                 writer.transport.abort()
 
 
-async def serve(count: int) -> None:
-    """Serve all kinds of endless responses in turn until standard input ends."""
-    kinds = list(ENDLESS_RESPONSES.values())
+async def serve(count: int, names: list[str]) -> None:
+    """Serve kinds of endless responses in turn until standard input ends."""
+    kinds = [ENDLESS_RESPONSES[name] for name in names or ENDLESS_RESPONSES]
     servers = [EndlessServer(*kinds[at % len(kinds)]) for at in range(count)]
     for server in servers:
         await server.start()
@@ -107,4 +108,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(serve(int(sys.argv[1])))
+    asyncio.run(serve(int(sys.argv[1]), sys.argv[2:]))
