Replace a status that denies a run after a run on every route

Cause: the status was replaced on routes whose requests must not run twice only. The protocol makes the promise without a word on the kind of route, and a refusal that says "not run" has to be true.

Ruled out: MIXED (the 502 bears no signature) and DENIED (it is no 4xx).

The assertion that such callers get the leaf's status stated the fault and is replaced by the one that routes without repeats have. Both kinds failed or passed as named: the new subtests of test_status_that_tells_of_no_run_after_a_run failed with 408, 429 and 503 before. The soak's oracle checks the promise on all routes, and its failing leaves answer with these statuses in turn.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -361,7 +361,7 @@
             self._context.log.decision("no_answer_in_time", request, service=service)
             return text_response(504, "no answer in time\n"), "late"
         if isinstance(result, LeafReply):
-            return self._relay_run(request, route, result, "complete")
+            return self._relay_run(request, result, "complete")
         return self._failure_response(request, route, call, service, result)
 
     def _failure_response(
@@ -382,7 +382,7 @@
             detail=failure.message,
         )
         if failure.reply is not None:
-            return self._relay_run(request, route, failure.reply, "upstream_error")
+            return self._relay_run(request, failure.reply, "upstream_error")
         if failure.verdict is Verdict.NOT_RUN:
             expected_s = LEAF_RETURN_S
             if call.pause_left_s is not None:
@@ -410,19 +410,15 @@
         return response
 
     def _relay_run(
-        self,
-        request: ForwardedRequest,
-        route: Route,
-        reply: LeafReply,
-        outcome: str,
+        self, request: ForwardedRequest, reply: LeafReply, outcome: str
     ) -> tuple[Response, str]:
         """Return the reply of a leaf that executed the request, and the outcome.
 
-        To callers some statuses mean that the request was not executed. One that must
-        not be executed twice gets an answer without that meaning in their place.
+        To callers some statuses mean that the request was not executed. They get an
+        answer without that meaning in their place.
         """
         status = reply.answer.status
-        if route.idempotent or status not in NOT_RUN_STATUSES:
+        if status not in NOT_RUN_STATUSES:
             return self._relay_reply(reply), outcome
         self._context.log.decision(
             "status_replaced", request, leaf=reply.entry.leaf_id, leaf_status=status
