Count 408, 421 and 429 of a leaf after a run as failures

Seen by callers: one of seven leaves answered two of five requests 408 or 429 after it had run them.

Cause: failures began at status 500 in the code that classifies answers. 408 and 429 counted as good answers: no retry followed, the leaf kept its standing, and in a move they were good answers of the new version.

What an answer means is now decided in one place, answer_meaning, which callers' answers, retries, load and the evidence of moves go by. Errors of callers (400, 404, 409) stay results.

Ruled out: the choice among leaves, which avoids a leaf that fails with 503.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -8,6 +8,7 @@
 from aiohttp.web import Response
 from multidict import CIMultiDict
 
+from gypsumvane_core.routing.answer_meaning import NOT_RUN_STATUSES
 from gypsumvane_core.routing.pause_detector import TICK_INTERVAL_S
 from gypsumvane_core.routing.retry_after import WAIT_MIN_S
 from gypsumvane_core.routing.retry_after import RetryAfterPolicy
@@ -50,8 +51,6 @@
 LEAF_RETURN_S = 0.5
 # Time that the event loop gets after a pause to notice which callers have left.
 AFTER_PAUSE_S = 0.01
-# Statuses that tell a caller that its request was not executed.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Deadline of a caller that states none.
 DEADLINE_DEFAULT_S = 1.0
 
@@ -361,7 +360,7 @@
             self._context.log.decision("no_answer_in_time", request, service=service)
             return text_response(504, "no answer in time\n"), "late"
         if isinstance(result, LeafReply):
-            return self._relay_run(request, result, "complete")
+            return self._relay_reply(result), "complete"
         return self._failure_response(request, route, call, service, result)
 
     def _failure_response(
@@ -382,7 +381,7 @@
             detail=failure.message,
         )
         if failure.reply is not None:
-            return self._relay_run(request, failure.reply, "upstream_error")
+            return self._relay_failure(request, failure.reply)
         if failure.verdict is Verdict.NOT_RUN:
             expected_s = LEAF_RETURN_S
             if call.pause_left_s is not None:
@@ -409,17 +408,17 @@
         response.headers[self._names.retry_after] = f"{retry_after_s:.3f}"
         return response
 
-    def _relay_run(
-        self, request: ForwardedRequest, reply: LeafReply, outcome: str
+    def _relay_failure(
+        self, request: ForwardedRequest, reply: LeafReply
     ) -> tuple[Response, str]:
-        """Return the reply of a leaf that executed the request, and the outcome.
+        """Return the answer for a request that a leaf executed and failed.
 
-        To callers some statuses mean that the request was not executed. They get an
-        answer without that meaning in their place.
+        Some statuses tell callers that their request was not executed. They get an
+        answer without that meaning in place of the leaf's.
         """
         status = reply.answer.status
         if status not in NOT_RUN_STATUSES:
-            return self._relay_reply(reply), outcome
+            return self._relay_reply(reply), "upstream_error"
         self._context.log.decision(
             "status_replaced", request, leaf=reply.entry.leaf_id, leaf_status=status
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.reason import Reason
+from gypsumvane_core.routing.answer_meaning import AnswerMeaning
+from gypsumvane_core.routing.answer_meaning import interpret_answer
 from gypsumvane_core.verdict import Verdict
 from gypsumvane_core.whole_number import parse_whole_number
 from gypsumvane_daemon.routing.leaf_channel import ExchangeError
@@ -26,11 +28,7 @@
 
 logger = logging.getLogger(__name__)
 
-# Status of a leaf that is not the one that the request names.
-MISDIRECTED = 421
 UNAVAILABLE = 503
-# Statuses from here on are failures of a leaf that has executed the request.
-FIRST_FAILURE_STATUS = 500
 
 
 def parse_amount(text: str) -> float | None:
@@ -116,10 +114,19 @@
         finally:
             load.end(call)
         now_s = self.clock.monotonic_s()
-        self._record_load(entry, answer, now_s)
-        return self._classify(
-            entry, answer, now_s - sent_s, median_latency_s=median_latency_s
+        signature = answer.header(self.names.answer_signature)
+        meaning = interpret_answer(
+            answer.status,
+            says_not_run=bool(answer.header(self.names.not_run)),
+            signed=bool(signature) and not answer.header("Content-Encoding"),
         )
+        if meaning is not AnswerMeaning.MISDIRECTED:
+            # Otherwise the answer is that of another leaf.
+            self._record_load(entry, answer, now_s)
+        if meaning in (AnswerMeaning.RESULT, AnswerMeaning.FAILURE):
+            reply = LeafReply(entry, answer, signature, now_s - sent_s)
+            return self._executed(reply, meaning, median_latency_s=median_latency_s)
+        return self._no_result(entry, answer, meaning)
 
     def _encode(self, entry: LeafEntry, request: ForwardedRequest) -> bytes:
         """Return the bytes to write, if the request may still be sent to the leaf.
@@ -164,17 +171,30 @@
             entry, reason, Verdict.MAY_HAVE_RUN, str(error), reached_leaf=True
         )
 
-    def _classify(
-        self,
-        entry: LeafEntry,
-        answer: LeafAnswer,
-        latency_s: float,
-        *,
-        median_latency_s: float,
+    def _executed(
+        self, reply: LeafReply, meaning: AnswerMeaning, *, median_latency_s: float
     ) -> LeafResult:
-        load = self.pool.load(entry)
+        """Record and return the result of a request that the leaf executed."""
+        load = self.pool.load(reply.entry)
         now_s = self.clock.monotonic_s()
-        if answer.status == MISDIRECTED:
+        if meaning is AnswerMeaning.FAILURE:
+            load.record_failure(now_s)
+            return LeafFailure(
+                reply.entry,
+                Reason.UPSTREAM_ERROR,
+                Verdict.RAN,
+                f"status {reply.answer.status}",
+                reached_leaf=True,
+                reply=reply,
+            )
+        load.record_success(reply.latency_s / max(median_latency_s, 0.001), now_s)
+        return reply
+
+    def _no_result(
+        self, entry: LeafEntry, answer: LeafAnswer, meaning: AnswerMeaning
+    ) -> LeafFailure:
+        """Record and return the failure of an answer that shows no execution."""
+        if meaning is AnswerMeaning.MISDIRECTED:
             self.registry.remove_misdirected(entry)
             return LeafFailure(
                 entry,
@@ -183,8 +203,10 @@
                 "address now belongs to another leaf",
                 reached_leaf=True,
             )
-        if answer.header(self.names.not_run):
-            load.record_failure(now_s)
+        load = self.pool.load(entry)
+        now_s = self.clock.monotonic_s()
+        load.record_failure(now_s)
+        if meaning is AnswerMeaning.REFUSAL:
             pause_s = parse_amount(answer.header(self.names.retry_after))
             if answer.status == UNAVAILABLE and pause_s is not None:
                 load.record_pause(pause_s, now_s)
@@ -195,34 +217,15 @@
                 f"leaf refused the request with status {answer.status}",
                 reached_leaf=True,
             )
-        signature = answer.header(self.names.answer_signature)
-        if not signature or answer.header("Content-Encoding"):
-            load.record_failure(now_s)
-            return LeafFailure(
-                entry,
-                Reason.ANSWER_MISMATCH,
-                Verdict.MAY_HAVE_RUN,
-                f"answer with status {answer.status} has no signature or is compressed",
-                reached_leaf=True,
-            )
-        reply = LeafReply(entry, answer, signature, latency_s)
-        if answer.status >= FIRST_FAILURE_STATUS:
-            load.record_failure(now_s)
-            return LeafFailure(
-                entry,
-                Reason.UPSTREAM_ERROR,
-                Verdict.RAN,
-                f"status {answer.status}",
-                reached_leaf=True,
-                reply=reply,
-            )
-        load.record_success(latency_s / max(median_latency_s, 0.001), now_s)
-        return reply
+        return LeafFailure(
+            entry,
+            Reason.ANSWER_MISMATCH,
+            Verdict.MAY_HAVE_RUN,
+            f"answer with status {answer.status} has no signature or is compressed",
+            reached_leaf=True,
+        )
 
     def _record_load(self, entry: LeafEntry, answer: LeafAnswer, now_s: float) -> None:
-        if answer.status == MISDIRECTED:
-            # The answer is that of another leaf.
-            return
         if answer.header(self.names.leaf_leaving) and self.registry.mark_leaving(
             entry, now_s
         ):
