Take a signed 421 for the answer of the leaf that ran the request

Seen by callers: a leaf ran a booking and answered 421 with its signature and without the header that says that it did not run. The booking went to a second leaf and ran twice (TWICE), and with no second leaf the caller was told 503.

Cause: every 421 counted as the answer of another leaf at the address, which refuses what is not addressed to it. Leaves sign only what they executed, so that a signature contradicts the refusal. Such an answer is now a failure after a run; without a signature, or with the header, a 421 means what it did.

Ruled out: the echoed request id, which is right in this case.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/answer_meaning.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/answer_meaning.py
@@ -37,7 +37,7 @@
     statement does, or a 421 without the signature that leaves put on executed
     requests.
     """
-    if status == MISDIRECTED_STATUS:
+    if status == MISDIRECTED_STATUS and (says_not_run or not signed):
         return AnswerMeaning.MISDIRECTED
     if says_not_run:
         return AnswerMeaning.REFUSAL
--- a/packages/gypsumvane-core/tests/test_core_routing_answer_meaning.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_answer_meaning.py
@@ -20,7 +20,7 @@
 
     def test_failures_of_executed_requests(self) -> None:
         """Guard against a failure that counts as a good answer or as a refusal."""
-        self.check(AnswerMeaning.FAILURE, 408, 429, 500, 503, 504, signed=True)
+        self.check(AnswerMeaning.FAILURE, 408, 421, 429, 500, 503, 504, signed=True)
 
     def test_results(self) -> None:
         """Guard against an error of the caller that counts against the leaf."""
