Take a success that denies its run for no proof of either

Seen by callers: a leaf ran a booking and answered 200 with its signature and the header that says that it did not run. The booking went to a second leaf and ran twice (TWICE). On the product's own interface such an answer was reported as a completed booking, though the leaf denied it.

Cause: the header alone decided, or the status alone. An answer that contradicts itself now shows nothing: 502 and no second send of a request that must not run twice.

Ruled out on the product's interface: 408, 421, 429 and 503 without the verdict header, which never counted as refusals (test_status_alone_is_no_refusal passes before, too).

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/answer_meaning.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/answer_meaning.py
@@ -9,6 +9,8 @@
 
 # Status of a leaf that is not the one that the request names.
 MISDIRECTED_STATUS = 421
+# Statuses below are successes and redirections.
+FIRST_ERROR_STATUS = 400
 # Statuses from here on are failures.
 FIRST_FAILURE_STATUS = 500
 # Statuses that tell a caller that its request was not and will not be executed.
@@ -39,9 +41,10 @@
     """
     if status == MISDIRECTED_STATUS and (says_not_run or not signed):
         return AnswerMeaning.MISDIRECTED
-    if says_not_run:
+    if says_not_run and status >= FIRST_ERROR_STATUS:
         return AnswerMeaning.REFUSAL
-    if not signed:
+    if says_not_run or not signed:
+        # A success that denies its run contradicts itself.
         return AnswerMeaning.UNPROVEN
     if status >= FIRST_FAILURE_STATUS or status in NOT_RUN_STATUSES:
         return AnswerMeaning.FAILURE
--- a/packages/gypsumvane-core/tests/test_core_routing_answer_meaning.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_answer_meaning.py
@@ -32,6 +32,13 @@
         self.check(AnswerMeaning.MISDIRECTED, 421)
         self.check(AnswerMeaning.MISDIRECTED, 421, says_not_run=True)
 
+    def test_success_that_denies_its_run(self) -> None:
+        """Guard against a second run after an answer that contradicts itself."""
+        self.check(AnswerMeaning.UNPROVEN, 200, 204, 302, says_not_run=True)
+        self.check(
+            AnswerMeaning.UNPROVEN, 200, 204, 302, says_not_run=True, signed=True
+        )
+
     def test_status_alone_shows_no_refusal(self) -> None:
         """Guard against a second run after a status without a statement."""
         self.check(AnswerMeaning.UNPROVEN, 200, 408, 429, 500, 503)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_answer_check.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_answer_check.py
@@ -27,13 +27,14 @@
     """Return the strongest outcome that a response proves.
 
     A response to another request proves nothing, so its verdict is MAY_HAVE_RUN.
-    Only an explicit ``Verdict: not-run`` header counts as a refusal.
+    Only an explicit ``Verdict: not-run`` header counts as a refusal. A success that
+    denies its run contradicts itself and proves nothing.
     """
     if answer.request_id != request_id:
         return Failed(Reason.ANSWER_MISMATCH, Verdict.MAY_HAVE_RUN)
     if answer.not_run and answer.status >= 400:
         return Refused(_refusal_reason(answer), message=_body_excerpt(answer))
-    if answer.status != 200:
+    if answer.status != 200 or answer.not_run:
         reason = Reason.DEADLINE if answer.status == 504 else Reason.UPSTREAM_ERROR
         return Failed(reason, Verdict.MAY_HAVE_RUN, message=_body_excerpt(answer))
     if not _snapshot_matches(task, answer):
--- a/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_upstream_service.py
@@ -318,6 +318,33 @@
         self.assertEqual((reply.kind, reply.verdict), ("failed", "may_have_run"))
         self.assertEqual(len(self.leaf.calls), 1)
 
+    async def test_status_alone_is_no_refusal(self) -> None:
+        """Guard against a second run after a status that only seems to refuse."""
+        for status in (408, 421, 429, 503):
+            with self.subTest(status):
+
+                async def answer(
+                    request: web.Request, status: int = status
+                ) -> web.Response:
+                    headers = self.leaf.headers(request)
+                    return web.Response(status=status, headers=headers)
+
+                self.leaf.answer = answer
+                reply = await self.run_once()
+                self.assertEqual(
+                    (reply.kind, reply.verdict), ("failed", "may_have_run")
+                )
+
+    async def test_success_that_denies_its_run(self) -> None:
+        """Guard against a run that is called complete though the leaf denies it."""
+
+        async def answer(request: web.Request) -> web.Response:
+            return self.leaf.refusal(request, 200, "none")
+
+        self.leaf.answer = answer
+        reply = await self.run_once()
+        self.assertEqual((reply.kind, reply.verdict), ("failed", "may_have_run"))
+
     async def test_deadline_is_may_have_run_and_not_cancelled(self) -> None:
         """Guard against a false NOT_RUN and a cancelled reservation."""
         self.leaf.answer = answer_late
