Keep the pause that a leaf asks for after a run

Cause: the pause was read from refusals only, that is from answers with the header that denies a run. The wish for a pause does not depend on whether this request ran.

Ruled out: the check of the pause before a request is written, which held.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -207,9 +207,6 @@
         now_s = self.clock.monotonic_s()
         load.record_failure(now_s)
         if meaning is AnswerMeaning.REFUSAL:
-            pause_s = parse_amount(answer.header(self.names.retry_after))
-            if answer.status == UNAVAILABLE and pause_s is not None:
-                load.record_pause(pause_s, now_s)
             return LeafFailure(
                 entry,
                 Reason.UPSTREAM_SHED,
@@ -232,6 +229,10 @@
             logger.info("leaf says that it leaves", extra={"leaf": entry.leaf_id})
         text = answer.header(self.names.leaf_limit)
         self.pool.record_limit(entry, parse_amount(text), now_s)
+        pause_s = parse_amount(answer.header(self.names.retry_after))
+        if answer.status == UNAVAILABLE and pause_s is not None:
+            # The leaf wants no requests, whether or not it executed this one.
+            self.pool.load(entry).record_pause(pause_s, now_s)
         # Running requests, waiting requests and slots.
         report = answer.header(self.names.leaf_load).split(",")
         waiting = parse_whole_number(report[1]) if len(report) == 3 else None
