Refuse a gathered request that every leaf has refused

Seen by callers: all leaves of a gathered request were full and said that they did not run it. The caller got 502, which promises nothing and names no time to come back.

Cause: a gathered request counted as possibly run as soon as a leaf had received it; a leaf's own refusal was not asked for. It now counts so if a leaf answered it, failed it, was silent or was given up. Otherwise callers get 503 with the Retry-After of full leaves.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -340,7 +340,8 @@
             reasons=result.reasons,
         )
         if result.verdict is Verdict.NOT_RUN:
-            return self._refuse_routed(request, route, LEAF_RETURN_S), "refused"
+            expected_s = self._expected_return_s(route, result.reached_leaf)
+            return self._refuse_routed(request, route, expected_s), "refused"
         if result.deadline_passed:
             return text_response(504, "too few parts in time\n"), "late"
         return text_response(502, "too few parts\n"), "failed"
@@ -383,18 +384,22 @@
         if failure.reply is not None:
             return self._relay_failure(request, failure.reply)
         if failure.verdict is Verdict.NOT_RUN:
-            expected_s = LEAF_RETURN_S
-            if call.pause_left_s is not None:
-                expected_s = call.pause_left_s
-            elif failure.reached_leaf:
-                # A leaf has room again when it has finished a request, half of which
-                # is done on average.
-                expected_s = 0.5 * self._context.latencies.median_s(
-                    route.name, latency_objective_s=route.latency_objective_s
-                )
+            expected_s = call.pause_left_s
+            if expected_s is None:
+                expected_s = self._expected_return_s(route, failure.reached_leaf)
             return self._refuse_routed(request, route, expected_s), "refused"
         return text_response(502, f"{failure.reason}\n"), "failed"
 
+    def _expected_return_s(self, route: Route, reached_leaf: bool) -> float:
+        """Return the time until a leaf is expected to take a refused request."""
+        if not reached_leaf:
+            return LEAF_RETURN_S
+        # A leaf has room again when it has finished a request, half of which is done
+        # on average.
+        return 0.5 * self._context.latencies.median_s(
+            route.name, latency_objective_s=route.latency_objective_s
+        )
+
     def _refuse_routed(
         self, request: ForwardedRequest, route: Route, expected_s: float
     ) -> Response:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/gather_call.py
@@ -39,8 +39,10 @@
 
     parts: int
     services: int
-    # NOT_RUN only if no leaf received the request.
+    # NOT_RUN only if no leaf may have executed the request.
     verdict: Verdict
+    # Whether a leaf received the request.
+    reached_leaf: bool
     deadline_passed: bool
     # Distinct reasons of the failures, separated by commas.
     reasons: str = ""
@@ -120,6 +122,7 @@
             parts=0,
             services=len(self._plan.services),
             verdict=Verdict.NOT_RUN,
+            reached_leaf=False,
             deadline_passed=False,
             reasons=f"{Reason.UPSTREAM_UNAVAILABLE} ({servable} services have a leaf)",
         )
@@ -161,14 +164,14 @@
                     [part.answer.body for part in self._parts], self._plan.records_max
                 ),
             )
-        reached_leaf = any(
-            call.reached_leaf or call.in_progress for call in self._calls.values()
-        )
+        calls = self._calls.values()
+        may_have_run = any(call.may_have_run or call.in_progress for call in calls)
         reasons = sorted({failure.reason for failure in self._failures})
         return GatherFailure(
             parts=parts,
             services=services,
-            verdict=Verdict.MAY_HAVE_RUN if reached_leaf else Verdict.NOT_RUN,
+            verdict=Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN,
+            reached_leaf=any(call.reached_leaf for call in calls),
             deadline_passed=self._context.clock.monotonic_s() >= until_s,
             reasons=",".join(reasons),
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/service_call.py
@@ -103,6 +103,8 @@
         self._version_draw = context.rng.random()
         # Whether a leaf received the request.
         self.reached_leaf = False
+        # Whether a leaf may have executed the request in a send that has ended.
+        self.may_have_run = False
         # Time until a leaf takes requests again, if all have asked for a pause.
         self.pause_left_s: float | None = None
 
@@ -266,13 +268,15 @@
                 answer_bytes_max=self._route.answer_bytes_max,
             )
         except asyncio.CancelledError:
+            self.may_have_run = True
             self._record_move_wait(entry, sent_s)
             raise
         if isinstance(result, LeafReply):
             self._context.latencies.add(self._route.name, result.latency_s)
-            self.reached_leaf = True
-        elif result.reached_leaf:
-            self.reached_leaf = True
+            self.reached_leaf = self.may_have_run = True
+        else:
+            self.reached_leaf |= result.reached_leaf
+            self.may_have_run |= result.verdict is not Verdict.NOT_RUN
         self._record_move_answer(entry, result)
         return result
 
