Keep the cancellation of a call whose time-out elapses at once

It had written `stopped`, went on reading the store and was killed after 20 s.

Cause: the time-out of a watch and the cancellation by the stop fell due together when the process continued. aiohttp enters its time-out context twice for a request; the second exit takes back the foreign cancellation and ends the call as timed out, so the feed repeated the watch. Calls to the store, peers and the live list are now bounded by asyncio.timeout, which tells the two apart.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
@@ -68,9 +68,10 @@
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        timeout = ClientTimeout(total=REQUEST_TIMEOUT_S)
         connector = BoundedConnector(bytes_max=LISTING_BYTES_MAX)
-        async with ClientSession(connector=connector, timeout=timeout) as session:
+        async with ClientSession(
+            connector=connector, timeout=ClientTimeout()
+        ) as session:
             while True:
                 await self._poll(session)
                 await asyncio.sleep(self._interval_s)
@@ -78,7 +79,10 @@
     async def _poll(self, session: ClientSession) -> None:
         sent_at_s = self._clock.monotonic_s()
         try:
-            async with session.get(self._url) as response:
+            async with (
+                asyncio.timeout(REQUEST_TIMEOUT_S),
+                session.get(self._url) as response,
+            ):
                 response.raise_for_status()
                 listing = Listing.model_validate_json(await response.read())
         except (ClientError, TimeoutError, OSError, ValidationError) as error:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import TYPE_CHECKING
 from typing import Any
@@ -61,13 +62,16 @@
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding")
             )
         try:
-            async with self._session.request(
-                method,
-                f"http://{address}{path}",
-                params=query,
-                data=None if body is None else json.dumps(body).encode(),
-                timeout=ClientTimeout(total=timeout_s, sock_connect=connect_timeout_s),
-            ) as response:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.request(
+                    method,
+                    f"http://{address}{path}",
+                    params=query,
+                    data=None if body is None else json.dumps(body).encode(),
+                    timeout=ClientTimeout(sock_connect=connect_timeout_s),
+                ) as response,
+            ):
                 content = await response.read()
                 if response.status != OK:
                     raise PeerError(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
@@ -207,14 +207,17 @@
         url = URL(self._base_url + call.path, encoded=True).with_query(call.query)
         sent_at_s = self._clock.monotonic_s()
         try:
-            async with self._session.request(
-                call.method,
-                url,
-                data=call.body,
-                headers=call.headers,
-                allow_redirects=False,
-                timeout=ClientTimeout(total=self._timeout_s + call.extra_timeout_s),
-            ) as response:
+            async with (
+                asyncio.timeout(self._timeout_s + call.extra_timeout_s),
+                self._session.request(
+                    call.method,
+                    url,
+                    data=call.body,
+                    headers=call.headers,
+                    allow_redirects=False,
+                    timeout=ClientTimeout(),
+                ) as response,
+            ):
                 body = await response.read()
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             self._record_result(call, "unreachable")
