Count only the own lines in the test of the log queue

Seen once beside load: 87 dropped lines counted where 3 are expected.

Cause: the test installs its queue as the only handler of the process, and the metrics and the queue are new, so that the other 84 lines came from other loggers while it ran (asyncio logs pending tasks of earlier tests when they are freed). Shown: with 84 lines of another logger in between, the old test counts 87.0, the new one 3.0. The handler now takes lines of the test's own logger only; the expected count is the same.

--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_log_queue.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_log_queue.py
@@ -9,6 +9,8 @@
 from gypsumvane_daemon.routing.log_queue import LogQueue
 from gypsumvane_daemon.routing.routing_metrics import RoutingMetrics
 
+LOGGER = "gypsumvane_test_log_queue"
+
 
 class LogQueueTest(unittest.TestCase):
     """Check the queue while no lines are read."""
@@ -23,8 +25,10 @@
         try:
             # The writing thread is not started, as if its write blocked.
             log.install()
+            # Objects that earlier tests left behind write lines when they are freed.
+            root.handlers[0].addFilter(logging.Filter(LOGGER))
             for number in range(QUEUE_LINES_MAX + 3):
-                logging.getLogger("test").info("line %d", number)
+                logging.getLogger(LOGGER).info("line %d", number)
         finally:
             root.handlers[:] = handlers
             root.setLevel(level)
