Take a copy of another answer for no confirmation of a cancellation

Cause: calls and status reports check whose answer arrives and close the connection at the first foreign one; a cancellation took it as its confirmation. The slot was freed while the leaf might still work, and the connection stayed one answer ahead. Two requests after a copy need this path.

Ruled out: calls, whose id is checked, and status reports, which drop answers that name a request.

test_copy_is_no_confirmation failed before.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/upstream_client.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from aiohttp import ClientResponse
     from aiohttp.connector import Connection
 
 NO_TIMEOUT = ClientTimeout(total=None, sock_connect=None)
@@ -184,13 +185,14 @@
     async def cancel(self, request_id: str) -> None:
         """Ask the upstream to cancel a request.
 
-        Raises LeafCallError, also for the answer of a server error, which confirms
-        nothing.
+        Raises LeafCallError, also for a server error and for an answer that belongs
+        to another request, which confirm nothing.
         """
         try:
             async with self._session.delete(
                 self._requests_url / request_id, allow_redirects=False
             ) as response:
+                _require_own_answer(response, request_id)
                 await response.read()
                 if response.status >= 500:
                     raise LeafCallError(f"cancellation failed with {response.status}")
@@ -208,14 +210,8 @@
                 async with self._session.get(
                     self._status_url, allow_redirects=False
                 ) as response:
-                    if response.headers.get("Request-Id"):
-                        # Status requests carry no identifier, so this response belongs
-                        # to another request.
-                        response.close()
-                        raise LeafCallError(
-                            "status response belongs to another request",
-                            mismatched=True,
-                        )
+                    # Status requests carry no identifier.
+                    _require_own_answer(response)
                     body = await response.read()
                     return _read_answer(response.status, response.headers, body)
         except ClientConnectorError as error:
@@ -237,6 +233,16 @@
             )
 
 
+def _require_own_answer(response: ClientResponse, request_id: str = "") -> None:
+    """Close the connection if a response names another request.
+
+    Raises LeafCallError then.
+    """
+    if response.headers.get("Request-Id", "") not in ("", request_id):
+        response.close()
+        raise LeafCallError("response belongs to another request", mismatched=True)
+
+
 def _read_answer(status: int, headers: Mapping[str, str], body: bytes) -> LeafAnswer:
     return LeafAnswer(
         status=status,
