Begin a move anew when all its evidence is lost

Seen in a trial of the soak that kills all daemons every 2 to 3 s: a slow version was completed, 134 of 259 requests went to it (EXPOSURE; the old leaves are stopped on a completion).

Cause: recorded the start of a move and let a fleet without memory go on from the end of the canary. What the canary had shown was lost with the memory, and the few seconds left do not show a slow version.

Ruled out: the wait for current reports before a completion, which holds, but is over after 2.5 s.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -83,8 +83,6 @@
     state: MoveState | None = None
     # Revision of the order in the store, for conditional updates.
     revision: int = 0
-    # Wall-clock time at which the move began, as recorded; 0 if unknown.
-    started_unix_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,7 +182,7 @@
             reporter,
             service=self.order.service,
             target_version=self.order.target_version,
-            elapsed_s=self.elapsed_s(now_s),
+            elapsed_s=now_s - self._started_s,
             taken_back=self.state is MoveState.ROLLED_BACK,
             new_sends=self._evidence.new_sends,
             good_answers=self._evidence.good_answers,
@@ -241,10 +239,6 @@
             return MoveState.COMPLETED if current else None
         return MoveState.ROLLED_BACK if elapsed >= DECIDE_AT else None
 
-    def elapsed_s(self, now_s: float) -> float:
-        """Return the time since the start of the move."""
-        return now_s - self._started_s
-
     def take_back(self) -> None:
         """Send no more requests to the new version."""
         self.state = MoveState.ROLLED_BACK
@@ -270,7 +264,7 @@
         return old or (new if self.state is MoveState.COMPLETED else [])
 
     def _elapsed_share(self, now_s: float) -> float:
-        return self.elapsed_s(now_s) / max(self.order.duration_s, 0.001)
+        return (now_s - self._started_s) / max(self.order.duration_s, 0.001)
 
 
 class MoveRegistry:
@@ -282,23 +276,16 @@
         self.share = 1.0
         self._moves: dict[str, VersionMove] = {}
 
-    def put(
-        self, order: MoveOrder, now_s: float, elapsed_s: float = 0.0
-    ) -> VersionMove:
+    def put(self, order: MoveOrder, now_s: float) -> VersionMove:
         """Add an order or update the recorded state of a known one.
 
-        An order that is older than the known one changes nothing. elapsed_s is the time
-        since the start of the move, by a wall clock. If no daemon is left that knows
-        the start, the move goes on from there, at the latest at the end of the canary:
-        all evidence is lost, and the wall clock may be wrong.
+        An order that is older than the known one changes nothing.
         """
         move = self._moves.get(order.service)
         if move is not None and order.revision < move.order.revision:
             return move
         if move is None or move.order.target_version != order.target_version:
-            canary_s = CANARY_END * order.duration_s
-            started_s = now_s - min(max(0.0, elapsed_s), canary_s)
-            move = VersionMove(order, started_s, self._bound, fleet_share=self.share)
+            move = VersionMove(order, now_s, self._bound, fleet_share=self.share)
             self._moves[order.service] = move
         else:
             move.update(order)
--- a/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 from dataclasses import dataclass
+from dataclasses import replace
 
 from gypsumvane_core.routing.leaf_registry import LeafEntry
 from gypsumvane_core.routing.version_move import CanaryBound
 from gypsumvane_core.routing.version_move import MoveOrder
+from gypsumvane_core.routing.version_move import MoveRegistry
 from gypsumvane_core.routing.version_move import MoveState
 from gypsumvane_core.routing.version_move import VersionMove
 
@@ -85,6 +88,31 @@
             if due is not None:
                 self.record(due)
 
+    def run_with_loss(self, lost_s: float) -> None:
+        """Restart all daemons at a time, and send requests until the move has ended."""
+        now_s = 0.0
+        next_ping_s = PING_INTERVAL_S
+        end_s = 3 * self.load.duration_s
+        while self.moves[0].state is MoveState.RUNNING and now_s < end_s:
+            now_s += self.rng.expovariate(self.load.requests_per_s)
+            if now_s > lost_s:
+                lost_s = math.inf
+                self.moves = [self.restarted(now_s) for _ in self.moves]
+            if now_s > next_ping_s:
+                next_ping_s += PING_INTERVAL_S
+                self.exchange(now_s)
+            self.request(self.rng.choice(self.moves), now_s)
+            due = self.moves[0].due_state(now_s)
+            if due is not None:
+                self.record(due)
+
+    def restarted(self, now_s: float) -> VersionMove:
+        """Return the move as a daemon reads it from the store after its restart."""
+        registry = MoveRegistry(BOUND)
+        registry.share = 1 / self.load.daemons
+        running = replace(self.order, state=MoveState.RUNNING)
+        return registry.put(running, now_s)
+
     def exchange(self, now_s: float) -> None:
         """Pass the reports of all daemons to all others."""
         reports = [move.report(str(at), now_s) for at, move in enumerate(self.moves)]
@@ -156,6 +184,30 @@
         """Guard against too many requests for a slow version."""
         self.check_exposure(Version(0.6, slow_factor=4.0), *LOADS, LARGE_FLEET)
 
+    def test_loss_of_all_evidence(self) -> None:
+        """Guard against a bad version that is completed after all daemons restarted.
+
+        The move went on from the end of its canary, with answers of some seconds.
+        """
+        for version in (Version(1.0), Version(0.6, slow_factor=4.0)):
+            for load in (*LOADS, LARGE_FLEET):
+                for lost_at in (0.7, 0.83, 1.3):
+                    with self.subTest(version=version, load=load, lost_at=lost_at):
+                        fleet = MoveFleet(load, version, seed=1)
+                        fleet.run_with_loss(lost_at * load.duration_s)
+                        allowed = CANARY_SHARE * fleet.requests + CANARY_SLACK
+                        self.assertIs(fleet.moves[0].state, MoveState.ROLLED_BACK)
+                        self.assertLessEqual(fleet.exposed, allowed)
+                        self.assertEqual(fleet.exposed_late, 0)
+
+    def test_good_version_is_completed_after_a_loss(self) -> None:
+        """Guard against a move that does not end after all daemons restarted."""
+        for load in (*LOADS, LARGE_FLEET):
+            with self.subTest(load=load):
+                fleet = MoveFleet(load, OLD_VERSION, seed=1)
+                fleet.run_with_loss(0.83 * load.duration_s)
+                self.assertIs(fleet.moves[0].state, MoveState.COMPLETED)
+
     def test_good_version_is_completed(self) -> None:
         """Guard against a good version that chance holds back or takes back."""
         for load in (*LOADS, LARGE_FLEET, FEW_REQUESTS):
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from gypsumvane_core.routing.version_move import MoveState
@@ -115,13 +114,8 @@
         return any(entry.version == target for entry in leaves)
 
     async def _record(self, move: VersionMove, state: MoveState) -> None:
-        order = move.order
-        if not order.started_unix_ms:
-            elapsed_s = move.elapsed_s(self._clock.monotonic_s())
-            started_unix_ms = round((self._clock.unix_s() - elapsed_s) * 1000)
-            order = replace(order, started_unix_ms=started_unix_ms)
         try:
-            order = await self._platform.record_move(order, state)
+            order = await self._platform.record_move(move.order, state)
         except StoreUnavailableError as error:
             logger.info(
                 "version move state could not be recorded, retrying",
@@ -131,10 +125,7 @@
         self._apply(order)
 
     def _apply(self, order: MoveOrder) -> None:
-        elapsed_s = 0.0
-        if order.started_unix_ms:
-            elapsed_s = self._clock.unix_s() - order.started_unix_ms / 1000
-        move = self._registry.put(order, self._clock.monotonic_s(), elapsed_s)
+        move = self._registry.put(order, self._clock.monotonic_s())
         logger.info(
             "version move updated",
             extra={
