Keep a signed 421 with an encoded body from being sent again

Found on reading the change: an encoding cleared the signature before the status was looked at, so that a signed 421 with a Content-Encoding still counted as the refusal of another leaf. The encoding is an input of its own now; test_encoded_answer failed before.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/answer_meaning.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/answer_meaning.py
@@ -32,18 +32,20 @@
     UNPROVEN = "unproven"
 
 
-def interpret_answer(status: int, *, says_not_run: bool, signed: bool) -> AnswerMeaning:
+def interpret_answer(
+    status: int, *, says_not_run: bool, signed: bool, encoded: bool = False
+) -> AnswerMeaning:
     """Return what an answer shows.
 
     A status never shows by itself that a request was not executed. Only the leaf's
     statement does, or a 421 without the signature that leaves put on executed
-    requests.
+    requests. An encoded body is not the one that the leaf signed.
     """
     if status == MISDIRECTED_STATUS and (says_not_run or not signed):
         return AnswerMeaning.MISDIRECTED
     if says_not_run and status >= FIRST_ERROR_STATUS:
         return AnswerMeaning.REFUSAL
-    if says_not_run or not signed:
+    if says_not_run or not signed or encoded:
         # A success that denies its run contradicts itself.
         return AnswerMeaning.UNPROVEN
     if status >= FIRST_FAILURE_STATUS or status in NOT_RUN_STATUSES:
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -279,7 +279,8 @@
     def put(self, order: MoveOrder, now_s: float) -> VersionMove:
         """Add an order or update the recorded state of a known one.
 
-        An order that is older than the known one changes nothing.
+        An order that is older than the known one changes nothing. A move that no peer
+        reports begins anew, as all evidence of it is lost.
         """
         move = self._moves.get(order.service)
         if move is not None and order.revision < move.order.revision:
--- a/packages/gypsumvane-core/tests/test_core_routing_answer_meaning.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_answer_meaning.py
@@ -39,6 +39,11 @@
             AnswerMeaning.UNPROVEN, 200, 204, 302, says_not_run=True, signed=True
         )
 
+    def test_encoded_answer(self) -> None:
+        """Guard against a second run after a signed 421 with an encoded body."""
+        self.check(AnswerMeaning.UNPROVEN, 200, 421, 503, signed=True, encoded=True)
+        self.check(AnswerMeaning.MISDIRECTED, 421, encoded=True)
+
     def test_status_alone_shows_no_refusal(self) -> None:
         """Guard against a second run after a status without a statement."""
         self.check(AnswerMeaning.UNPROVEN, 200, 408, 429, 500, 503)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/live_list_poller.py
@@ -79,6 +79,7 @@
     async def _poll(self, session: ClientSession) -> None:
         sent_at_s = self._clock.monotonic_s()
         try:
+            # The time-out of aiohttp may take back a cancellation of this task.
             async with (
                 asyncio.timeout(REQUEST_TIMEOUT_S),
                 session.get(self._url) as response,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -118,7 +118,8 @@
         meaning = interpret_answer(
             answer.status,
             says_not_run=bool(answer.header(self.names.not_run)),
-            signed=bool(signature) and not answer.header("Content-Encoding"),
+            signed=bool(signature),
+            encoded=bool(answer.header("Content-Encoding")),
         )
         if meaning is not AnswerMeaning.MISDIRECTED:
             # Otherwise the answer is that of another leaf.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_client.py
@@ -62,6 +62,7 @@
                 skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding")
             )
         try:
+            # The time-out of aiohttp may take back a cancellation of this task.
             async with (
                 asyncio.timeout(timeout_s),
                 self._session.request(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/store_http.py
@@ -207,6 +207,7 @@
         url = URL(self._base_url + call.path, encoded=True).with_query(call.query)
         sent_at_s = self._clock.monotonic_s()
         try:
+            # The time-out of aiohttp may take back a cancellation of this task.
             async with (
                 asyncio.timeout(self._timeout_s + call.extra_timeout_s),
                 self._session.request(
