Execute a version move by the time for which daemons have watched it

Found beside the loss of all evidence: daemons restarted in two halves, 2 s apart, under low load.

Cause: each daemon reported the start of the move that it had learned from others, so that the start outlived what had been seen since. Daemons now report since when they have watched the move themselves, and go by the time for which half of those that report have watched it. The message is the same.

Ruled out: the counts of daemons that are gone, which are still compared, but are those of one half.

test_loss_of_evidence_in_two_steps failed before in 10 of 10 subtests. Good versions are completed as before without restarts and after one of all daemons.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/move_evidence.py
@@ -132,8 +132,9 @@
     _peers: dict[str, Mapping[str, RouteCounts]] = field(default_factory=dict)
     _peers_sends: dict[str, int] = field(default_factory=dict)
     _peers_good: dict[str, int] = field(default_factory=dict)
-    # When each reporter last counted its answers.
+    # When each reporter last counted its answers, and when it learned of the move.
     _reported_s: dict[str, float] = field(default_factory=dict)
+    _learned_s: dict[str, float] = field(default_factory=dict)
 
     def add_answer(
         self, route: str, *, new: bool, failed: bool, latency_ms: float
@@ -167,6 +168,7 @@
         new_sends: int,
         good_answers: int,
         reported_s: float,
+        learned_s: float,
     ) -> None:
         """Replace the counts that a daemon has reported, unless they are newer.
 
@@ -175,6 +177,7 @@
         if reported_s < self._reported_s.get(reporter, reported_s):
             return
         self._reported_s[reporter] = reported_s
+        self._learned_s[reporter] = learned_s
         self._peers[reporter] = routes
         self._peers_sends[reporter] = new_sends
         self._peers_good[reporter] = good_answers
@@ -190,7 +193,7 @@
             return False
         last_s: dict[str, float] = {}
         for reporter, at_s in self._reported_s.items():
-            daemon = reporter.partition(START_SEPARATOR)[0]
+            daemon = _daemon_name(reporter)
             last_s[daemon] = max(at_s, last_s.get(daemon, at_s))
         gone_s = now_s - REPORTER_GONE_S
         return all(
@@ -198,6 +201,23 @@
             for at_s in last_s.values()
         )
 
+    def watched_since_s(self, own_learned_s: float, now_s: float) -> float:
+        """Return since when half of the daemons that report have watched the move.
+
+        Load: daemons restart during a move, many at once or one after the other. What
+        they had seen is lost, and the others alone see too few answers.
+        """
+        latest: dict[str, str] = {}
+        for reporter in sorted(self._reported_s, key=self._reported_s.__getitem__):
+            latest[_daemon_name(reporter)] = reporter
+        learned_s = [own_learned_s]
+        learned_s += (
+            self._learned_s[reporter]
+            for reporter in latest.values()
+            if now_s - self._reported_s[reporter] <= REPORTER_GONE_S
+        )
+        return sorted(learned_s)[(len(learned_s) - 1) // 2]
+
     def counts(self) -> dict[str, RouteCounts]:
         """Return the counts of this daemon by route."""
         return {route: answers.counts() for route, answers in self._routes.items()}
@@ -226,6 +246,11 @@
         yield from self._peers.values()
 
 
+def _daemon_name(reporter: str) -> str:
+    """Return the name of a daemon without that of its start."""
+    return reporter.partition(START_SEPARATOR)[0]
+
+
 def _is_worse(stratum: Stratum, margin: float, log_significance: float) -> bool:
     if not stratum.new_answers or not stratum.old_answers:
         return False
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/version_move.py
@@ -115,7 +115,9 @@
         fleet_share: float = 1.0,
     ) -> None:
         self.order = order
-        self._started_s = started_s
+        self._learned_s = started_s
+        # The move is executed by the time for which daemons have watched it.
+        self._watched_since_s = started_s
         self._canary_share = bound.share * CANARY_BOUND_USED
         # Requests of this daemon to the new version that may draw on the slack.
         self._early_sends_left = bound.slack * SLACK_BOUND_USED * fleet_share
@@ -182,7 +184,7 @@
             reporter,
             service=self.order.service,
             target_version=self.order.target_version,
-            elapsed_s=now_s - self._started_s,
+            elapsed_s=now_s - self._learned_s,
             taken_back=self.state is MoveState.ROLLED_BACK,
             new_sends=self._evidence.new_sends,
             good_answers=self._evidence.good_answers,
@@ -192,16 +194,16 @@
     def add_reports(self, reports: Sequence[MoveReport], now_s: float) -> bool:
         """Adopt peers' reports and return whether they take the version back here."""
         for report in reports:
-            # A daemon that has started again does not begin the move anew.
             reported_s = now_s - report.age_s
-            self._started_s = min(self._started_s, reported_s - report.elapsed_s)
             self._evidence.add_peer(
                 report.reporter,
                 report.routes,
                 new_sends=report.new_sends,
                 good_answers=report.good_answers,
                 reported_s=reported_s,
+                learned_s=reported_s - report.elapsed_s,
             )
+        self._watched_since_s = self._evidence.watched_since_s(self._learned_s, now_s)
         if self.state is MoveState.RUNNING and any(
             report.taken_back for report in reports
         ):
@@ -264,7 +266,8 @@
         return old or (new if self.state is MoveState.COMPLETED else [])
 
     def _elapsed_share(self, now_s: float) -> float:
-        return (now_s - self._started_s) / max(self.order.duration_s, 0.001)
+        watched_s = now_s - self._watched_since_s
+        return watched_s / max(self.order.duration_s, 0.001)
 
 
 class MoveRegistry:
--- a/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_move_fleet.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import math
 import random
 import unittest
 from dataclasses import dataclass
 from dataclasses import replace
 
 from gypsumvane_core.routing.leaf_registry import LeafEntry
+from gypsumvane_core.routing.move_evidence import START_SEPARATOR
 from gypsumvane_core.routing.version_move import CanaryBound
 from gypsumvane_core.routing.version_move import MoveOrder
 from gypsumvane_core.routing.version_move import MoveRegistry
@@ -50,9 +50,19 @@
     slow_factor: float = 0.0
 
 
+@dataclass(frozen=True)
+class Loss:
+    """Restart of each daemon from one on, in steps, at once."""
+
+    at_s: float
+    first: int = 0
+    step: int = 1
+
+
 LOADS = (Load(8, 45.0, 12.0), Load(8, 45.0, 30.0), Load(8, 11.0, 15.0))
 LARGE_FLEET = Load(30, 22.0, 20.0)
 FEW_REQUESTS = Load(30, 2.0, 20.0)
+LOW_LOADS = (LOADS[2], LARGE_FLEET)
 OLD_VERSION = Version(0.0)
 
 
@@ -68,26 +78,30 @@
             VersionMove(self.order, 0.0, BOUND, fleet_share=1 / load.daemons)
             for _ in range(load.daemons)
         ]
+        # State in the store, and number of restarts of each daemon.
+        self.state = MoveState.RUNNING
+        self.starts = [0] * load.daemons
         self.requests = 0
         self.exposed = 0
         self.bad_answers = 0
         self.fiftieth_bad_s: float | None = None
         self.exposed_late = 0
 
-    def run(self, lost_s: float = math.inf) -> None:
+    def run(self, *losses: Loss) -> None:
         """Send requests until the duration of the move has passed.
 
-        All daemons restart at lost_s; the duration is counted from there then.
+        Daemons restart at the losses; the duration is counted from the last one.
         """
         now_s = 0.0
         next_ping_s = PING_INTERVAL_S
-        end_s = self.load.duration_s
-        while now_s < end_s or now_s < lost_s < math.inf:
+        due_losses = list(losses)
+        end_s = self.load.duration_s + (losses[-1].at_s if losses else 0.0)
+        while now_s < end_s:
             now_s += self.rng.expovariate(self.load.requests_per_s)
-            if now_s > lost_s:
-                lost_s = math.inf
-                end_s = now_s + self.load.duration_s
-                self.moves = [self.restarted(now_s) for _ in self.moves]
+            if due_losses and now_s > due_losses[0].at_s:
+                loss = due_losses.pop(0)
+                for at in range(loss.first, self.load.daemons, loss.step):
+                    self.restart(at, now_s)
             if now_s > next_ping_s:
                 next_ping_s += PING_INTERVAL_S
                 self.exchange(now_s)
@@ -96,22 +110,25 @@
             if due is not None:
                 self.record(due)
 
-    def restarted(self, now_s: float) -> VersionMove:
-        """Return the move as a daemon reads it from the store after its restart."""
+    def restart(self, at: int, now_s: float) -> None:
+        """Read the move from the store, as a daemon does after its restart."""
         registry = MoveRegistry(BOUND)
         registry.share = 1 / self.load.daemons
-        running = replace(self.order, state=MoveState.RUNNING)
-        return registry.put(running, now_s)
+        self.starts[at] += 1
+        self.moves[at] = registry.put(replace(self.order, state=self.state), now_s)
 
     def exchange(self, now_s: float) -> None:
         """Pass the reports of all daemons to all others."""
-        reports = [move.report(str(at), now_s) for at, move in enumerate(self.moves)]
+        reports = [
+            move.report(f"{at}{START_SEPARATOR}{self.starts[at]}", now_s)
+            for at, move in enumerate(self.moves)
+        ]
         for at, move in enumerate(self.moves):
-            others = [entry for entry in reports if entry.reporter != str(at)]
-            move.add_reports(others, now_s)
+            move.add_reports(reports[:at] + reports[at + 1 :], now_s)
 
     def record(self, state: MoveState) -> None:
         """Record a state of the move in the store."""
+        self.state = state
         for move in self.moves:
             move.update(MoveOrder("s", "v2", self.load.duration_s, state))
 
@@ -184,18 +201,31 @@
                 for lost_at in (0.7, 0.83, 1.3):
                     with self.subTest(version=version, load=load, lost_at=lost_at):
                         fleet = MoveFleet(load, version, seed=1)
-                        fleet.run(lost_at * load.duration_s)
+                        fleet.run(Loss(lost_at * load.duration_s))
                         allowed = CANARY_SHARE * fleet.requests + CANARY_SLACK
                         self.assertIs(fleet.moves[0].state, MoveState.ROLLED_BACK)
                         self.assertLessEqual(fleet.exposed, allowed)
                         self.assertEqual(fleet.exposed_late, 0)
 
+    def test_loss_of_evidence_in_two_steps(self) -> None:
+        """Guard against a bad version that is completed by what half of them saw.
+
+        Each half learned from the other one how long the move had lasted.
+        """
+        for load in LOW_LOADS:
+            for seed in SEEDS:
+                with self.subTest(load=load, seed=seed):
+                    fleet = MoveFleet(load, Version(1.0, slow_factor=10.0), seed)
+                    lost_s = 0.6 * load.duration_s
+                    fleet.run(Loss(lost_s, 0, 2), Loss(lost_s + 2.0, 1, 2))
+                    self.assertIs(fleet.moves[0].state, MoveState.ROLLED_BACK)
+
     def test_good_version_is_completed_after_a_loss(self) -> None:
         """Guard against a move that does not end after all daemons restarted."""
         for load in (*LOADS, LARGE_FLEET):
             with self.subTest(load=load):
                 fleet = MoveFleet(load, OLD_VERSION, seed=1)
-                fleet.run(0.83 * load.duration_s)
+                fleet.run(Loss(0.83 * load.duration_s))
                 self.assertIs(fleet.moves[0].state, MoveState.COMPLETED)
 
     def test_good_version_is_completed(self) -> None:
