--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/endless_server.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/endless_server.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import sys
 
+from gypsumvane_devtools.scripted_server import ScriptedServer
+
 BLOCK = b"x" * 65_536
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: request-1\r\n"
 # Start of the response and the bytes that are repeated after it, by name.
@@ -40,59 +41,29 @@
 }
 
 
-class EndlessServer:
+class EndlessServer(ScriptedServer):
     """Answer each request with a response that ends only with the connection."""
 
     def __init__(self, start: bytes, repeated: bytes, *, first: bytes = b"") -> None:
+        super().__init__()
         self._start = start
         self._repeated = repeated
         # A whole response to the first request, which the endless bytes follow.
         self._first = first
         self.bytes_written = 0
-        self.address = ""
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> None:
-        """Start to listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-
-    async def stop(self) -> None:
-        """Close the listener and all connections."""
-        assert self._server is not None
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    @property
-    def connected(self) -> bool:
-        """Return whether a client is still connected."""
-        return bool(self._tasks)
 
-    async def _serve(
+    async def serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self._first + self._start)
-            while True:
-                writer.write(self._repeated)
-                self.bytes_written += len(self._repeated)
-                await writer.drain()
-                # A drain without back-pressure does not yield to the event loop.
-                await asyncio.sleep(0)
-        except (OSError, EOFError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            with contextlib.suppress(OSError):
-                writer.transport.abort()
+        """Answer the first request without end."""
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._first + self._start)
+        while True:
+            writer.write(self._repeated)
+            self.bytes_written += len(self._repeated)
+            await writer.drain()
+            # A drain without back-pressure does not yield to the event loop.
+            await asyncio.sleep(0)
 
 
 async def serve(count: int, names: list[str]) -> None:
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/silent_server.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/silent_server.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from gypsumvane_devtools.scripted_server import ScriptedServer
+
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
@@ -14,29 +16,17 @@
 WAIT_TIMEOUT_S = 10.0
 
 
-class SilentServer:
+class SilentServer(ScriptedServer):
     """Read what arrives and stay silent."""
 
     def __init__(self) -> None:
-        self.address = ""
+        super().__init__()
         self.received = asyncio.Event()
-        self._writers: list[asyncio.StreamWriter] = []
-
-    async def start(self) -> None:
-        """Start to listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-
-    async def stop(self) -> None:
-        """Close the listener and all connections."""
-        self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
 
-    async def _serve(
+    async def serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._writers.append(writer)
+        """Read until the client closes the connection."""
         while await reader.read(4096):
             self.received.set()
 
