--- /dev/null
+++ b/review/9/case.py
@@ -0,0 +1,146 @@
+"""A ping of a leaf that is executed late makes a draining leaf get requests again."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins_2"))
+
+from stand_ins import BOUNDS
+from stand_ins import Daemon
+from stand_ins import Leaf
+from stand_ins import Record
+from stand_ins import Request
+from stand_ins import Store
+from stand_ins import call
+from stand_ins import config
+from stand_ins import route
+from stand_ins import run_case
+
+# Time from the ack of the drain until the unanswered call is executed.
+LATE_S = 3.7
+# Time from the ack of the drain until the leaf exits: drain_ms and a little longer.
+SERVES_S = 4.75
+# Bookings are sent in groups, one group a second.
+GROUP = 6
+GROUP_INTERVAL_S = 1.0
+# Within the 960 ms that the site allows a booking.
+WORK_S = 0.6
+DRAIN_S = BOUNDS["drain_ms"] / 1000
+
+
+class LeavingLeaf(Leaf):
+    """Say in all answers that it leaves, once it drains."""
+
+    def answer(self, request: Request, *args: object, **headers: str) -> bytes:
+        if self.state == "draining":
+            headers["Server_Leaving"] = "1"
+        return super().answer(request, **headers)
+
+    busy = 0
+
+    async def work(self, request: Request, writer: asyncio.StreamWriter) -> bool:
+        self.busy += 1
+        try:
+            return await super().work(request, writer)
+        finally:
+            self.busy -= 1
+
+    async def drain(self, *, late_ping: bool) -> float:
+        """Report that it drains, serve, and exit. Return the time of the ack.
+
+        It begins when it has ended its last request. Its pings go on each heartbeat_ms.
+
+        With late_ping, its last ping before got no response: the store executes the
+        call later, as its condition (none) still holds.
+        """
+        while not self.busy:
+            await asyncio.sleep(0.01)
+        while self.busy:
+            await asyncio.sleep(0.01)
+        self._sequence += 1
+        ping = self.entry()
+        if not late_ping:
+            self.store.put("servers", self.leaf_id, ping)
+        self.record.line("ping", leaf=self.leaf_id, answered=not late_ping, **ping)
+        self.state = "draining"
+        self.register()
+        self._beat_task.cancel()
+        self._beat_task = asyncio.create_task(self._beat())
+        ack_s = time.monotonic()
+        self.record.line("drain_acknowledged", leaf=self.leaf_id)
+        await asyncio.sleep(LATE_S)
+        if late_ping:
+            self.store.put("servers", self.leaf_id, ping)
+            self.record.line("late_ping_executed", leaf=self.leaf_id, **ping)
+        await asyncio.sleep(max(0.0, ack_s + SERVES_S - time.monotonic()))
+        self.record.line("leaf_exits", leaf=self.leaf_id)
+        await self.stop()
+        self.store.remove("servers", self.leaf_id)
+        return ack_s
+
+
+async def main(record: Record, trouble: bool) -> bool:
+    """Return whether no request reaches the leaf later than drain_ms after the ack."""
+    store = Store()
+    await store.start()
+    leaving = LeavingLeaf("i-1", "kafi81c", store, record, slots=3, work_s=WORK_S)
+    staying = Leaf("i-2", "kafi81c", store, record, slots=3, work_s=WORK_S)
+    for leaf in (leaving, staying):
+        await leaf.start()
+    bookings = route(
+        "r-1", "/timi402/", "kafi81c", route_type="non_idempotent", attempts=1
+    )
+    store.put("config", "main", config(7, bookings))
+    daemon = Daemon("front-sohar-1", store, record)
+    await daemon.start()
+    sent_s: dict[str, float] = {}
+    statuses: dict[str, object] = {}
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def book(name: str) -> None:
+        sent_s[name] = time.monotonic()
+        record.line("sent", id=name)
+        try:
+            answer = await call(daemon.front, "POST", "/timi402/2f", name, body=b"{}")
+            statuses[name] = answer.status
+        except (OSError, EOFError) as error:
+            statuses[name] = repr(error)
+        record.line("answered", id=name, status=statuses[name])
+
+    async def send_all() -> None:
+        for number in itertools.count(1):
+            for part in range(GROUP):
+                tasks.add(asyncio.create_task(book(f"book-{number}-{part}")))
+            await asyncio.sleep(GROUP_INTERVAL_S)
+
+    try:
+        await daemon.wait_ready()
+        sending = asyncio.create_task(send_all())
+        # The machine and the store have been calm for contact_ms.
+        await asyncio.sleep(BOUNDS["contact_ms"] / 1000 + 1)
+        ack_s = await leaving.drain(late_ping=trouble)
+        await asyncio.sleep(1)
+        sending.cancel()
+        await asyncio.gather(*tasks)
+        late = [
+            request.request_id
+            for _, request in leaving.runs
+            if sent_s[request.request_id] > ack_s + DRAIN_S
+        ]
+        lost = [name for name in late if statuses[name] != 200]
+        record.line("ran_after_drain", count=len(late), ids=",".join(late))
+        record.line("lost", count=len(lost), ids=",".join(lost))
+        return not late
+    finally:
+        await daemon.stop()
+        await staying.stop()
+        await store.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(main, __file__))
