--- a/review/stand_ins_2/stand_ins.py
+++ b/review/stand_ins_2/stand_ins.py
@@ -27,6 +27,10 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "pupu76.example"
 READY_TIMEOUT_S = 30.0
+# What the store keeps of its history, and the bounds of a page of a list.
+HISTORY_S = 20.0
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 BOUNDS = {
     "seed_lag_s": 3,
@@ -147,7 +151,10 @@
         self.revision = 10
         self.objects: dict[str, dict[str, Any]] = {}
         self.down = False
-        self._history: list[tuple[int, str, Any, bool]] = []
+        # Time, revision, kind, object and whether it was removed, by revision.
+        self._history: list[tuple[float, int, str, Any, bool]] = []
+        # The history up to this revision is dropped.
+        self._dropped_revision = 0
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -196,10 +203,17 @@
         return stored
 
     def _event(self, kind: str, stored: Any, *, removed: bool) -> None:
-        self._history.append((self.revision, kind, stored, removed))
+        now_s = time.monotonic()
+        self._history.append((now_s, self.revision, kind, stored, removed))
+        self._drop_old_history()
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _drop_old_history(self) -> None:
+        oldest_s = time.monotonic() - HISTORY_S
+        while self._history and self._history[0][0] < oldest_s:
+            self._dropped_revision = self._history.pop(0)[1]
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -233,11 +247,7 @@
         if request.method == "GET" and name:
             return (200, named[name]) if name in named else (404, None)
         if request.method == "GET":
-            after = query.get("after", "")
-            items = [named[key] for key in sorted(named) if key > after]
-            more = len(items) > 500
-            page = {"items": items[:500], "more": more, "current_rev": self.revision}
-            return 200, page
+            return 200, self._page(named, query.get("after", ""))
         content = json.loads(request.body or b"{}")
         meta = content.get("meta") or {}
         name = name or meta["name"]
@@ -262,13 +272,28 @@
             return 200, known
         return 200, self._store(kind, name, spec, status)
 
+    def _page(self, named: dict[str, Any], after: str) -> dict[str, Any]:
+        rest = [named[key] for key in sorted(named) if key > after]
+        items: list[Any] = []
+        size = 0
+        for stored in rest[:PAGE_ITEMS]:
+            size += len(json.dumps(stored))
+            if items and size > PAGE_BYTES:
+                break
+            items.append(stored)
+        more = len(items) < len(rest)
+        return {"items": items, "more": more, "current_rev": self.revision}
+
     async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
         since = int(query["watch"])
         end_s = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
         while True:
+            self._drop_old_history()
+            if since < self._dropped_revision:
+                return 410, None
             events = [
                 {"object": stored, "removed": removed}
-                for revision, changed, stored, removed in self._history
+                for _, revision, changed, stored, removed in self._history
                 if changed == kind and revision > since
             ]
             left_s = end_s - time.monotonic()
