--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,11 +1,13 @@
-"""A ping of a leaf that is executed late makes a draining leaf get requests again."""
+"""The limit that a leaf names makes all other machines end when one is stopped."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+import signal
 import sys
 import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins_2"))
@@ -16,129 +18,132 @@
 from stand_ins import Record
 from stand_ins import Request
 from stand_ins import Store
-from stand_ins import call
 from stand_ins import config
+from stand_ins import encode_request
+from stand_ins import open_connection
+from stand_ins import read_answer
 from stand_ins import route
 from stand_ins import run_case
 
-# Time from the ack of the drain until the unanswered call is executed.
-LATE_S = 3.7
-# Time from the ack of the drain until the leaf exits: drain_ms and a little longer.
-SERVES_S = 4.75
-# Bookings are sent in groups, one group a second.
-GROUP = 6
-GROUP_INTERVAL_S = 1.0
-# Within the 960 ms that the site allows a booking.
-WORK_S = 0.6
-DRAIN_S = BOUNDS["drain_ms"] / 1000
+# What a leaf in need names, and what it names afterwards: the largest number that a
+# program holds in 64 bits, as decimal digits. It takes all that comes.
+LIMIT_IN_NEED = "40.0"
+LIMIT_AFTERWARDS = f"{sys.float_info.max:.1f}"
+DAEMONS = 3
+CALLERS_PER_DAEMON = 10
+# Within the 960 ms that the site allows a booking-read.
+WORK_S = 0.9
+IN_NEED_S = BOUNDS["contact_ms"] / 1000 + 1
+AFTERWARDS_S = 3.0
+# Time for which callers are watched after the stop of one machine begins.
+STOPPED_S = 6.0
+LOST_MAX = 3
 
 
-class LeavingLeaf(Leaf):
-    """Say in all answers that it leaves, once it drains."""
+class LimitedLeaf(Leaf):
+    """Name a limit in all answers."""
 
-    def answer(self, request: Request, *args: object, **headers: str) -> bytes:
-        if self.state == "draining":
-            headers["Server_Leaving"] = "1"
-        return super().answer(request, **headers)
-
-    busy = 0
-
-    async def work(self, request: Request, writer: asyncio.StreamWriter) -> bool:
-        self.busy += 1
-        try:
-            return await super().work(request, writer)
-        finally:
-            self.busy -= 1
-
-    async def drain(self, *, late_ping: bool) -> float:
-        """Report that it drains, serve, and exit. Return the time of the ack.
-
-        It begins when it has ended its last request. Its pings go on each heartbeat_ms.
+    limit = LIMIT_IN_NEED
 
-        With late_ping, its last ping before got no response: the store executes the
-        call later, as its condition (none) still holds.
-        """
-        while not self.busy:
-            await asyncio.sleep(0.01)
-        while self.busy:
-            await asyncio.sleep(0.01)
-        self._sequence += 1
-        ping = self.entry()
-        if not late_ping:
-            self.store.put("servers", self.leaf_id, ping)
-        self.record.line("ping", leaf=self.leaf_id, answered=not late_ping, **ping)
-        self.state = "draining"
-        self.register()
-        self._beat_task.cancel()
-        self._beat_task = asyncio.create_task(self._beat())
-        ack_s = time.monotonic()
-        self.record.line("drain_acknowledged", leaf=self.leaf_id)
-        await asyncio.sleep(LATE_S)
-        if late_ping:
-            self.store.put("servers", self.leaf_id, ping)
-            self.record.line("late_ping_executed", leaf=self.leaf_id, **ping)
-        await asyncio.sleep(max(0.0, ack_s + SERVES_S - time.monotonic()))
-        self.record.line("leaf_exits", leaf=self.leaf_id)
-        await self.stop()
-        self.store.remove("servers", self.leaf_id)
-        return ack_s
+    def answer(self, request: Request, *args: object, **headers: str) -> bytes:
+        return super().answer(request, Server_Limit=self.limit, **headers)
 
 
 async def main(record: Record, trouble: bool) -> bool:
-    """Return whether no request reaches the leaf later than drain_ms after the ack."""
+    """Return whether the machines that aren't stopped lose at most three requests."""
     store = Store()
     await store.start()
-    leaving = LeavingLeaf("i-1", "kafi81c", store, record, slots=3, work_s=WORK_S)
-    staying = Leaf("i-2", "kafi81c", store, record, slots=3, work_s=WORK_S)
-    for leaf in (leaving, staying):
+    leaves = [
+        LimitedLeaf(f"i-{n}", "kafi81c", store, record, slots=3, work_s=WORK_S)
+        for n in range(10)
+    ]
+    for leaf in leaves:
         await leaf.start()
-    bookings = route(
-        "r-1", "/timi402/", "kafi81c", route_type="non_idempotent", attempts=1
-    )
-    store.put("config", "main", config(7, bookings))
-    daemon = Daemon("front-sohar-1", store, record)
-    await daemon.start()
-    sent_s: dict[str, float] = {}
-    statuses: dict[str, object] = {}
-    tasks: set[asyncio.Task[None]] = set()
-
-    async def book(name: str) -> None:
-        sent_s[name] = time.monotonic()
-        record.line("sent", id=name)
-        try:
-            answer = await call(daemon.front, "POST", "/timi402/2f", name, body=b"{}")
-            statuses[name] = answer.status
-        except (OSError, EOFError) as error:
-            statuses[name] = repr(error)
-        record.line("answered", id=name, status=statuses[name])
-
-    async def send_all() -> None:
-        for number in itertools.count(1):
-            for part in range(GROUP):
-                tasks.add(asyncio.create_task(book(f"book-{number}-{part}")))
-            await asyncio.sleep(GROUP_INTERVAL_S)
-
+    store.put("config", "main", config(7, route("r-1", "/timi402/", "kafi81c")))
+    daemons = [Daemon(f"front-sohar-{n}", store, record) for n in range(1, DAEMONS + 1)]
+    for daemon in daemons:
+        await daemon.start()
+    lost: list[str] = []
+    outcomes: Counter[tuple[str, object]] = Counter()
+
+    async def caller(daemon: Daemon, number: int) -> None:
+        """Send requests one after the other, on kept connections where possible."""
+        counts = itertools.count(1)
+        while True:
+            try:
+                reader, writer = await open_connection(daemon.front)
+            except OSError:
+                await asyncio.sleep(0.2)
+                continue
+            kept = False
+            try:
+                while True:
+                    name = f"{daemon.name}-{number}-{next(counts)}"
+                    record.line("sent", id=name, kept=kept)
+                    writer.write(encode_request("GET", "/timi402/2f", name))
+                    answer = await read_answer(reader)
+                    record.line("answered", id=name, status=answer.status)
+                    outcomes[daemon.name, answer.status] += 1
+                    if answer.header("Connection").lower() == "close":
+                        break
+                    kept = True
+                    await asyncio.sleep(0.1)
+            except (EOFError, ConnectionError) as error:
+                record.line("connection_ended", id=name, kept=kept, error=error)
+                if kept:
+                    lost.append(name)
+            finally:
+                writer.close()
+            await asyncio.sleep(0.2)
+
+    tasks = []
     try:
-        await daemon.wait_ready()
-        sending = asyncio.create_task(send_all())
-        # The machine and the store have been calm for contact_ms.
-        await asyncio.sleep(BOUNDS["contact_ms"] / 1000 + 1)
-        ack_s = await leaving.drain(late_ping=trouble)
-        await asyncio.sleep(1)
-        sending.cancel()
-        await asyncio.gather(*tasks)
-        late = [
-            request.request_id
-            for _, request in leaving.runs
-            if sent_s[request.request_id] > ack_s + DRAIN_S
+        for daemon in daemons:
+            await daemon.wait_ready()
+        # The machines know each other and are in touch after this.
+        await asyncio.sleep(BOUNDS["contact_ms"] / 1000)
+        for daemon in daemons:
+            for number in range(CALLERS_PER_DAEMON):
+                tasks.append(asyncio.create_task(caller(daemon, number)))
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(IN_NEED_S)
+        for leaf in leaves:
+            if trouble:
+                leaf.limit = LIMIT_AFTERWARDS
+        record.line("limit", value=leaves[0].limit)
+        await asyncio.sleep(AFTERWARDS_S)
+        stopped = daemons[-1]
+        stopped.send_signal(signal.SIGTERM)
+        stop_s = time.monotonic()
+        ended: set[str] = set()
+        while time.monotonic() < stop_s + STOPPED_S:
+            for daemon in daemons[:-1]:
+                assert daemon.process is not None
+                code = daemon.process.returncode
+                if code is not None and daemon.name not in ended:
+                    ended.add(daemon.name)
+                    record.line("ended_by_itself", daemon=daemon.name, status=code)
+            await asyncio.sleep(0.05)
+        ran = {request.request_id for leaf in leaves for _, request in leaf.runs}
+        passed_on = [
+            name for name in lost if name in ran and not name.startswith(stopped.name)
         ]
-        lost = [name for name in late if statuses[name] != 200]
-        record.line("ran_after_drain", count=len(late), ids=",".join(late))
-        record.line("lost", count=len(lost), ids=",".join(lost))
-        return not late
+        for daemon in daemons[:-1]:
+            for text in (daemon.folder / "log").read_text().splitlines():
+                if "Error:" in text and not text.startswith("{"):
+                    record.line("log", daemon=daemon.name, text=text)
+        for (name, status), count in sorted(outcomes.items(), key=str):
+            record.line("outcomes", daemon=name, status=status, count=count)
+        record.line("lost", passed_on=len(passed_on), ended=len(ended), of=DAEMONS - 1)
+        return len(passed_on) <= LOST_MAX
     finally:
-        await daemon.stop()
-        await staying.stop()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for daemon in daemons:
+            await daemon.stop()
+        for leaf in leaves:
+            await leaf.stop()
         await store.stop()
 
 
