--- a/review/9/case.py
+++ b/review/9/case.py
@@ -30,9 +30,10 @@
 LIMIT_IN_NEED = "40.0"
 LIMIT_AFTERWARDS = f"{sys.float_info.max:.1f}"
 DAEMONS = 3
-CALLERS_PER_DAEMON = 10
+CALLERS_PER_DAEMON = 14
 # Within the 960 ms that the site allows a booking-read.
 WORK_S = 0.9
+PAUSE_S = 0.1
 IN_NEED_S = BOUNDS["contact_ms"] / 1000 + 1
 AFTERWARDS_S = 3.0
 # Time for which callers are watched after the stop of one machine begins.
@@ -55,7 +56,7 @@
     await store.start()
     leaves = [
         LimitedLeaf(f"i-{n}", "kafi81c", store, record, slots=3, work_s=WORK_S)
-        for n in range(10)
+        for n in range(16)
     ]
     for leaf in leaves:
         await leaf.start()
@@ -87,7 +88,7 @@
                     if answer.header("Connection").lower() == "close":
                         break
                     kept = True
-                    await asyncio.sleep(0.1)
+                    await asyncio.sleep(PAUSE_S)
             except (EOFError, ConnectionError) as error:
                 record.line("connection_ended", id=name, kept=kept, error=error)
                 if kept:
@@ -102,10 +103,12 @@
             await daemon.wait_ready()
         # The machines know each other and are in touch after this.
         await asyncio.sleep(BOUNDS["contact_ms"] / 1000)
-        for daemon in daemons:
-            for number in range(CALLERS_PER_DAEMON):
+        # Spread evenly over the time from one request of a caller to its next.
+        pause_s = (WORK_S + PAUSE_S) / CALLERS_PER_DAEMON
+        for number in range(CALLERS_PER_DAEMON):
+            for daemon in daemons:
                 tasks.append(asyncio.create_task(caller(daemon, number)))
-                await asyncio.sleep(0.05)
+            await asyncio.sleep(pause_s)
         await asyncio.sleep(IN_NEED_S)
         for leaf in leaves:
             if trouble:
--- a/review/stand_ins_2/stand_ins.py
+++ b/review/stand_ins_2/stand_ins.py
@@ -11,6 +11,7 @@
 import hashlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -87,11 +88,22 @@
         self._file.close()
 
 
+_used_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a free port outside of the range that the kernel gives to connections."""
+    while True:
+        port = random.randint(10_000, 30_000)
+        if port in _used_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _used_ports.add(port)
+        return port
 
 
 @dataclass
