--- a/review/10/case.py
+++ b/review/10/case.py
@@ -23,14 +23,14 @@
 from stand_ins import run_case
 
 # Time for which the ping is held up between the leaf and the store.
-LATE_S = 4.05
+LATE_S = 4.2
 # Time after which the leaf takes a call without a response for lost.
 CALL_TIMEOUT_S = 0.1
 # Time from the ack of the drain until the leaf exits: drain_ms and a little longer.
-SERVES_S = 4.75
-# Bookings are sent in groups, one group a second.
+SERVES_S = 4.9
+# Bookings are sent in groups.
 GROUP = 6
-GROUP_INTERVAL_S = 1.0
+GROUP_INTERVAL_S = 1.3
 # Within the 960 ms that the site allows a booking.
 WORK_S = 0.6
 DRAIN_S = BOUNDS["drain_ms"] / 1000
