Bound what a routing daemon holds for all its clients together

Callers saw requests cut or refused: clients that send bodies of legal size and stop short of the end, in one piece or in 16-byte chunks, that send whole requests without reading an answer, or that keep connections with a part of a head or nothing, ended the process for lack of memory or used all descriptors.

ClientBudget (no I/O) counts connections and unfinished bytes of all listeners against a quarter of the memory and three quarters of the sockets, and names whom to end: clients that stand still first, then those that hold most, never a request in progress. ClientGuard applies it; GuardedRequestHandler reports each HTTP connection, parses 8 KB at a time and joins unread pieces. A refusal is written only for a request that cannot run any more, and its handler is cancelled.

Ruled out: the garbage collector (memory falls at once when a crowd leaves).

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/config.py
@@ -85,10 +85,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
-    """Limit the size of requests and the idle time of connections."""
+    """Limit the size and time of requests and the idle time of connections."""
 
     header_bytes: int = 16_384
     body_bytes: int = 262_144
+    header_timeout_s: float = 10.0
     idle_timeout_s: float = 15.0
 
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -250,14 +250,14 @@
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
         if size > limits.header_bytes:
             raise BadRequestError(431, f"headers exceed {limits.header_bytes} bytes")
+        deadline_s = arrived_s + timeout_ms / 1000
+        if self._state.stop_schedule is not None:
+            deadline_s = min(deadline_s, self._state.stop_schedule.ends_s)
         body = await self._read_body(request, limits)
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.raw_headers
         ]
-        deadline_s = arrived_s + timeout_ms / 1000
-        if self._state.stop_schedule is not None:
-            deadline_s = min(deadline_s, self._state.stop_schedule.ends_s)
         return ForwardedRequest(
             method=request.method,
             request_id=request_id,
@@ -278,14 +278,13 @@
         expects = request.headers.get("Expect", "").lower() == "100-continue"
         if expects and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        chunks: list[bytes] = []
-        size = 0
+        # Small pieces take many times their size as objects of their own.
+        body = bytearray()
         async for chunk in request.content.iter_any():
-            size += len(chunk)
-            if size > limits.body_bytes:
+            body += chunk
+            if len(body) > limits.body_bytes:
                 raise too_large
-            chunks.append(chunk)
-        return b"".join(chunks)
+        return bytes(body)
 
     async def _answer(
         self, request: ForwardedRequest, route: Route, config: RoutingConfig
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
@@ -8,11 +8,14 @@
 from typing import Any
 
 from aiohttp.web import Response
-from aiohttp.web import Server
 from aiohttp.web import ServerRunner
 from aiohttp.web import TCPSite
 
 from gypsumvane_daemon.addresses import split_address
+from gypsumvane_daemon.guarded_server import HEADER_LINE_BYTES
+from gypsumvane_daemon.guarded_server import GuardedServer
+from gypsumvane_daemon.guarded_server import ListenerGuard
+from gypsumvane_daemon.guarded_server import ListenerRules
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -21,15 +24,16 @@
     from aiohttp.web import BaseRequest
     from aiohttp.web import StreamResponse
 
+    from gypsumvane_daemon.client_guard import ClientGuard
+
     Handler = Callable[[BaseRequest], Awaitable[StreamResponse]]
 
 logger = logging.getLogger(__name__)
 
 # Connections that wait to be accepted while the process is busy.
 BACKLOG = 512
-# Longest header line that the parser accepts. It is as large as the usual configured
-# limit of all headers together, which the handler enforces.
-HEADER_LINE_BYTES = 65_536
+# Idle time after which connections are closed, unless it is set later.
+IDLE_TIMEOUT_S = 60.0
 # Time for open connections to close. The planned stop has waited for requests by then;
 # those still in progress are aborted.
 SHUTDOWN_TIMEOUT_S = 0.2
@@ -40,14 +44,22 @@
 
 
 class HttpListener:
-    """Serve HTTP on one address with one handler for all paths."""
+    """Serve HTTP on one address with one handler for all paths.
+
+    The guard is shared by all listeners of a process.
+    """
 
-    def __init__(self, name: str, address: str, handler: Handler) -> None:
+    def __init__(
+        self, name: str, address: str, handler: Handler, guard: ClientGuard
+    ) -> None:
         self.name = name
+        # What clients may send on connections opened from now on.
+        self.rules = ListenerRules(name)
         self._address = address
         self._handler = handler
+        self._guard = guard
         self._runner: ServerRunner | None = None
-        self._server: Server | None = None
+        self._server: GuardedServer | None = None
 
     async def start(self) -> None:
         """Bind the address.
@@ -55,8 +67,10 @@
         Raises ListenError.
         """
         host, port = split_address(self._address)
-        self._server = Server(
+        self._server = GuardedServer(
             self._handler,
+            ListenerGuard(self._guard, self.rules),
+            keepalive_timeout=IDLE_TIMEOUT_S,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -25,6 +25,8 @@
 from gypsumvane_core.routing.retry_budget import RetryBudget
 from gypsumvane_core.routing.traffic_split import TrafficSplit
 from gypsumvane_core.routing.version_move import MoveRegistry
+from gypsumvane_daemon.client_guard import ClientGuard
+from gypsumvane_daemon.client_guard import client_limits
 from gypsumvane_daemon.garbage_collection import tune_garbage_collector
 from gypsumvane_daemon.routing.entry_directory import EntryDirectory
 from gypsumvane_daemon.routing.entry_handler import EntryHandler
@@ -51,7 +53,9 @@
 if TYPE_CHECKING:
     from aiohttp.web import BaseRequest
 
+    from gypsumvane_core.client_budget import ClientLimits
     from gypsumvane_core.routing.config import RoutingConfig
+    from gypsumvane_daemon.client_guard import EndedClient
     from gypsumvane_daemon.routing.ports import Platform
     from gypsumvane_daemon.routing.settings import RoutingSettings
     from gypsumvane_daemon.routing.store_feed import StoreFeed
@@ -98,6 +102,8 @@
         self._split = TrafficSplit()
         self._latencies = LatencyTracker()
         self._context = self._call_context()
+        # Shared by all listeners of the process.
+        self.clients = ClientGuard(_client_limits(settings), self._log_ended_client)
         self.entry = EntryHandler(
             names=platform.headers,
             state=self.state,
@@ -133,12 +139,17 @@
         self._context.orders_age_s = lambda: self.state.orders_age_s()
         self._context.on_taken_back = self.peers.ping_now
         self._entry_listener = HttpListener(
-            "callers", settings.entry_address, self.entry.handle
+            "callers", settings.entry_address, self.entry.handle, self.clients
         )
+        self._entry_listener.rules.request_id_header = platform.headers.request_id
         self._own_listeners = (
             self._entry_listener,
-            HttpListener("peers", settings.peer_address, self._handle_peer),
-            HttpListener("metrics", settings.metrics_address, self._render_metrics),
+            HttpListener(
+                "peers", settings.peer_address, self._handle_peer, self.clients
+            ),
+            HttpListener(
+                "metrics", settings.metrics_address, self._render_metrics, self.clients
+            ),
         )
         self.state.on_config(self._config_applied)
         self._recorder = MoveRecorder(
@@ -182,6 +193,7 @@
         """Apply the settings that can change while the daemon runs."""
         self.settings = settings
         self.budget.allowance = settings.retry_allowance
+        self.clients.budget.limits = _client_limits(settings)
         self.state.registry.drain_s = settings.drain_s
         self.peers.seeds = settings.seed_addresses
 
@@ -252,6 +264,7 @@
             self._recorder.run,
             self._maintain,
             self.entry.watch_pauses,
+            self.clients.run,
         )
 
     async def _follow(self, feed: StoreFeed[Any]) -> None:
@@ -290,9 +303,29 @@
         self._split.reset()
         self._latencies.keep_only({route.name for route in config.routes})
         self._entry_listener.set_idle_timeout(config.limits.idle_timeout_s)
+        rules = self._entry_listener.rules
+        rules.head_timeout_s = config.limits.header_timeout_s
         if config.routes and not self.state.stopping:
             self.peers.ping_now()
 
+    def _log_ended_client(self, client: EndedClient) -> None:
+        self.metrics.count(
+            "clients_ended",
+            listener=client.listener,
+            reason=client.reason,
+            phase=client.phase,
+        )
+        self._context.log.line(
+            "client_ended",
+            request_id=client.request_id,
+            listener=client.listener,
+            client=client.address,
+            reason=client.reason,
+            phase=client.phase,
+            held_bytes=client.held_bytes,
+            stalled_ms=round(client.stalled_s * 1000),
+        )
+
     def _is_leader(self) -> bool:
         """Return whether this is the first entry daemon, which records moves."""
         entries = self.directory.entries()
@@ -315,3 +348,9 @@
 
     async def _render_metrics(self, request: BaseRequest) -> Response:
         return Response(body=self.metrics.render(), content_type="text/plain")
+
+
+def _client_limits(settings: RoutingSettings) -> ClientLimits:
+    return client_limits(
+        memory_mb=settings.memory_mb, descriptors_max=settings.descriptors_max
+    )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings.py
@@ -43,6 +43,9 @@
     stop_grace_s: float
     # CPU capacity of the VM in cores.
     capacity_cores: float = 1.0
+    # Memory of the process in MiB, and the descriptors that it may open.
+    memory_mb: int = 300
+    descriptors_max: int = 4100
     # Whether the whole system is started for the first time.
     first_start: bool = False
     cold_start_bound: ColdStartBound = field(default_factory=ColdStartBound)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings_reload.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/settings_reload.py
@@ -20,7 +20,15 @@
 # Interval at which the file is checked for changes that come without a signal.
 POLL_INTERVAL_S = 2.0
 # Fields that take effect while the daemon runs; other fields need a restart.
-LIVE_FIELDS = frozenset({"retry_allowance", "stop_grace_s", "seed_addresses"})
+LIVE_FIELDS = frozenset(
+    {
+        "retry_allowance",
+        "stop_grace_s",
+        "seed_addresses",
+        "memory_mb",
+        "descriptors_max",
+    }
+)
 
 
 class SettingsError(Exception):
--- a/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_routing_feeds.py
@@ -37,6 +37,7 @@
 from gypsumvane_daemon.routing.store_feed import StoreFeed
 from gypsumvane_daemon.routing.store_feed import link_feeds
 from gypsumvane_devtools.free_port import free_address
+from gypsumvane_devtools.unlimited_guard import unlimited_guard
 from waiting import wait_until
 
 if TYPE_CHECKING:
@@ -418,7 +419,9 @@
         mirrors = {"things": self.mirror, "leaves": self.leaves}
         handler = RelayHandler(mirrors)
         self.address = free_address()
-        self.listener = HttpListener("relay", self.address, handler.handle)
+        self.listener = HttpListener(
+            "relay", self.address, handler.handle, unlimited_guard()
+        )
         await self.listener.start()
         self.client = PeerClient()
         self.store = FakeSource()
@@ -483,7 +486,9 @@
         address = free_address()
         mirror.confirmed_age_s = lambda: 0.1
         handler = RelayHandler({"things": mirror})
-        listener = HttpListener("remote relay", address, handler.handle)
+        listener = HttpListener(
+            "remote relay", address, handler.handle, unlimited_guard()
+        )
         await listener.start()
         self.addAsyncCleanup(listener.stop)
         self.remote_hubs = [DaemonRecord("remote", "b", "none:1", address)]
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -14,6 +14,7 @@
 
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
+CROWD_PATTERN = "crowd_*.py"
 
 
 def known_failures() -> set[str]:
@@ -42,10 +43,30 @@
     return unittest.TestLoader().discover(start, top_level_dir=str(ROOT))
 
 
+def crowd_names() -> list[str]:
+    """Return what holds tests that have to run alone: folders with a pattern, classes.
+
+    They measure the memory of processes under crowds of clients.
+    """
+    folders = [
+        f"{folder}/{CROWD_PATTERN}"
+        for folder in package_folders()
+        if any((ROOT / folder).glob(CROWD_PATTERN))
+    ]
+    suite = unittest.TestLoader().discover(
+        str(ROOT / "tests"), pattern=CROWD_PATTERN, top_level_dir=str(ROOT)
+    )
+    return [*folders, *class_names(suite)]
+
+
 def main() -> int:
     """Run all tests; known failures are printed but do not fail the run."""
     known = known_failures()
-    runs = [run_names(package_folders()), run_names(class_names(load_system_suite()))]
+    runs = [
+        run_names(package_folders()),
+        run_names(class_names(load_system_suite())),
+        run_names(crowd_names(), workers=1),
+    ]
     tests = sum(run.tests for run in runs)
     failures = [name for run in runs for name in run.failed]
     skipped = sum(run.skipped for run in runs)
--- a/tests/system_run.py
+++ b/tests/system_run.py
@@ -37,9 +37,9 @@
     return list(names)
 
 
-def run_names(names: list[str]) -> RunCounts:
+def run_names(names: list[str], *, workers: int = WORKERS) -> RunCounts:
     """Run each class or folder in its own process and add up the counts."""
-    with ThreadPoolExecutor(WORKERS) as pool:
+    with ThreadPoolExecutor(workers) as pool:
         counts = list(pool.map(run_name, names))
     return RunCounts(
         tests=sum(entry.tests for entry in counts),
--- a/tests/system_worker.py
+++ b/tests/system_worker.py
@@ -9,10 +9,13 @@
 
 
 def load(name: str) -> unittest.TestSuite:
-    """Return the tests of a class, or of the test folder of a package."""
+    """Return the tests of a class, of a folder, or of a pattern in a folder."""
     loader = unittest.defaultTestLoader
     if Path(name).is_dir():
         return loader.discover(name, top_level_dir=name)
+    folder, slash, pattern = name.rpartition("/")
+    if slash:
+        return loader.discover(folder, pattern=pattern, top_level_dir=folder)
     return loader.loadTestsFromName(name)
 
 
