Close connections that send a head or empty lines without end

Callers saw no answers while 40 connections sent empty lines (1 of 4 requests was answered): the parser skips them before a request without a limit, and the event loop had nothing else to do. Heads of many short fields or of one long field took up to 564 MB, because the bytes of a connection that had failed already were still received.

Cause: aiohttp bounds a line of a head, not their number and not what precedes a request. Bytes that arrive outside of a body without completing a head are now counted per connection; beyond the configured limit and one parsed block, the connection gets 431 and is closed. It holds at each listener.

--- a/packages/gypsumvane-core/src/gypsumvane_core/client_budget.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/client_budget.py
@@ -59,6 +59,7 @@
     CONNECTIONS = "connections"
     HEAD_TIMEOUT = "head_timeout"
     STALLED = "stalled"
+    HEAD_TOO_LARGE = "head_too_large"
 
 
 # What a client waits with in the order in which its connection is the least loss.
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
@@ -40,6 +40,7 @@
     EndReason.CONNECTIONS: ("503 Service Unavailable", "Retry-After: 1\r\n"),
     EndReason.HEAD_TIMEOUT: ("408 Request Timeout", ""),
     EndReason.STALLED: ("408 Request Timeout", ""),
+    EndReason.HEAD_TOO_LARGE: ("431 Request Header Fields Too Large", ""),
 }
 
 
@@ -48,6 +49,8 @@
     """Hold what clients of one listener may send."""
 
     listener: str
+    # Bytes of a head, and of what precedes it.
+    head_bytes_max: int = HEADER_LINE_BYTES
     # Longest time from the first byte of a head to its end.
     head_timeout_s: float = 10.0
     # Name of the header that identifies a request, empty without one.
@@ -204,6 +207,10 @@
             self._head_bytes = 0
         elif self._newest_payload is None or self._newest_payload.is_eof():
             self._head_bytes += len(part)
+            if self._head_bytes > self._rules.head_bytes_max + PARSED_BYTES_MAX:
+                self.refresh()
+                self._guard.end(self, EndReason.HEAD_TOO_LARGE)
+                return
         if self._newest_payload is not None:
             _join_pieces(self._newest_payload)
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -304,6 +304,7 @@
         self._latencies.keep_only({route.name for route in config.routes})
         self._entry_listener.set_idle_timeout(config.limits.idle_timeout_s)
         rules = self._entry_listener.rules
+        rules.head_bytes_max = config.limits.header_bytes
         rules.head_timeout_s = config.limits.header_timeout_s
         if config.routes and not self.state.stopping:
             self.peers.ping_now()
