Release answers that were written, and bound the kernel's buffers

Callers that read answers of 1.9 MB slowly took 191 to 206 MB with 80 connections (bound 120 MB): the process ends with everybody's requests.

Causes: aiohttp's RequestHandler keeps the last response of a connection in a local variable until the next request, so that each idle connection held the answer it had read last. The kernel's send buffer grew to megabytes for a client that does not read, which also hid the standstill from the process. The allowance for answers of leaves in progress was 16 MB whatever the memory.

The body is released once it has been written; connections have 128 KB of buffer each way; answers of leaves share a sixteenth of the memory, at most 16 MB as before.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/receive_allowance.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/receive_allowance.py
@@ -6,9 +6,10 @@
 
 # Bytes of each answer that do not count, so that usual answers are always accepted.
 UNCOUNTED_BYTES = 16_384
-# Bytes of all answers in progress beyond these. An answer may be copied once when it is
-# complete.
+# Bytes of all answers in progress beyond these, at most this share of the memory. An
+# answer may be copied once when it is complete.
 ALLOWED_BYTES = 16 * 2**20
+MEMORY_SHARE = 1 / 16
 
 
 @dataclass(slots=True)
@@ -23,6 +24,10 @@
     bytes_max: int = ALLOWED_BYTES
     taken_bytes: int = 0
 
+    def fit_memory(self, memory_bytes: int) -> None:
+        """Set the bound for a process with this memory."""
+        self.bytes_max = min(ALLOWED_BYTES, int(memory_bytes * MEMORY_SHARE))
+
     def take(self, count: int) -> bool:
         """Take bytes and return whether that many were left."""
         if self.taken_bytes + count > self.bytes_max:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
@@ -9,6 +9,7 @@
 
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web import RequestHandler
+from aiohttp.web import Response
 from aiohttp.web import Server
 
 from gypsumvane_core.client_budget import ClientPhase
@@ -20,6 +21,8 @@
     import asyncio
 
     from aiohttp.streams import StreamReader
+    from aiohttp.web import BaseRequest
+    from aiohttp.web import StreamResponse
 
     from gypsumvane_daemon.client_guard import ClientGuard
 
@@ -156,6 +159,18 @@
         super().resume_writing()
         self.refresh()
 
+    async def finish_response(
+        self, request: BaseRequest, resp: StreamResponse, start_time: float | None
+    ) -> tuple[StreamResponse, bool]:
+        """Write a response and release its body.
+
+        aiohttp keeps the last response of a connection until the next request.
+        """
+        resp, reset = await super().finish_response(request, resp, start_time)
+        if isinstance(resp, Response):
+            resp._body = None
+        return resp, reset
+
     def refresh(self) -> None:
         """Record the current use in the budget."""
         unsent_bytes = self._unsent_bytes()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_pool.py
@@ -54,7 +54,8 @@
         self._members: tuple[str, ...] = (own_name,)
         self._states: dict[tuple[str, int, str], LeafState] = {}
         self._closing: set[asyncio.Task[None]] = set()
-        self._allowance = ReceiveAllowance()
+        # Memory for the answers of all leaves.
+        self.allowance = ReceiveAllowance()
         # Share of each leaf's connection limit that this daemon may use.
         self.share = 1.0
 
@@ -111,7 +112,7 @@
         limit = self._connections(entry, service)
         if state.channel is None:
             state.channel = LeafChannel(
-                entry.address, connections=limit, allowance=self._allowance
+                entry.address, connections=limit, allowance=self.allowance
             )
         elif state.connections != limit:
             state.channel.set_connections(limit)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
@@ -9,13 +9,14 @@
 
 from aiohttp.web import Response
 from aiohttp.web import ServerRunner
-from aiohttp.web import TCPSite
+from aiohttp.web import SockSite
 
 from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.guarded_server import HEADER_LINE_BYTES
 from gypsumvane_daemon.guarded_server import GuardedServer
 from gypsumvane_daemon.guarded_server import ListenerGuard
 from gypsumvane_daemon.guarded_server import ListenerRules
+from gypsumvane_daemon.listening_socket import bind_listener
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -80,7 +81,8 @@
         self._runner = ServerRunner(self._server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
         try:
-            await TCPSite(self._runner, host, port, backlog=BACKLOG).start()
+            sock = bind_listener(host, port)
+            await SockSite(self._runner, sock, backlog=BACKLOG).start()
         except OSError as error:
             await self._runner.cleanup()
             raise ListenError(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -14,6 +14,7 @@
 
 from aiohttp.web import Response
 
+from gypsumvane_core.client_budget import MIB
 from gypsumvane_core.clock import SystemClock
 from gypsumvane_core.routing.daemon_record import DaemonRecord
 from gypsumvane_core.routing.entry_selection import limit_share
@@ -104,6 +105,7 @@
         self._context = self._call_context()
         # Shared by all listeners of the process.
         self.clients = ClientGuard(_client_limits(settings), self._log_ended_client)
+        self.pool.allowance.fit_memory(settings.memory_mb * MIB)
         self.entry = EntryHandler(
             names=platform.headers,
             state=self.state,
@@ -194,6 +196,7 @@
         self.settings = settings
         self.budget.allowance = settings.retry_allowance
         self.clients.budget.limits = _client_limits(settings)
+        self.pool.allowance.fit_memory(settings.memory_mb * MIB)
         self.state.registry.drain_s = settings.drain_s
         self.peers.seeds = settings.seed_addresses
 
