Apply the clients' budget to the listeners of the heartbeat daemon

TypedErrorRunner serves on guarded connections, PeerNetwork counts each frame of a peer while it is read and handled, and the first frame of a connection, whose sender is not known yet, is at most 4 KB. The settings process.memory_mb and process.descriptors_max (300 and 4100) give the budget.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -21,7 +21,11 @@
 from gypsumvane_daemon.caller_routes import REQUEST_ID_KEY
 from gypsumvane_daemon.caller_routes import CallerDependencies
 from gypsumvane_daemon.caller_routes import CallerRoutes
+from gypsumvane_daemon.client_service import ClientService
+from gypsumvane_daemon.guarded_server import ListenerGuard
+from gypsumvane_daemon.guarded_server import ListenerRules
 from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.listening_socket import bind_listener
 from gypsumvane_daemon.metrics import MetricsService
 from gypsumvane_daemon.tls import server_context
 from gypsumvane_daemon.typed_error_runner import TypedErrorRunner
@@ -36,6 +40,7 @@
     from gypsumvane_daemon.caller_ports import EntryPort
     from gypsumvane_daemon.caller_ports import GatewayPort
     from gypsumvane_daemon.caller_ports import LifecyclePort
+    from gypsumvane_daemon.client_guard import ClientGuard
     from gypsumvane_daemon.identity import DaemonIdentity
     from gypsumvane_daemon.kernel import Kernel
 
@@ -48,6 +53,8 @@
 # Keep-alive connections stay open this long after the listening socket is closed,
 # so that requests already in transit are still answered.
 IDLE_GRACE_S = 0.5
+# Idle time after which a connection is closed.
+IDLE_TIMEOUT_S = 60.0
 # Exceeds the maximum deadline of a caller's request (DEADLINE_MS_MAX).
 STOP_TIMEOUT_S = 65.0
 
@@ -61,10 +68,11 @@
         self._identity = identity
         self._clock = clock
         self._runner: web.AppRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._site: web.SockSite | None = None
         self._request_count = 0
         self._in_progress = 0
         self._metrics: MetricsService
+        self._guard: ClientGuard
         self._lifecycle: LifecyclePort
         self._stopping = False
         self._runs: set[asyncio.Task[web.Response]] = set()
@@ -85,6 +93,7 @@
             )
         )
         self._runs = routes.runs
+        self._guard = kernel.get(ClientService).guard
         self._lifecycle.add_idle_check(self._is_idle)
         await self._listen(self._build_app(routes))
 
@@ -122,14 +131,20 @@
         self._runner = TypedErrorRunner(
             app,
             self._malformed_response,
+            ListenerGuard(
+                self._guard, ListenerRules(self.name, request_id_header=REQUEST_ID)
+            ),
+            keepalive_timeout=IDLE_TIMEOUT_S,
             access_log=None,
             shutdown_timeout=STOP_TIMEOUT_S,
             # Cancels a search or lookup when its caller disconnects.
             handler_cancellation=True,
         )
         await self._runner.setup()
-        self._site = web.TCPSite(
-            self._runner, host, port, ssl_context=server_context(settings.tls)
+        self._site = web.SockSite(
+            self._runner,
+            bind_listener(host, port),
+            ssl_context=server_context(settings.tls),
         )
         await self._site.start()
         bound = self._runner.addresses[0]
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/main.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/main.py
@@ -17,6 +17,7 @@
 from gypsumvane_daemon.admission_service import AdmissionService
 from gypsumvane_daemon.booking_service import BookingService
 from gypsumvane_daemon.caller_api import CallerApi
+from gypsumvane_daemon.client_service import ClientService
 from gypsumvane_daemon.document_service import DocumentService
 from gypsumvane_daemon.garbage_collection import tune_garbage_collector
 from gypsumvane_daemon.gateway_service import GatewayService
@@ -51,6 +52,7 @@
     kernel = Kernel()
     services: tuple[Service, ...] = (
         MetricsService(),
+        ClientService(settings.process, clock),
         PeerNetwork(identity),
         StoreClient(identity, clock=clock, rng=rng),
         DocumentService(identity, clock=clock, rng=rng),
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
@@ -6,13 +6,17 @@
 from typing import TYPE_CHECKING
 
 from aiohttp.web import Application
+from aiohttp.web import SockSite
 from aiohttp.web import StreamResponse
-from aiohttp.web import TCPSite
 from aiohttp.web import middleware
 
 from gypsumvane_daemon.addresses import split_address
+from gypsumvane_daemon.client_service import ClientService
 from gypsumvane_daemon.document_service import DocumentService
+from gypsumvane_daemon.guarded_server import ListenerGuard
+from gypsumvane_daemon.guarded_server import ListenerRules
 from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.listening_socket import bind_listener
 from gypsumvane_daemon.operator_documents import DocumentRoutes
 from gypsumvane_daemon.operator_errors import error_middleware
 from gypsumvane_daemon.operator_errors import error_response
@@ -36,6 +40,8 @@
 
 BODY_BYTES_MAX = 2 << 20
 STOP_TIMEOUT_S = 5.0
+# Idle time after which a connection is closed.
+IDLE_TIMEOUT_S = 60.0
 
 
 class OperatorApi(Service):
@@ -61,13 +67,20 @@
         MoveRoutes(self._documents, kernel).add_to(app.router)
         StatusRoutes(self._identity, kernel).add_to(app.router)
         self._runner = TypedErrorRunner(
-            app, malformed_response, access_log=None, shutdown_timeout=STOP_TIMEOUT_S
+            app,
+            malformed_response,
+            ListenerGuard(kernel.get(ClientService).guard, ListenerRules(self.name)),
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            access_log=None,
+            shutdown_timeout=STOP_TIMEOUT_S,
         )
         await self._runner.setup()
         settings = self._identity.settings.operators
         host, port = split_address(settings.address)
-        site = TCPSite(
-            self._runner, host, port, ssl_context=server_context(settings.tls)
+        site = SockSite(
+            self._runner,
+            bind_listener(host, port),
+            ssl_context=server_context(settings.tls),
         )
         await site.start()
         bound_port = self._runner.addresses[0][1]
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/peer_network.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -23,8 +24,12 @@
 from gypsumvane_core.messages import Hello
 from gypsumvane_core.messages import Message
 from gypsumvane_daemon.addresses import split_address
+from gypsumvane_daemon.client_service import ClientService
+from gypsumvane_daemon.inbound_peer import InboundPeer
 from gypsumvane_daemon.kernel import Service
+from gypsumvane_daemon.listening_socket import bind_listener
 from gypsumvane_daemon.metrics import MetricsService
+from gypsumvane_daemon.peer_codec import FRAME_BYTES_MAX
 from gypsumvane_daemon.peer_codec import LENGTH_BYTES
 from gypsumvane_daemon.peer_codec import Frame
 from gypsumvane_daemon.peer_codec import FrameError
@@ -39,6 +44,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from gypsumvane_daemon.client_guard import ClientGuard
     from gypsumvane_daemon.identity import DaemonIdentity
     from gypsumvane_daemon.kernel import Kernel
 
@@ -47,6 +53,8 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_DELAY_S = 0.2
 WRITE_BUFFER_BYTES_MAX = 4 << 20
+# Largest first frame, a Hello message with names of at most 63 characters.
+HELLO_BYTES_MAX = 4096
 # Periodic messages are small and mostly zeros. Packing partial results would
 # cost processor time and save few bytes.
 PACKED_TYPES = (Beat, ClaimLeaseRequest, ClaimLeaseReply)
@@ -99,6 +107,8 @@
     writer: asyncio.StreamWriter
     traffic: _SentTraffic
     hello: Hello = field(default_factory=Hello)
+    # Set for a connection that the peer has opened.
+    client: InboundPeer | None = None
     opened_at_s: float = field(default_factory=time.monotonic)
     _heartbeat_encoder: HeartbeatDeltaEncoder = field(
         default_factory=HeartbeatDeltaEncoder
@@ -132,8 +142,14 @@
             frame = replace(frame, body=self._heartbeat_encoder.encode(heartbeat))
         return encode_frame(frame, packed=isinstance(frame.body, PACKED_TYPES))
 
-    async def read(self, reader: asyncio.StreamReader) -> Frame:
+    async def read(
+        self, reader: asyncio.StreamReader, *, bytes_max: int = FRAME_BYTES_MAX
+    ) -> Frame:
         header = decode_header(await reader.readexactly(LENGTH_BYTES))
+        if header.length > bytes_max:
+            raise FrameError(f"frame of {header.length} bytes, expected a short one")
+        if self.client is not None and not self.client.admit_frame(header.length):
+            raise FrameError(f"no room for a frame of {header.length} bytes")
         data = await reader.readexactly(header.length)
         frame = decode_frame(data, packed=header.packed)
         if isinstance(frame.body, Beat):
@@ -250,6 +266,7 @@
     def __init__(self, identity: DaemonIdentity) -> None:
         self.identity = identity
         self.metrics: MetricsService
+        self._guard: ClientGuard
         self.traffic = _SentTraffic()
         self._peers: dict[str, _Peer] = {}
         self._handlers: dict[
@@ -263,12 +280,15 @@
     async def start(self, kernel: Kernel) -> None:
         """Open the listener for peers and publish its address."""
         self.metrics = kernel.get(MetricsService)
+        self._guard = kernel.get(ClientService).guard
         self.metrics.gauge("peer_sent_frames", lambda: self.traffic.frames)
         self.metrics.gauge("peer_sent_bytes", lambda: self.traffic.bytes, unit="By")
         settings = self.identity.settings.peers
         host, port = split_address(settings.address)
         self._server = await asyncio.start_server(
-            self._accept, host=host, port=port, ssl=server_context(settings.tls)
+            self._accept,
+            sock=bind_listener(host, port),
+            ssl=server_context(settings.tls),
         )
         bound = self._server.sockets[0].getsockname()
         self.identity.peer_address = settings.advertised_address or f"{host}:{bound[1]}"
@@ -399,10 +419,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._inbound_tasks[writer] = asyncio.current_task()
-        connection = _Connection(writer=writer, traffic=self.traffic)
+        client = InboundPeer(writer.transport, self._guard)
+        connection = _Connection(writer=writer, traffic=self.traffic, client=client)
+        self._guard.add(client)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                first = await connection.read(reader)
+                first = await connection.read(reader, bytes_max=HELLO_BYTES_MAX)
+            client.finish_frame(client.begin_frame())
             if not isinstance(first.body, Hello):
                 raise FrameError("first frame is not a Hello message")
             if first.body.cluster != self.identity.settings.vm.cluster:
@@ -412,9 +435,11 @@
             connection.write(Frame(body=self.own_hello()))
             while True:
                 frame = await connection.read(reader)
+                length = client.begin_frame()
                 task = asyncio.create_task(self._handle(connection, frame))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
+                task.add_done_callback(partial(_finish_frame, client, length))
         except FrameError as error:
             self.metrics.count("peer_frame_errors", side="listener")
             logger.warning(
@@ -425,6 +450,7 @@
             pass
         finally:
             self._inbound_tasks.pop(writer, None)
+            self._guard.remove(client)
             writer.close()
 
     async def _handle(self, connection: _Connection, frame: Frame) -> None:
@@ -445,3 +471,7 @@
             return
         if reply is not None:
             context.reply(reply)
+
+
+def _finish_frame(client: InboundPeer, length: int, _: asyncio.Task[None]) -> None:
+    client.finish_frame(length)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/settings.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/settings.py
@@ -90,6 +90,13 @@
     keep_ms: int = Field(default=10_000, ge=100, le=600_000)
 
 
+class ProcessSettings(SettingsModel):
+    """Memory of the daemon's process and the descriptors that it may open."""
+
+    memory_mb: int = Field(default=300, ge=64, le=1_048_576)
+    descriptors_max: int = Field(default=4100, ge=256, le=1_048_576)
+
+
 class LoggingSettings(SettingsModel):
     """Lowest level that is logged."""
 
@@ -106,6 +113,7 @@
     platform: PlatformSettings
     membership: MembershipSettings = MembershipSettings()
     entry: EntrySettings = EntrySettings()
+    process: ProcessSettings = ProcessSettings()
     logging: LoggingSettings = LoggingSettings()
 
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/typed_error_runner.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/typed_error_runner.py
@@ -7,9 +7,12 @@
 
 from aiohttp.web import AppRunner
 from aiohttp.web import HTTPException
-from aiohttp.web import RequestHandler
 from aiohttp.web import Server
 
+from gypsumvane_daemon.guarded_server import GuardedRequestHandler
+from gypsumvane_daemon.guarded_server import GuardedServer
+from gypsumvane_daemon.guarded_server import ListenerGuard
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -29,20 +32,28 @@
     """
 
     def __init__(
-        self, app: Application, error_reply: ErrorReply, **options: Any
+        self,
+        app: Application,
+        error_reply: ErrorReply,
+        listener: ListenerGuard,
+        **options: Any,
     ) -> None:
         super().__init__(app, **options)
+        self._listener = listener
         self._error_reply = error_reply
 
     async def _make_server(self) -> Server:
         server = await super()._make_server()
-        return _TypedErrorServer(self._error_reply, server)
+        return _TypedErrorServer(self._error_reply, self._listener, server)
 
 
-class _TypedErrorServer(Server):
-    def __init__(self, error_reply: ErrorReply, server: Server) -> None:
+class _TypedErrorServer(GuardedServer):
+    def __init__(
+        self, error_reply: ErrorReply, listener: ListenerGuard, server: Server
+    ) -> None:
         super().__init__(
             self._handle,
+            listener,
             request_factory=server.request_factory,
             handler_cancellation=server.handler_cancellation,
             **server._kwargs,
@@ -57,11 +68,11 @@
             # aiohttp rejects an unsupported Expect header before any middleware runs.
             return self.error_reply(error.status)
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> GuardedRequestHandler:
         return _TypedErrorHandler(self, loop=self._loop, **self._kwargs)
 
 
-class _TypedErrorHandler(RequestHandler):
+class _TypedErrorHandler(GuardedRequestHandler):
     def __init__(self, server: _TypedErrorServer, **options: Any) -> None:
         super().__init__(server, **options)
         self._error_reply = server.error_reply
