Answer 408 when a body has not arrived by the deadline

A caller whose body stopped got no answer, also after its deadline and the route's timeout, and kept its connection and a request in progress, for which a planned stop waits.

Cause: the deadline began to count in the handler only once the body had been read. A request whose body has not arrived by then has not run and never will, which is what 408 says.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/entry_handler.py
@@ -253,7 +253,7 @@
         deadline_s = arrived_s + timeout_ms / 1000
         if self._state.stop_schedule is not None:
             deadline_s = min(deadline_s, self._state.stop_schedule.ends_s)
-        body = await self._read_body(request, limits)
+        body = await self._read_body(request, limits, deadline_s)
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.raw_headers
@@ -269,7 +269,9 @@
             deadline_s=deadline_s,
         )
 
-    async def _read_body(self, request: BaseRequest, limits: RequestLimits) -> bytes:
+    async def _read_body(
+        self, request: BaseRequest, limits: RequestLimits, deadline_s: float
+    ) -> bytes:
         if not request.body_exists:
             return b""
         too_large = BadRequestError(413, f"body exceeds {limits.body_bytes} bytes")
@@ -280,10 +282,17 @@
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         # Small pieces take many times their size as objects of their own.
         body = bytearray()
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > limits.body_bytes:
-                raise too_large
+        left_s = max(0.0, deadline_s - self._clock.monotonic_s())
+        try:
+            async with asyncio.timeout(left_s):
+                async for chunk in request.content.iter_any():
+                    body += chunk
+                    if len(body) > limits.body_bytes:
+                        raise too_large
+        except TimeoutError as error:
+            raise BadRequestError(
+                408, "the body did not arrive before the deadline"
+            ) from error
         return bytes(body)
 
     async def _answer(
