Take a status outside of HTTP for no answer

Cause: read_response skipped every status below 200 as informational and took every other one; the parser accepts any three digits. Statuses are now interim (100 to 199 but for 101), final (200 to 599) or invalid. An invalid one closes the connection, because nothing tells what follows it, and is a failure of a leaf that may have run the request: another leaf for an idempotent request, else 502 at once. The product's own upstream client shares the reader.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/leaf_connector.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from aiohttp import ClientError
 from aiohttp import ServerDisconnectedError
 
+from gypsumvane_core.answer_status import StatusKind
+from gypsumvane_core.answer_status import classify_status
 from gypsumvane_daemon.bounded_response import BoundedConnector
 
 if TYPE_CHECKING:
@@ -19,17 +22,23 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
+class InvalidStatusError(ClientError):
+    """Report a response whose status no answer has."""
+
+
 async def read_response(
     protocol: BoundedResponseHandler,
 ) -> tuple[RawResponseMessage, bytes]:
     """Read the next response and its body; skip informational (1xx) responses.
 
     Raises ServerDisconnectedError if the connection is reset within a body that only
-    its end would end.
+    its end would end, and InvalidStatusError.
     """
     message, payload = await protocol.read()
-    while message.code < 200:
+    while (kind := classify_status(message.code)) is StatusKind.INTERIM:
         message, payload = await protocol.read()
+    if kind is StatusKind.INVALID:
+        raise InvalidStatusError(f"{message.code:03} is no status of an answer")
     # A small body usually arrives together with its headers.
     body = payload.read_nowait() if payload.is_eof() else await payload.read()
     if _ends_with_connection(message) and protocol.lost_by_error:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -164,7 +164,7 @@
             )
         load.record_failure(now_s)
         reason = Reason.CONNECTION_LOST
-        if error.foreign:
+        if error.mismatched:
             reason = Reason.ANSWER_MISMATCH
         elif error.too_large:
             reason = Reason.ANSWER_TOO_LARGE
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -19,6 +19,7 @@
 from gypsumvane_daemon.bounded_response import ResponseTooLargeError
 from gypsumvane_daemon.error_text import describe_error
 from gypsumvane_daemon.error_text import release_frames
+from gypsumvane_daemon.leaf_connector import InvalidStatusError
 from gypsumvane_daemon.leaf_connector import LeafConnector
 from gypsumvane_daemon.leaf_connector import read_response
 from gypsumvane_daemon.routing.sockets import keepalive_socket
@@ -73,14 +74,14 @@
         message: str,
         *,
         written: bool,
-        foreign: bool = False,
+        mismatched: bool = False,
         too_large: bool = False,
     ) -> None:
         super().__init__(message)
         # Whether any byte of the request may have reached the leaf.
         self.written = written
-        # Whether the responses belonged to other requests.
-        self.foreign = foreign
+        # Whether what was received is no answer to the request.
+        self.mismatched = mismatched
         # Whether the response exceeded its bound.
         self.too_large = too_large
 
@@ -186,6 +187,10 @@
             connection.close()
             release_frames(error)
             raise ExchangeError(str(error), written=True, too_large=True) from error
+        except InvalidStatusError as error:
+            connection.close()
+            release_frames(error)
+            raise ExchangeError(str(error), written=True, mismatched=True) from error
         except (ClientError, HttpProcessingError, OSError, ValueError) as error:
             connection.close()
             release_frames(error)
@@ -213,7 +218,7 @@
                 return answer
             # Additional response to an earlier request; the next one may match.
         raise ExchangeError(
-            "responses belong to other requests", written=True, foreign=True
+            "responses belong to other requests", written=True, mismatched=True
         )
 
     def _apply_idle_limit(self, answer: LeafAnswer) -> None:
--- a/packages/gypsumvane-daemon/tests/test_daemon_cut_answers.py
+++ b/packages/gypsumvane-daemon/tests/test_daemon_cut_answers.py
@@ -69,6 +69,26 @@
         writer.close()
 
 
+class InvalidStatusTest(unittest.IsolatedAsyncioTestCase):
+    """Answer with a status that HTTP does not have."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = CuttingServer()
+        await self.server.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.server.stop()
+
+    async def test_upstream_client(self) -> None:
+        """Guard against a status outside of HTTP that is taken for an answer."""
+        for status in (b"600 High", b"999 Highest"):
+            self.server.content = WITH_LENGTH.replace(b"200 OK", status)
+            client = UpstreamClient(self.server.address, connections=1)
+            with self.assertRaises(LeafCallError):
+                await client.send(LeafCall("request-1", "/v1/search", b"{}", 1000))
+            await client.close()
+
+
 class CutAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Cut an answer after each of its bytes."""
 
