Ignore a leaf's report that is older than a known one

Cause: the sequence of an entry was checked and dropped, and every entry of the same start passed for news. LeafRegistry.put now compares sequences within an incarnation, also with the last entries of leaves that are gone.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -16,6 +16,8 @@
 LEAVING_LEAF_GRACE_S = 2.2
 # Time for which a leaf still serves after the store has accepted that it drains.
 DRAIN_DEFAULT_S = 3.0
+# Leaves that are gone and still known, so that an older entry does not revive them.
+GONE_LEAVES_MAX = 4096
 # Time that a request may be on its way to a leaf.
 SEND_MARGIN_S = 0.3
 
@@ -35,12 +37,25 @@
     warmup_left_ms: int = 0
     # Wall-clock start time of the incarnation; 0 if unknown.
     started_unix_ms: int = 0
+    # Number of the leaf's report, which grows within an incarnation.
+    sequence: int = 0
 
     @property
     def incarnation(self) -> tuple[str, int, str]:
         """Return a key that identifies the incarnation at its address."""
         return (self.leaf_id, self.started_unix_ms, self.address)
 
+    def is_older_than(self, other: LeafEntry) -> bool:
+        """Return whether the leaf has made this report before another one.
+
+        Reports of different incarnations, or of unknown ones, cannot be compared.
+        """
+        return (
+            self.started_unix_ms > 0
+            and self.incarnation == other.incarnation
+            and self.sequence < other.sequence
+        )
+
 
 @dataclass(slots=True)
 class _Leaf:
@@ -73,20 +88,28 @@
         self.drain_s = drain_s
         self._leaves: dict[str, _Leaf] = {}
         self._services: dict[str, dict[str, _Leaf]] = {}
+        # Last entries of leaves that are gone, the oldest first.
+        self._gone: dict[str, LeafEntry] = {}
         self._domains_out: frozenset[str] = frozenset()
         # When the first leaf of each version of a service was seen.
         self._version_seen_s: dict[tuple[str, str], float] = {}
 
     def put(
         self, entry: LeafEntry, now_s: float, period: ChangePeriod | None = None
-    ) -> None:
-        """Add or update a leaf, unless a newer incarnation is known.
+    ) -> bool:
+        """Add or update a leaf; return False if newer news of it is known.
 
-        period is when the entry may have changed; without one it has changed now.
+        A report may reach the store late, and the store may come back from an older
+        copy. period is when the entry may have changed; without one it has changed
+        now.
         """
         known = self._leaves.get(entry.leaf_id)
         if known and known.entry.started_unix_ms > entry.started_unix_ms:
-            return
+            return False
+        latest = known.entry if known else self._gone.get(entry.leaf_id)
+        if latest and entry.is_older_than(latest):
+            return False
+        self._gone.pop(entry.leaf_id, None)
         leaf = _Leaf(entry, cold_until_s=now_s + entry.warmup_left_ms / 1000)
         if known and known.leaving and known.entry.incarnation == entry.incarnation:
             # The entry in the store may be older than the answer, or than the drain.
@@ -106,6 +129,7 @@
         self._leaves[entry.leaf_id] = leaf
         self._services.setdefault(entry.service, {})[entry.leaf_id] = leaf
         self._version_seen_s.setdefault((entry.service, entry.version), now_s)
+        return True
 
     def remove(
         self, leaf_id: str, now_s: float, period: ChangePeriod | None = None
@@ -166,6 +190,7 @@
         known = self._leaves.get(entry.leaf_id)
         if known and known.entry.incarnation == entry.incarnation:
             self._drop(entry.leaf_id)
+            del self._gone[entry.leaf_id]
 
     def set_domains_out(self, domains: Iterable[str]) -> None:
         """Set the failure domains whose leaves get no requests."""
@@ -232,6 +257,9 @@
 
     def _drop(self, leaf_id: str) -> None:
         entry = self._leaves.pop(leaf_id).entry
+        self._gone[leaf_id] = entry
+        if len(self._gone) > GONE_LEAVES_MAX:
+            del self._gone[next(iter(self._gone))]
         others = self._services[entry.service]
         others.pop(leaf_id, None)
         if all(other.entry.version != entry.version for other in others.values()):
--- a/packages/gypsumvane-core/tests/test_core_routing_registry.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_registry.py
@@ -51,6 +51,32 @@
         self.registry.put(leaf("1", started_unix_ms=5), 14.0)
         self.assertEqual(self.eligible(14.0), {"1"})
 
+    def test_late_report_does_not_revive_a_leaf(self) -> None:
+        """Guard against a report from before a drain that arrives after it (DRAIN)."""
+        self.registry.put(leaf("3", started_unix_ms=5, sequence=7), 1.0)
+        draining = leaf("3", started_unix_ms=5, sequence=8, draining=True)
+        self.assertTrue(self.registry.put(draining, 2.0))
+        late = leaf("3", started_unix_ms=5, sequence=7)
+        self.assertFalse(self.registry.put(late, 6.0))
+        self.registry.replace([leaf("1"), late], 6.0, ChangePeriod(5.0))
+        self.assertNotIn("3", self.eligible(6.0))
+        # Its next start counts anew.
+        self.assertTrue(self.registry.put(replace(late, started_unix_ms=6), 7.0))
+        self.assertIn("3", self.eligible(7.0))
+
+    def test_older_copy_does_not_revive_a_leaf_that_is_gone(self) -> None:
+        """Guard against a store that comes back from a copy with a leaf that left."""
+        entry = leaf("3", started_unix_ms=5, sequence=7)
+        self.registry.put(entry, 1.0)
+        self.registry.remove("3", 2.0, ChangePeriod(1.5))
+        self.assertNotIn("3", self.eligible(2.0 + DRAIN_S))
+        older = replace(entry, sequence=6)
+        self.assertFalse(self.registry.put(older, 8.0))
+        self.assertNotIn("3", self.eligible(8.0))
+        # A leaf that lives reports on.
+        self.assertTrue(self.registry.put(replace(entry, sequence=9), 9.0))
+        self.assertIn("3", self.eligible(9.0))
+
     def test_draining_leaf_is_avoided_at_once(self) -> None:
         """Guard against requests to a draining leaf while others are ready."""
         self.registry.put(leaf("1", draining=True), 10.0)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
@@ -105,11 +105,13 @@
                 )
                 continue
             entry = record.value
-            self._state.registry.put(entry, now_s, period)
+            applied = self._state.registry.put(entry, now_s, period)
             logger.info(
                 "leaf changed",
                 extra={
                     "leaf": name,
+                    "applied": applied,
+                    "sequence": entry.sequence,
                     "service": entry.service,
                     "draining": entry.draining,
                     "warmup_left_ms": entry.warmup_left_ms,
