Follow a store that comes back from an older copy

In a drill the store loses what it acknowledged last, and gives revisions out again. Nothing read Store-Era: requests went to a leaf that was gone and to an evacuated failure domain, a completed move stayed open, the daemon's own record was lost for good, a watch got the changes of another history, and a conditional write could hit another order.

A list right after a restore does not take back what is known, and everything is listed again after 5 s, when writers have written again what was lost. The end of a move and the daemon's record are written again.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/change_period.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/change_period.py
@@ -14,3 +14,6 @@
     begin_s: float = -math.inf
     # Whether entries of running leaves may have expired in an outage of the store.
     after_outage: bool = False
+    # Whether the store has just come back from an older copy, which lacks what was
+    # written last until its writers write it again.
+    after_restore: bool = False
--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_registry.py
@@ -161,6 +161,10 @@
             if leaf and not period.after_outage and leaf.grace_is_over(now_s):
                 self._drop(leaf_id)
         for entry in listed.values():
+            gone = self._gone.get(entry.leaf_id)
+            if period.after_restore and gone and gone.incarnation == entry.incarnation:
+                # An older copy still has leaves that are gone since.
+                continue
             self.put(entry, now_s, period)
 
     def _grace_end_s(self, now_s: float, period: ChangePeriod | None) -> float:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/move_recorder.py
@@ -57,6 +57,9 @@
         """Apply all orders and remove moves without one."""
         named = {record.value.service for record in listing.records}
         for move in self._registry.all():
+            # An older copy lacks the latest orders until they are written again.
+            if period.after_restore:
+                break
             if move.order.service not in named:
                 self._registry.remove(move.order.service, listing.revision)
         for record in listing.records:
@@ -91,6 +94,9 @@
             return MoveState.ROLLED_BACK
         if not self._is_leader():
             return None
+        if move.state is MoveState.COMPLETED:
+            # The store has lost the record, by which the old leaves were stopped.
+            return MoveState.COMPLETED
         now_s = self._clock.monotonic_s()
         due = move.due_state(now_s, self._running_since_s(now_s))
         if due is MoveState.ROLLED_BACK:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/peer_exchange.py
@@ -84,6 +84,8 @@
         self._pings: set[asyncio.Task[None]] = set()
         # Set after the first attempt to list the daemons, which names the hubs.
         self.listed = asyncio.Event()
+        # Set when the store may have lost the record of this daemon.
+        self._unregistered = asyncio.Event()
 
     async def run(self, *, first_start: bool) -> None:
         """Register this daemon and exchange pings until cancelled."""
@@ -92,6 +94,10 @@
             group.create_task(self._list(first_start=first_start))
             group.create_task(self._ping_all())
 
+    def register_again(self) -> None:
+        """Store the record of this daemon again, which the store may have lost."""
+        self._unregistered.set()
+
     def cancel_pings(self) -> None:
         """Cancel the pings in progress."""
         for task in self._pings:
@@ -130,6 +136,7 @@
 
     async def _register(self) -> None:
         while True:
+            self._unregistered.clear()
             try:
                 await self._platform.register_daemon(self._own)
             except StoreUnavailableError as error:
@@ -137,8 +144,8 @@
                     "daemon registration failed, retrying", extra={"error": str(error)}
                 )
                 await asyncio.sleep(REGISTER_RETRY_S)
-            else:
-                return
+                continue
+            await self._unregistered.wait()
 
     async def _list(self, *, first_start: bool) -> None:
         if first_start:
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -170,6 +170,7 @@
             peers=self.peer_table,
             client=self._peer_client,
             news_bound_s=settings.news_bound_s,
+            on_restored=self.peers.register_again,
             clock=self.clock,
             rng=self._rng,
         )
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_feeds.py
@@ -54,6 +54,7 @@
         peers: PeerTable,
         client: PeerClient,
         news_bound_s: float,
+        on_restored: Callable[[], None],
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -81,6 +82,7 @@
             evacuation_feed,
         )
         link_feeds(self._leaves, *self._others)
+        self._leaves.on_restored = on_restored
         state.leaves_age_s = self._leaves.confirmed_age_s
         state.config_age_s = config_feed.confirmed_age_s
         state.orders_age_s = order_feed.confirmed_age_s
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/state_listeners.py
@@ -130,7 +130,9 @@
 
     def on_list(self, listing: RecordList[str], period: ChangePeriod) -> None:
         """Replace the evacuated failure domains."""
-        self._domains = {record.value for record in listing.records}
+        listed = {record.value for record in listing.records}
+        # An older copy lacks the latest evacuations until they are written again.
+        self._domains = self._domains | listed if period.after_restore else listed
         self._state.domains_known = True
         self._apply(listing.revision)
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -13,6 +13,7 @@
 from typing import TypeVar
 
 from gypsumvane_core.routing.change_period import ChangePeriod
+from gypsumvane_core.routing.store_revision import era_of
 from gypsumvane_daemon.backoff import Backoff
 from gypsumvane_daemon.routing.ports import HistoryLostError
 from gypsumvane_daemon.routing.ports import StoreNotCalledError
@@ -50,6 +51,9 @@
 # Time after a store outage in which a list may still lack running leaves, which have
 # to register again.
 REREGISTRATION_S = 4.0
+# Time after the store has come back from an older copy in which its writers write again
+# what it lacks, and entries of leaves that are gone expire. Everything is listed then.
+RESTORE_SETTLE_S = 5.0
 # Shortest time without a confirmation in which entries of running leaves may expire.
 # They expire after three silent ping intervals.
 ENTRY_EXPIRY_MIN_S = 2.4
@@ -107,6 +111,8 @@
         self.on_watched: Callable[[int, RecordChanges[Value]], None] = (
             lambda since, changes: None
         )
+        # Called when the store has come back from an older copy.
+        self.on_restored: Callable[[], None] = lambda: None
         # Called at the start of an outage and when the store has lost the history.
         self.on_interruption: Callable[[], None] = lambda: None
         # This feed makes no calls while the leader has an outage.
@@ -251,8 +257,11 @@
         self._backoff.reset()
         now_s = self._clock.monotonic_s()
         begin_s = self._confirmed_s
+        restored = self._covered_revision > 0 and era_of(answer.revision) > era_of(
+            self._covered_revision
+        )
         relay_outage = answer.after_outage and now_s - begin_s >= ENTRY_EXPIRY_MIN_S
-        if self._store_failed or relay_outage:
+        if self._store_failed or relay_outage or restored:
             self._store_failed = False
             self._regained_s = now_s
         # A relay may have an older confirmation than this daemon.
@@ -266,7 +275,17 @@
             )
             self._lost_s = None
             self._reached.set()
-        return ChangePeriod(begin_s, self.after_outage())
+        if restored:
+            self._note_restored(answer.revision)
+        return ChangePeriod(begin_s, self.after_outage(), after_restore=restored)
+
+    def _note_restored(self, revision: int) -> None:
+        logger.warning(
+            "objects come from an older copy of the store, listing them again later",
+            extra={"kind": self._source.label, "era": era_of(revision)},
+        )
+        self.on_restored()
+        asyncio.get_running_loop().call_later(RESTORE_SETTLE_S, self.restart)
 
 
 def link_feeds(leader: StoreFeed[Any], *followers: StoreFeed[Any]) -> None:
