Divide a leaf's limit of any size

Cause: divide_limit converted 1.2 times the limit to an integer. It is bounded by the number of daemons first. The error came in the background task that divides limits again, whose errors end the process.

Evidence: test_limit_beyond_all_requests raised OverflowError before.

--- a/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_limit.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/routing/leaf_limit.py
@@ -60,7 +60,9 @@
     """
     limit_per_s = max(limit_per_s, LIMIT_MIN_PER_S)
     ranked = sorted(names, key=lambda name: _weight(leaf_id, name), reverse=True)
-    holders = ranked[: HOLDERS_MIN + int(HOLDERS_PER_REQUEST * limit_per_s)]
+    # The limit may be so large that the product is infinite.
+    count = min(len(ranked), HOLDERS_MIN + HOLDERS_PER_REQUEST * limit_per_s)
+    holders = ranked[: int(count)]
     if own in holders:
         return LimitPart(limit_per_s * LIMIT_USED_SHARE / len(holders))
     others = max(1, len(ranked) - len(holders))
--- a/packages/gypsumvane-core/tests/test_core_routing_leaf_limit.py
+++ b/packages/gypsumvane-core/tests/test_core_routing_leaf_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 import unittest
 from collections import deque
 
@@ -133,6 +134,18 @@
         self.assertGreater(urgent, 0.85)
         self.assertGreater(fleet.sent[USUAL] / DURATION_S, 3.0)
 
+    def test_limit_beyond_all_requests(self) -> None:
+        """Guard against a daemon that ends by the number that a leaf names."""
+        names = [f"d{number}" for number in range(5)]
+        for limit_per_s in (1e9, 1e300, sys.float_info.max):
+            parts = [divide_limit(limit_per_s, "leaf", name, names) for name in names]
+            self.assertFalse(any(part.probes_only for part in parts))
+            limit = LeafLimit(parts[0], 0.0)
+            for now_s in (0.001, 1.0, 1e6):
+                self.assertTrue(limit.accepts(USUAL, now_s))
+                limit.take(USUAL, now_s)
+                limit.note_demand(URGENT, now_s)
+
     def test_every_daemon_learns_that_the_limit_has_ended(self) -> None:
         """Guard against a daemon without a part that never asks the leaf again."""
         names = [f"d{number}" for number in range(30)]
