Wait in a planned stop for answers that callers still read

Cause: the stop waited for handlers, which return before their answer is written. It now waits for the connections of callers in the phase "answer" of the clients' budget too, until 0.95 of the grace as before.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/client_guard.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/client_guard.py
@@ -11,11 +11,11 @@
 
 from gypsumvane_core.client_budget import ClientBudget
 from gypsumvane_core.client_budget import ClientLimits
+from gypsumvane_core.client_budget import ClientPhase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from gypsumvane_core.client_budget import ClientPhase
     from gypsumvane_core.client_budget import ClientUse
     from gypsumvane_core.client_budget import EndReason
 
@@ -119,6 +119,15 @@
             self._end_all(self.budget.overdue())
             self.relieve()
 
+    def answers_waiting(self, listener: str) -> int:
+        """Return how many clients of a listener have not read their answer yet."""
+        self._refresh()
+        return sum(
+            connection.use.phase is ClientPhase.ANSWER
+            and connection.describe()[0] == listener
+            for connection in self._connections.values()
+        )
+
     def _refresh(self) -> None:
         for connection in list(self._connections.values()):
             connection.refresh()
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -230,6 +230,9 @@
                 self.state,
                 self.entry,
                 self.peers,
+                answers_waiting=partial(
+                    self.clients.answers_waiting, self._entry_listener.name
+                ),
                 grace_s=self.settings.stop_grace_s,
                 clock=self.clock,
             ).run()
