List a kind whose changes exceed the bound of an answer

Cause: an answer that is too large passed for an unreachable store. The kind is now listed, in pages, as after a silent watch.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/ports.py
@@ -51,6 +51,10 @@
     """Report a store call without an answer; a connection may have gone silent."""
 
 
+class StoreAnswerTooLargeError(StoreUnavailableError):
+    """Report an answer of the store that exceeds its bound."""
+
+
 class HistoryLostError(Exception):
     """Report that the changes since a revision are no longer available."""
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/sockets.py
@@ -21,8 +21,7 @@
 KEEPALIVE_PROBES = 2
 # Time after which a connection with unacknowledged data is closed.
 USER_TIMEOUT_MS = 3000
-# Largest answer of the store or a peer. A page of the store has about 1 MB at most; a
-# peer answers with all objects of a kind.
+# Largest answer of a peer, which has all objects of a kind.
 ANSWER_BYTES_MAX = 8 * 2**20
 # Idle time after which a connection is closed.
 IDLE_TIMEOUT_S = 15.0
@@ -51,11 +50,13 @@
         session.connector.close_idle(address)
 
 
-def keepalive_session(*, skip_auto_headers: tuple[str, ...] = ()) -> ClientSession:
+def keepalive_session(
+    *, skip_auto_headers: tuple[str, ...] = (), bytes_max: int = ANSWER_BYTES_MAX
+) -> ClientSession:
     """Create an HTTP session on keepalive sockets, for calls to the store or peers."""
     return ClientSession(
         connector=BoundedConnector(
-            bytes_max=ANSWER_BYTES_MAX,
+            bytes_max=bytes_max,
             keepalive_timeout=IDLE_TIMEOUT_S,
             socket_factory=keepalive_socket,
         ),
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/store_feed.py
@@ -16,6 +16,7 @@
 from gypsumvane_core.routing.store_revision import era_of
 from gypsumvane_daemon.backoff import Backoff
 from gypsumvane_daemon.routing.ports import HistoryLostError
+from gypsumvane_daemon.routing.ports import StoreAnswerTooLargeError
 from gypsumvane_daemon.routing.ports import StoreNotCalledError
 from gypsumvane_daemon.routing.ports import StoreSilentError
 from gypsumvane_daemon.routing.ports import StoreUnavailableError
@@ -200,8 +201,10 @@
                 self._revision = None
                 self.on_interruption()
             except StoreUnavailableError as error:
-                if isinstance(error, StoreSilentError):
+                if isinstance(error, (StoreSilentError, StoreAnswerTooLargeError)):
                     # The store may have dropped the watch, and may drop the next one.
+                    # Changes that are too large for one answer are so each time, but
+                    # a list comes in pages.
                     self._revision = None
                 self._mark_lost(error)
                 await asyncio.sleep(self._backoff.next_s())
