Tell the end of a body from a head, and bound the framing of a body

A kept connection was answered 408 and closed while it was idle: the part that ended a body counted as the beginning of a head, so that the time limit for heads ran. Chunk extensions without end were read until the client stopped.

Evidence: test_idle_after_a_body_in_pieces got a broken pipe, and test_chunk_extension_without_end did not end, before.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
@@ -32,6 +32,8 @@
 # Bytes that are parsed at a time. Small pieces become objects of many times their size,
 # and the parser returns everything in its input at once.
 PARSED_BYTES_MAX = 8192
+# Bytes of a body's framing per byte, beyond those of a head: chunks of one byte take 6.
+FRAMING_FACTOR = 16
 # Pieces of a body that are joined when nobody has read them yet.
 PIECES_MAX = 32
 # Whole requests that wait behind the one in progress on a connection.
@@ -93,6 +95,7 @@
         "_guard",
         "_rules",
         "_head_bytes",
+        "_body_bytes",
         "_newest_payload",
         "_pending",
         "_moved_bytes",
@@ -107,6 +110,8 @@
         self.use = ClientUse(head_timeout_s=self._rules.head_timeout_s)
         # Bytes since the last complete head, outside of a body.
         self._head_bytes = 0
+        # Bytes of the body that is being received, with its framing.
+        self._body_bytes = 0
         # Body of the last request whose head has arrived.
         self._newest_payload: StreamReader | None = None
         # Received bytes that wait until the queue of requests has room.
@@ -215,29 +220,43 @@
 
     def _parse(self, part: bytes) -> None:
         requests = self._request_count
+        in_body = self._receives_body()
         super().data_received(part)
         if self._request_count != requests and self._messages:
             payload = self._messages[-1][1]
             self._newest_payload = None if payload is EMPTY_PAYLOAD else payload
-            self._head_bytes = 0
-        elif self._newest_payload is None or self._newest_payload.is_eof():
+            self._head_bytes = self._body_bytes = 0
+        elif in_body:
+            # The rest of a part that ends a body does not count as a head.
+            self._body_bytes += len(part)
+        else:
             self._head_bytes += len(part)
-            if self._head_bytes > self._rules.head_bytes_max + PARSED_BYTES_MAX:
-                self.refresh()
-                self._guard.end(self, EndReason.HEAD_TOO_LARGE)
-                return
         if self._newest_payload is not None:
             _join_pieces(self._newest_payload)
+        if self._exceeds_rules():
+            self.refresh()
+            self._guard.end(self, EndReason.HEAD_TOO_LARGE)
 
-    def _phase(self, unsent_bytes: int) -> ClientPhase:
+    def _receives_body(self) -> bool:
         payload = self._newest_payload
-        receiving = payload is not None and not payload.is_eof()
+        return payload is not None and not payload.is_eof()
+
+    def _exceeds_rules(self) -> bool:
+        """Return whether a head, or the framing of a body, takes too many bytes."""
+        if self._head_bytes > self._rules.head_bytes_max + PARSED_BYTES_MAX:
+            return True
+        payload = self._newest_payload
+        return payload is not None and self._body_bytes > (
+            HEADER_LINE_BYTES + FRAMING_FACTOR * payload.total_bytes
+        )
+
+    def _phase(self, unsent_bytes: int) -> ClientPhase:
         if self._current_request is not None:
             content = self._current_request.content
             return ClientPhase.RUNNING if content.is_eof() else ClientPhase.BODY
         if unsent_bytes or self._request_in_progress:
             return ClientPhase.ANSWER
-        if receiving:
+        if self._receives_body():
             # Also a body whose request has been answered early.
             return ClientPhase.BODY
         if self._messages:
