Write a body to all leaves from one copy

The head and the body are now written one after the other, and uvloop keeps a reference to the unsent part of the body, which all leaves share.

The crowd tests of both daemons now share the process of the crowd and the checks of HTTP listeners; crowds and bounds are the same.

--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/forwarded_request.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/forwarded_request.py
@@ -41,11 +41,14 @@
     # Earlier of the caller's deadline and the end of the route's time-out.
     deadline_s: float
 
-    def encode(self, names: HeaderNames, *, leaf_id: str, now_s: float) -> bytes:
-        """Return the bytes to send to a leaf, with the time left as deadline."""
+    def encode_head(self, names: HeaderNames, *, leaf_id: str, now_s: float) -> bytes:
+        """Return the head to send to a leaf, with the time left as deadline.
+
+        The body follows it, which all leaves share.
+        """
         left_ms = max(1, int((self.deadline_s - now_s) * 1000))
         own = f"{names.deadline_ms}: {left_ms}\r\n{names.expected_leaf}: {leaf_id}\r\n"
-        return b"".join((self.head, own.encode("latin-1"), b"\r\n", self.body))
+        return b"".join((self.head, own.encode("latin-1"), b"\r\n"))
 
 
 def end_to_end(
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_attempt.py
@@ -101,7 +101,8 @@
         call = load.begin(sent_s)
         try:
             answer = await self.pool.channel(entry, service).exchange(
-                partial(self._encode, entry, request),
+                partial(self._encode_head, entry, request),
+                request_body=request.body,
                 request_id=request.request_id,
                 id_header=self.names.request_id,
                 body_bytes_max=answer_bytes_max,
@@ -129,8 +130,8 @@
             return self._executed(reply, meaning, median_latency_s=median_latency_s)
         return self._no_result(entry, answer, meaning)
 
-    def _encode(self, entry: LeafEntry, request: ForwardedRequest) -> bytes:
-        """Return the bytes to write, if the request may still be sent to the leaf.
+    def _encode_head(self, entry: LeafEntry, request: ForwardedRequest) -> bytes:
+        """Return the head to write, if the request may still be sent to the leaf.
 
         The wait for a connection, or a pause of the process, may have outlasted the
         deadline or the time for which the leaf gets requests. Raises
@@ -152,7 +153,7 @@
                 "the leaf asked for a pause before the request was sent",
                 reason=Reason.UPSTREAM_SHED,
             )
-        return request.encode(self.names, leaf_id=entry.leaf_id, now_s=now_s)
+        return request.encode_head(self.names, leaf_id=entry.leaf_id, now_s=now_s)
 
     def _exchange_failed(self, entry: LeafEntry, error: ExchangeError) -> LeafFailure:
         load = self.pool.load(entry)
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/leaf_channel.py
@@ -141,8 +141,9 @@
 
     async def exchange(
         self,
-        encode: Callable[[], bytes],
+        encode_head: Callable[[], bytes],
         *,
+        request_body: bytes = b"",
         request_id: str,
         id_header: str,
         body_bytes_max: int,
@@ -150,10 +151,10 @@
     ) -> LeafAnswer:
         """Send a request once and return the response with its request id.
 
-        encode returns the request when the connection is open, right before it is
+        encode_head returns the head when the connection is open, right before it is
         written. Cancellation closes the connection. Raises ExchangeError if no
         complete response of at most body_bytes_max arrives, and passes on a
-        SendWithdrawnError of encode.
+        SendWithdrawnError of encode_head.
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S) as connecting:
@@ -169,7 +170,7 @@
             raise ExchangeError(describe_error(error), written=False) from error
         try:
             protocol = _open_protocol(connection)
-            request = encode()
+            request = (encode_head(), request_body)
             protocol.bytes_max = HEADS_BYTES_MAX + FRAMING_FACTOR * body_bytes_max
             protocol.set_response_params(
                 read_until_eof=True, auto_decompress=False, skip_payload=bodiless
@@ -206,12 +207,13 @@
     async def _transfer(
         self,
         protocol: BoundedResponseHandler,
-        request: bytes,
+        request: tuple[bytes, bytes],
         request_id: str,
         id_header: str,
     ) -> LeafAnswer:
         assert protocol.transport is not None
-        protocol.transport.write(request)
+        # Unsent bytes of a body are held once for all leaves that do not read them.
+        protocol.transport.writelines(filter(None, request))
         for _ in range(FOREIGN_ANSWERS_MAX):
             answer = await _read_answer(protocol)
             if answer.header(id_header) == request_id:
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/client_crowd.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/client_crowd.py
@@ -87,6 +87,15 @@
         return [head + b"\r\n", b"x" * (self.size_bytes - 1)]
 
 
+class WholeBody(ClientKind):
+    """Send a whole request with a body and wait for the answer."""
+
+    def pieces(self, number: int) -> list[bytes]:
+        """Return a head and its body."""
+        head = self.head(number, "POST", f"Content-Length: {self.size_bytes}")
+        return [head + b"\r\n", b"x" * self.size_bytes]
+
+
 class SmallChunks(ClientKind):
     """Send a body in small chunks and stop before the last one."""
 
@@ -172,6 +181,7 @@
 
 KINDS: dict[str, type[ClientKind]] = {
     "short_body": ShortBody,
+    "whole_body": WholeBody,
     "small_chunks": SmallChunks,
     "slow_reader": SlowReader,
     "pipelined_requests": PipelinedRequests,
--- a/tests/crowd_daemon.py
+++ b/tests/crowd_daemon.py
@@ -6,17 +6,22 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
-import sys
 import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp import ClientError
 
 from gypsumvane_devtools.cluster_plan import ClusterPlan
 from gypsumvane_devtools.cluster_plan import IndexPlan
-from gypsumvane_devtools.managed_process import end_with_parent
+from gypsumvane_devtools.crowd_process import CrowdPlan
+from gypsumvane_devtools.crowd_process import running_crowd
 from gypsumvane_devtools.process_usage import watched_usage
 from tests.system_case import SystemCase
 
+if TYPE_CHECKING:
+    from gypsumvane_devtools.client_crowd import CrowdCounts
+
 MIB = 2**20
 MEMORY_MB = 150
 DESCRIPTORS = 400
@@ -57,63 +62,58 @@
         count: int,
         size_bytes: int = 0,
         path: str = SEARCH_PATH,
-    ) -> dict[str, int]:
+    ) -> CrowdCounts:
         """Let a crowd stay until a search is answered and return its counts."""
         process = self.cluster.daemons[0].process
-        crowd = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "gypsumvane_devtools.client_crowd",
-            kind,
-            address,
-            str(count),
-            str(size_bytes),
-            path,
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-            preexec_fn=end_with_parent,
-        )
-        assert crowd.stdout is not None
-        try:
-            async with watched_usage(process.pid) as usage:
-                await crowd.stdout.readline()
-                await self.until(self.ordinary_request, "a search is answered")
-                output, _ = await crowd.communicate(b"")
-        finally:
-            if crowd.returncode is None:
-                crowd.kill()
-                await crowd.wait()
+        plan = CrowdPlan(kind, address, count, size_bytes, path)
+        async with running_crowd(plan) as crowd, watched_usage(process.pid) as usage:
+            await crowd.settle()
+            await self.until(self.ordinary_request, "a search is answered")
+            counts = await crowd.leave()
         self.assertTrue(process.running)
         self.assertLess(usage.memory_bytes, MEMORY_MB * MIB)
         self.assertLessEqual(usage.descriptors, DESCRIPTORS)
-        counts: dict[str, int] = json.loads(output)
-        self.assertEqual(counts["connected"] + counts["refused"], count)
+        self.assertEqual(counts.connected + counts.refused, count)
         return counts
 
     async def ordinary_request(self) -> bool:
         """Return whether a search is answered completely."""
         try:
             reply = await self.cluster.search("stock", "speaker")
-        except OSError:
+        except (ClientError, OSError):
             return False
         return bool(reply.values.get("outcome") == "complete")
 
-    async def check_silent(self, address: str) -> None:
-        """Play connections that send nothing."""
-        await self.play(address, "silent", 500)
 
-    async def check_empty_lines(self, address: str) -> None:
-        """Play empty lines without end before a request."""
-        counts = await self.play(address, "empty_lines", 20)
-        self.assertEqual(counts["closed_by_server"], 20)
+class HttpListenerCrowds:
+    """Crowds that each HTTP listener has to bear."""
+
+    @property
+    def address(self) -> str:
+        """Return the address of the listener."""
+        raise NotImplementedError
+
+    async def test_silent_connections(self: Any) -> None:
+        """Guard against descriptors that connections without a request keep."""
+        await self.play(self.address, "silent", 500)
+
+    async def test_empty_lines(self: Any) -> None:
+        """Guard against bytes before a request that are parsed without end."""
+        counts = await self.play(self.address, "empty_lines", 20)
+        self.assertEqual(counts.closed_by_server, 20)
+
+    async def test_head_of_fields_without_end(self: Any) -> None:
+        """Guard against a head of short fields that is read without end."""
+        counts = await self.play(self.address, "endless_fields", 50)
+        self.assertEqual(counts.closed_by_server, 50)
 
-    async def check_heads(self, address: str, kind: str) -> None:
-        """Play a kind of heads without end."""
-        counts = await self.play(address, kind, 50)
-        self.assertEqual(counts["closed_by_server"], 50)
+    async def test_field_without_end(self: Any) -> None:
+        """Guard against a field of a head that is read without end."""
+        counts = await self.play(self.address, "endless_field", 50)
+        self.assertEqual(counts.closed_by_server, 50)
 
 
-class CallerListenerTest(DaemonCrowdCase):
+class CallerListenerTest(HttpListenerCrowds, DaemonCrowdCase):
     """Crowds at the listener for callers."""
 
     @property
@@ -121,26 +121,10 @@
         """Return the address of the listener."""
         return self.cluster.daemons[0].addresses.callers
 
-    async def test_silent_connections(self) -> None:
-        """Guard against descriptors that connections without a request keep."""
-        await self.check_silent(self.address)
-
     async def test_heads_that_stop(self) -> None:
         """Guard against descriptors that unfinished heads keep."""
         await self.play(self.address, "stopped_head", 500, 4000)
 
-    async def test_empty_lines(self) -> None:
-        """Guard against bytes before a request that are parsed without end."""
-        await self.check_empty_lines(self.address)
-
-    async def test_head_of_fields_without_end(self) -> None:
-        """Guard against a head of short fields that is read without end."""
-        await self.check_heads(self.address, "endless_fields")
-
-    async def test_field_without_end(self) -> None:
-        """Guard against a field of a head that is read without end."""
-        await self.check_heads(self.address, "endless_field")
-
     async def test_bodies_in_small_chunks(self) -> None:
         """Guard against small pieces that take many times their size."""
         await self.play(self.address, "small_chunks", 100, 262_144)
@@ -150,7 +134,7 @@
         await self.play(self.address, "short_body", 500, BODY_BYTES_MAX)
 
 
-class OperatorListenerTest(DaemonCrowdCase):
+class OperatorListenerTest(HttpListenerCrowds, DaemonCrowdCase):
     """Crowds at the listener for operators."""
 
     @property
@@ -158,22 +142,6 @@
         """Return the address of the listener."""
         return self.cluster.daemons[0].addresses.operators
 
-    async def test_silent_connections(self) -> None:
-        """Guard against descriptors that connections without a request keep."""
-        await self.check_silent(self.address)
-
-    async def test_empty_lines(self) -> None:
-        """Guard against bytes before a request that are parsed without end."""
-        await self.check_empty_lines(self.address)
-
-    async def test_head_of_fields_without_end(self) -> None:
-        """Guard against a head of short fields that is read without end."""
-        await self.check_heads(self.address, "endless_fields")
-
-    async def test_field_without_end(self) -> None:
-        """Guard against a field of a head that is read without end."""
-        await self.check_heads(self.address, "endless_field")
-
     async def test_bodies_in_small_chunks(self) -> None:
         """Guard against small pieces that take many times their size."""
         await self.play(self.address, "small_chunks", 100, 262_144, "/v1/vms")
@@ -189,7 +157,7 @@
 
     async def test_silent_connections(self) -> None:
         """Guard against descriptors that connections without a frame keep."""
-        await self.check_silent(self.address)
+        await self.play(self.address, "silent", 500)
 
     async def test_frames_that_stop_before_their_end(self) -> None:
         """Guard against frames of legal size that together exceed the memory."""
