Hold a large answer once while it is written

With 16 callers a second that read answers of 2 MiB in 5.8 s, a daemon with 200 MB took 182 MB, although the budget for clients had 50 MB: with a larger program it would have been ended with the requests of all others.

Cause: aiohttp joins the head and the body, and the event loop keeps this copy until its last byte is sent, beside the body of the response; the budget counted the unsent bytes only. Large bodies are now written in pieces of 64 KB when the one before has been taken, and count once as a whole. The share of the memory for clients is two fifths instead of a quarter. A body or answer is given up after 60 s without progress instead of 30, because the kernel shows the progress of a slow reader in steps of about 85 KB.

Ruled out: fragmentation of the heap (179 MB with a low mmap threshold).

--- a/packages/gypsumvane-core/src/gypsumvane_core/client_budget.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/client_budget.py
@@ -14,7 +14,7 @@
 MIB = 2**20
 # Share of a process's memory for all its clients. The rest is for the program, its
 # state and the answers of leaves in progress.
-MEMORY_SHARE = 1 / 4
+MEMORY_SHARE = 0.4
 # Descriptors that the platform keeps for files.
 FILE_DESCRIPTORS = 200
 # Share of the sockets for clients. The rest is for connections to leaves, peers and
@@ -22,15 +22,16 @@
 CONNECTION_SHARE = 3 / 4
 # Memory of a connection without any bytes: its protocol, parser and task.
 CONNECTION_BYTES = 8192
-# Copies of received or unsent bytes that exist at the same time, for instance a body
-# as read and as forwarded.
+# Copies of received bytes that exist at the same time, for instance a body as read and
+# as forwarded.
 COPIES = 2
 # Bytes that a client has to move to count as making progress.
 PROGRESS_BYTES = 4096
 # Time without progress after which a client counts as stalled.
 STALL_S = 1.0
-# Time without progress after which a body or an answer is given up in any case.
-STALL_TIMEOUT_S = 30.0
+# Time without progress after which a body or an answer is given up in any case. The
+# buffers of the kernel show the progress of a slow reader in large steps.
+STALL_TIMEOUT_S = 60.0
 # Parts of the memory and of the connections that are freed at a time, so that the
 # clients are not searched again for each byte: of stalled clients, and of others.
 STALLED_FREED = 1 / 8
@@ -155,15 +156,17 @@
         phase: ClientPhase,
         *,
         unfinished_bytes: int,
+        unsent_bytes: int = 0,
         moved_bytes: int,
     ) -> None:
         """Record the phase of a connection and the bytes held for it.
 
-        moved_bytes counts all bytes that the client has sent and read.
+        unfinished_bytes are those of requests, unsent_bytes those of answers that are
+        being written. moved_bytes counts all bytes that the client has sent and read.
         """
         if client not in self._clients:
             return
-        held_bytes = CONNECTION_BYTES + COPIES * unfinished_bytes
+        held_bytes = CONNECTION_BYTES + COPIES * unfinished_bytes + unsent_bytes
         self.held_bytes += held_bytes - client.held_bytes
         client.held_bytes = held_bytes
         client.moved_bytes = moved_bytes
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
@@ -34,6 +34,8 @@
 PARSED_BYTES_MAX = 8192
 # Bytes of a body's framing per byte, beyond those of a head: chunks of one byte take 6.
 FRAMING_FACTOR = 16
+# Pieces in which a large answer is written.
+PIECE_BYTES = 65_536
 # Pieces of a body that are joined when nobody has read them yet.
 PIECES_MAX = 32
 # Whole requests that wait behind the one in progress on a connection.
@@ -98,6 +100,7 @@
         "_body_bytes",
         "_newest_payload",
         "_pending",
+        "_answer_bytes",
         "_moved_bytes",
         "_last_unsent_bytes",
         "_ended",
@@ -116,6 +119,8 @@
         self._newest_payload: StreamReader | None = None
         # Received bytes that wait until the queue of requests has room.
         self._pending = b""
+        # Size of the body that is being written in pieces.
+        self._answer_bytes = 0
         # Bytes that were received, or sent and read by the client.
         self._moved_bytes = 0
         self._last_unsent_bytes = 0
@@ -167,14 +172,35 @@
     async def finish_response(
         self, request: BaseRequest, resp: StreamResponse, start_time: float | None
     ) -> tuple[StreamResponse, bool]:
-        """Write a response and release its body.
+        """Write a response, whose body is held once, and release it.
 
         aiohttp keeps the last response of a connection until the next request.
         """
-        resp, reset = await super().finish_response(request, resp, start_time)
-        if isinstance(resp, Response):
-            resp._body = None
-        return resp, reset
+        try:
+            if isinstance(resp, Response):
+                await self._write_large_body(request, resp)
+            return await super().finish_response(request, resp, start_time)
+        except ConnectionError:
+            return resp, True
+        finally:
+            self._answer_bytes = 0
+            if isinstance(resp, Response):
+                resp._body = None
+
+    async def _write_large_body(self, request: BaseRequest, resp: Response) -> None:
+        """Write a large body in pieces, so that it is not copied as a whole."""
+        body = resp._body
+        if not isinstance(body, bytes) or len(body) <= PIECE_BYTES:
+            return
+        writer = await resp.prepare(request)
+        if writer is None or resp._must_be_empty_body:
+            return
+        self._answer_bytes = len(body)
+        whole = memoryview(body)
+        for start in range(0, len(body), PIECE_BYTES):
+            await writer.write(whole[start : start + PIECE_BYTES])
+            await writer.drain()
+        resp._body = None
 
     def refresh(self) -> None:
         """Record the current use in the budget."""
@@ -184,7 +210,8 @@
         self._guard.budget.update(
             self.use,
             self._phase(unsent_bytes),
-            unfinished_bytes=self._unfinished_bytes() + unsent_bytes,
+            unfinished_bytes=self._unfinished_bytes(),
+            unsent_bytes=unsent_bytes + self._answer_bytes,
             moved_bytes=self._moved_bytes,
         )
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/inbound_peer.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/inbound_peer.py
@@ -58,9 +58,8 @@
         self._guard.budget.update(
             self.use,
             self._phase(),
-            unfinished_bytes=self._reading
-            + self._handling
-            + self._transport.get_write_buffer_size(),
+            unfinished_bytes=self._reading + self._handling,
+            unsent_bytes=self._transport.get_write_buffer_size(),
             moved_bytes=self._moved,
         )
 
