Remove what the clients' budget repeated, and wire names from the crowd tool

No change of behaviour. Found in a read of the whole change: a field of ClientUse that nothing read, a default of ListenerGuard that nothing used, the idle timeout of listeners and the log fields of an ended client in several places, and header names of the users' platform in the development package. Crowds get their headers from the tests now; kinds, counts, sizes and bounds are the same. The clients of the heartbeat daemon's crowds send its own Request-Id in place of two headers that it does not know.

--- a/packages/gypsumvane-core/src/gypsumvane_core/client_budget.py
+++ b/packages/gypsumvane-core/src/gypsumvane_core/client_budget.py
@@ -99,7 +99,6 @@
     held_bytes: int = CONNECTION_BYTES
     # Whether a request on the connection has arrived completely.
     served: bool = False
-    moved_bytes: int = 0
     # Order in which the connections were opened.
     number: int = 0
     phase_since_s: float = 0.0
@@ -169,7 +168,6 @@
         held_bytes = CONNECTION_BYTES + COPIES * unfinished_bytes + unsent_bytes
         self.held_bytes += held_bytes - client.held_bytes
         client.held_bytes = held_bytes
-        client.moved_bytes = moved_bytes
         if phase is not client.phase:
             client.phase = phase
             client.phase_since_s = self._now_s
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/caller_api.py
@@ -22,6 +22,7 @@
 from gypsumvane_daemon.caller_routes import CallerDependencies
 from gypsumvane_daemon.caller_routes import CallerRoutes
 from gypsumvane_daemon.client_service import ClientService
+from gypsumvane_daemon.guarded_server import IDLE_TIMEOUT_S
 from gypsumvane_daemon.guarded_server import ListenerGuard
 from gypsumvane_daemon.guarded_server import ListenerRules
 from gypsumvane_daemon.kernel import Service
@@ -53,8 +54,6 @@
 # Keep-alive connections stay open this long after the listening socket is closed,
 # so that requests already in transit are still answered.
 IDLE_GRACE_S = 0.5
-# Idle time after which a connection is closed.
-IDLE_TIMEOUT_S = 60.0
 # Exceeds the maximum deadline of a caller's request (DEADLINE_MS_MAX).
 STOP_TIMEOUT_S = 65.0
 
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/client_guard.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/client_guard.py
@@ -8,6 +8,7 @@
 from abc import abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Any
 
 from gypsumvane_core.client_budget import ClientBudget
 from gypsumvane_core.client_budget import ClientLimits
@@ -37,6 +38,18 @@
     # Identifier of the request that was in transit, empty if it is not known.
     request_id: str
 
+    def log_fields(self) -> dict[str, Any]:
+        """Return the fields of a log line."""
+        return {
+            "request_id": self.request_id,
+            "listener": self.listener,
+            "client": self.address,
+            "reason": self.reason,
+            "phase": self.phase,
+            "held_bytes": self.held_bytes,
+            "stalled_ms": round(self.stalled_s * 1000),
+        }
+
 
 class GuardedConnection(ABC):
     """Connection of a client whose use counts in the budget."""
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/client_service.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/client_service.py
@@ -67,15 +67,4 @@
         if not self._lines.take(self._clock.monotonic_s()):
             self._metrics.count("client_log_lines_dropped")
             return
-        logger.warning(
-            "connection of a client ended",
-            extra={
-                "listener": client.listener,
-                "client": client.address,
-                "request_id": client.request_id,
-                "reason": client.reason,
-                "phase": client.phase,
-                "held_bytes": client.held_bytes,
-                "stalled_ms": round(client.stalled_s * 1000),
-            },
-        )
+        logger.warning("connection of a client ended", extra=client.log_fields())
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/guarded_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -29,6 +28,8 @@
 # Longest header line that the parser accepts. It is as large as the usual configured
 # limit of all headers together, which handlers enforce.
 HEADER_LINE_BYTES = 65_536
+# Idle time after which a connection is closed, unless a listener sets another.
+IDLE_TIMEOUT_S = 60.0
 # Bytes that are parsed at a time. Small pieces become objects of many times their size,
 # and the parser returns everything in its input at once.
 PARSED_BYTES_MAX = 8192
@@ -69,7 +70,7 @@
     """Hold the guard of a process and the rules of one of its listeners."""
 
     guard: ClientGuard
-    rules: ListenerRules = field(default_factory=lambda: ListenerRules(""))
+    rules: ListenerRules
 
 
 class GuardedServer(Server):
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/operator_api.py
@@ -13,6 +13,7 @@
 from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.client_service import ClientService
 from gypsumvane_daemon.document_service import DocumentService
+from gypsumvane_daemon.guarded_server import IDLE_TIMEOUT_S
 from gypsumvane_daemon.guarded_server import ListenerGuard
 from gypsumvane_daemon.guarded_server import ListenerRules
 from gypsumvane_daemon.kernel import Service
@@ -40,8 +41,6 @@
 
 BODY_BYTES_MAX = 2 << 20
 STOP_TIMEOUT_S = 5.0
-# Idle time after which a connection is closed.
-IDLE_TIMEOUT_S = 60.0
 
 
 class OperatorApi(Service):
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/listener.py
@@ -13,6 +13,7 @@
 
 from gypsumvane_daemon.addresses import split_address
 from gypsumvane_daemon.guarded_server import HEADER_LINE_BYTES
+from gypsumvane_daemon.guarded_server import IDLE_TIMEOUT_S
 from gypsumvane_daemon.guarded_server import GuardedServer
 from gypsumvane_daemon.guarded_server import ListenerGuard
 from gypsumvane_daemon.guarded_server import ListenerRules
@@ -33,8 +34,6 @@
 
 # Connections that wait to be accepted while the process is busy.
 BACKLOG = 512
-# Idle time after which connections are closed, unless it is set later.
-IDLE_TIMEOUT_S = 60.0
 # Time for open connections to close. The planned stop has waited for requests by then;
 # those still in progress are aborted.
 SHUTDOWN_TIMEOUT_S = 0.2
--- a/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
+++ b/packages/gypsumvane-daemon/src/gypsumvane_daemon/routing/routing_daemon.py
@@ -323,16 +323,7 @@
             reason=client.reason,
             phase=client.phase,
         )
-        self._context.log.line(
-            "client_ended",
-            request_id=client.request_id,
-            listener=client.listener,
-            client=client.address,
-            reason=client.reason,
-            phase=client.phase,
-            held_bytes=client.held_bytes,
-            stalled_ms=round(client.stalled_s * 1000),
-        )
+        self._context.log.line("client_ended", **client.log_fields())
 
     def _is_leader(self) -> bool:
         """Return whether this is the first entry daemon, which records moves."""
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/client_crowd.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/client_crowd.py
@@ -1,8 +1,8 @@
 """Crowd of HTTP clients that send requests without an end or read no answers.
 
-``python -m gypsumvane_devtools.client_crowd KIND ADDRESS COUNT BYTES [PATH]`` opens
-COUNT connections, prints a JSON line when nothing moves on them any more, keeps them
-open until standard input ends, and prints how many the server had closed by then.
+``python -m gypsumvane_devtools.client_crowd KIND ADDRESS COUNT BYTES PATH [HEADER]...``
+opens COUNT connections, prints a JSON line when nothing moves on them any more, keeps
+them open until standard input ends, and prints how many the server had closed by then.
 """
 
 from __future__ import annotations
@@ -16,9 +16,13 @@
 from abc import abstractmethod
 from dataclasses import asdict
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from gypsumvane_daemon.addresses import split_address
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 HOST = "shop.example"
 PATH = "/p/x"
 # Connections that are opened at the same time.
@@ -58,17 +62,18 @@
     receive_buffer_bytes = 0
     reads_slowly = False
 
-    def __init__(self, size_bytes: int, path: str) -> None:
+    def __init__(self, size_bytes: int, path: str, headers: Sequence[str]) -> None:
         self.size_bytes = size_bytes
         self.path = path
+        # Header lines; ``{number}`` stands for the number of the client.
+        self._headers = headers
 
     def head(self, number: int, method: str, *lines: str) -> bytes:
         """Return the head of a request without its last empty line."""
         fields = [
             f"{method} {self.path} HTTP/1.1",
             f"Host: {HOST}",
-            f"Gypsumvane-Request-Id: crowd-{number}",
-            "Gypsumvane-Deadline-Ms: 600000",
+            *(line.format(number=number) for line in self._headers),
             *lines,
         ]
         return ("\r\n".join(fields) + "\r\n").encode()
@@ -299,8 +304,8 @@
 
 def main(arguments: list[str]) -> None:
     """Run the crowd that the arguments describe."""
-    kind, address, count, size, *path = arguments
-    client = KINDS[kind](int(size), *(path or [PATH]))
+    kind, address, count, size, path, *headers = arguments
+    client = KINDS[kind](int(size), path, headers)
 
     async def run() -> None:
         await ClientCrowd(client, address, int(count)).run()
--- a/packages/gypsumvane-devtools/src/gypsumvane_devtools/crowd_process.py
+++ b/packages/gypsumvane-devtools/src/gypsumvane_devtools/crowd_process.py
@@ -26,6 +26,8 @@
     count: int
     size_bytes: int = 0
     path: str = PATH
+    # Header lines of each request; ``{number}`` stands for the number of the client.
+    headers: tuple[str, ...] = ()
 
 
 class CrowdProcess:
@@ -64,6 +66,7 @@
             str(plan.count),
             str(plan.size_bytes),
             plan.path,
+            *plan.headers,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             preexec_fn=end_with_parent,
--- a/tests/crowd_daemon.py
+++ b/tests/crowd_daemon.py
@@ -28,6 +28,7 @@
 SEARCH_PATH = "/v1/indexes/stock/search"
 # Largest body that the listener for callers accepts.
 BODY_BYTES_MAX = 65_536
+HEADERS = ("Request-Id: crowd-{number}",)
 # Largest frame between daemons.
 FRAME_BYTES_MAX = MIB
 PLAN = ClusterPlan(
@@ -65,7 +66,7 @@
     ) -> CrowdCounts:
         """Let a crowd stay until a search is answered and return its counts."""
         process = self.cluster.daemons[0].process
-        plan = CrowdPlan(kind, address, count, size_bytes, path)
+        plan = CrowdPlan(kind, address, count, size_bytes, path, HEADERS)
         async with running_crowd(plan) as crowd, watched_usage(process.pid) as usage:
             await crowd.settle()
             await self.until(self.ordinary_request, "a search is answered")
